--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+BUILD ?= build
+PACKAGES := libh2o-evloop-dev libcapnp-dev prometheus-cpp-dev libyaml-cpp-dev \
+  libpopt-dev libboost1.81-dev libboost-log1.81-dev libboost-test1.81-dev \
+  libboost-json1.81-dev libxxhash-dev librapidcheck-dev libssl-dev zlib1g-dev \
+  pkg-config ninja-build cmake g++ ccache spin gnuplot-nox clang-format \
+  clang-tidy
+
+.PHONY: setup build test test-sanitized run format check-format lint generate
+
+setup:
+	scripts/setup $(PACKAGES)
+
+build: setup
+	cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS)
+	cmake --build $(BUILD)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+test-sanitized:
+	$(MAKE) test BUILD=build-sanitized \
+	  CMAKE_FLAGS="-DCUMINSLIP_SANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug"
+
+run: build
+	scripts/run-demo $(BUILD)
+
+format:
+	scripts/sources | xargs clang-format -i
+
+check-format:
+	scripts/sources | xargs clang-format --dry-run -Werror
+
+lint: build
+	scripts/sources | grep '\.cpp$$' | xargs -P $$(nproc) -n 1 \
+	  scripts/lint-one $(BUILD)
+
+generate:
+	scripts/generate
--- /dev/null
+++ b/src/base/internal/events.cpp
@@ -0,0 +1,180 @@
+#include "base/events.h"
+
+#include <boost/json.hpp>
+#include <boost/log/attributes/constant.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <boost/log/utility/setup/file.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+
+#include <chrono>
+#include <iostream>
+#include <string>
+
+namespace cuminslip {
+
+namespace {
+
+namespace json = boost::json;
+namespace logging = boost::log;
+
+using Logger = logging::sources::severity_logger_mt<int>;
+
+BOOST_LOG_ATTRIBUTE_KEYWORD(SeverityAttribute, "Severity", int)
+
+auto
+InstanceName() -> std::string&
+{
+  static auto sName = std::string{};
+  return sName;
+}
+
+auto
+GlobalLogger() -> Logger&
+{
+  static auto sLogger = Logger{};
+  return sLogger;
+}
+
+auto
+SeverityName(Severity aSeverity) -> std::string_view
+{
+  switch (aSeverity) {
+    case Severity::Debug:
+      return "debug";
+    case Severity::Info:
+      return "info";
+    case Severity::Warning:
+      return "warning";
+    case Severity::Error:
+      return "error";
+  }
+  return "unknown";
+}
+
+auto
+WallClockMillis() -> std::int64_t
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+auto
+ToObject(const Event& aEvent, std::initializer_list<EventField> aFields)
+  -> json::object
+{
+  auto line = json::object{};
+  line["event"] = aEvent.mNumber;
+  line["name"] = aEvent.mName;
+  line["severity"] = SeverityName(aEvent.mSeverity);
+  for (const auto& field : aFields) {
+    std::visit([&](const auto& aValue) { line[field.mName] = aValue; },
+               field.mValue);
+  }
+  return line;
+}
+
+} // namespace
+
+EventField::EventField(std::string_view aName, std::string aValue)
+  : mName(aName)
+  , mValue(std::move(aValue))
+{
+}
+
+EventField::EventField(std::string_view aName, std::string_view aValue)
+  : mName(aName)
+  , mValue(std::string(aValue))
+{
+}
+
+EventField::EventField(std::string_view aName, const char* aValue)
+  : mName(aName)
+  , mValue(std::string(aValue))
+{
+}
+
+EventField::EventField(std::string_view aName, bool aValue)
+  : mName(aName)
+  , mValue(aValue)
+{
+}
+
+EventField::EventField(std::string_view aName, double aValue)
+  : mName(aName)
+  , mValue(aValue)
+{
+}
+
+EventField::EventField(std::string_view aName, std::int64_t aValue)
+  : mName(aName)
+  , mValue(aValue)
+{
+}
+
+EventField::EventField(std::string_view aName, std::uint64_t aValue)
+  : mName(aName)
+  , mValue(static_cast<std::int64_t>(aValue))
+{
+}
+
+EventField::EventField(std::string_view aName, int aValue)
+  : mName(aName)
+  , mValue(std::int64_t{ aValue })
+{
+}
+
+EventField::EventField(std::string_view aName, unsigned aValue)
+  : mName(aName)
+  , mValue(std::int64_t{ aValue })
+{
+}
+
+auto
+StartLog(const std::string& aInstance,
+         const std::string& aFile,
+         Severity aLowest) -> void
+{
+  namespace keywords = logging::keywords;
+  InstanceName() = aInstance;
+  if (aFile.empty()) {
+    logging::add_console_log(
+      std::clog, keywords::auto_flush = true, keywords::format = "%Message%");
+  } else {
+    logging::add_file_log(keywords::file_name = aFile,
+                          keywords::open_mode = std::ios::app,
+                          keywords::auto_flush = true,
+                          keywords::format = "%Message%");
+  }
+  logging::core::get()->set_filter(SeverityAttribute >=
+                                   static_cast<int>(aLowest));
+}
+
+auto
+LogEvent(const Event& aEvent, std::initializer_list<EventField> aFields) -> void
+{
+  auto record = GlobalLogger().open_record(
+    logging::keywords::severity = static_cast<int>(aEvent.mSeverity));
+  if (!record) {
+    return;
+  }
+  auto line = ToObject(aEvent, aFields);
+  line["time_ms"] = WallClockMillis();
+  line["instance"] = InstanceName();
+  auto stream = logging::record_ostream(record);
+  stream << json::serialize(line);
+  stream.flush();
+  GlobalLogger().push_record(std::move(record));
+}
+
+auto
+FormatEvent(const Event& aEvent, std::initializer_list<EventField> aFields)
+  -> std::string
+{
+  return json::serialize(ToObject(aEvent, aFields));
+}
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/wire/httpserver.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "base/findings.h"
+#include "wire/eventloop.h"
+#include "wire/types/httpmessage.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+/// HTTP server on an event loop. All functions are for the loop's thread.
+namespace cuminslip::wire {
+
+/// What a listener accepts.
+struct ListenerLimits
+{
+  std::size_t mMaxBodyBytes = std::size_t{ 8 } * 1024 * 1024;
+  std::size_t mMaxConnections = 4096;
+  Millis mRequestTimeout{ 10000 };
+
+  auto operator==(const ListenerLimits&) const -> bool = default;
+};
+
+/// The response side of one request. Outlives the request: functions given a
+/// responder whose caller has gone away do nothing.
+struct Responder;
+using ResponderPtr = std::shared_ptr<Responder>;
+
+using RequestHandler = std::function<void(const HttpRequest&, ResponderPtr)>;
+
+struct HttpServer;
+struct HttpServerDeleter
+{
+  auto operator()(HttpServer* aServer) const -> void;
+};
+using HttpServerPtr = std::unique_ptr<HttpServer, HttpServerDeleter>;
+
+/// Listens on aAddress and passes each whole request to aHandler. Port 0 takes
+/// a free one. Fails with a finding when the address can't be had.
+auto
+StartHttpServer(EventLoop& aLoop,
+                const SocketAddress& aAddress,
+                const ListenerLimits& aLimits,
+                RequestHandler aHandler) -> leaf::result<HttpServerPtr>;
+
+/// The address that is listened on, with the port that was taken.
+auto
+ListenAddress(const HttpServer& aServer) -> SocketAddress;
+
+/// Stops accepting connections; open ones go on.
+auto
+StopAccepting(HttpServer& aServer) -> void;
+
+/// Number of connections open now.
+auto
+CountConnections(const HttpServer& aServer) -> std::size_t;
+
+/// Answers with a whole response. Precondition: nothing was sent before.
+auto
+SendResponse(const ResponderPtr& aResponder, const HttpResponse& aResponse)
+  -> void;
+
+/// Sends status and headers of a response whose body follows in pieces.
+/// Precondition: nothing was sent before.
+auto
+StartStream(const ResponderPtr& aResponder,
+            int aStatus,
+            const Headers& aHeaders) -> void;
+
+/// Sends a piece of the body. Precondition: StartStream was called.
+auto
+SendPiece(const ResponderPtr& aResponder, std::string_view aPiece) -> void;
+
+/// Ends the body normally.
+auto
+FinishStream(const ResponderPtr& aResponder) -> void;
+
+/// Breaks the connection so that the caller sees an incomplete body.
+auto
+AbortStream(const ResponderPtr& aResponder) -> void;
+
+/// Bytes given to SendPiece that the caller's connection has not yet taken.
+auto
+UnsentBytes(const ResponderPtr& aResponder) -> std::size_t;
+
+/// True once the caller has closed the connection or the response is done.
+/// Looks at the socket, so that it also notices a caller who leaves before the
+/// response begins.
+auto
+IsClosed(const ResponderPtr& aResponder) -> bool;
+
+/// Runs aAction once if the connection goes away before the response is done.
+auto
+SetCloseHandler(const ResponderPtr& aResponder, std::function<void()> aAction)
+  -> void;
+
+} // namespace cuminslip::wire
--- /dev/null
+++ b/src/wire/internal/httpserver.cpp
@@ -0,0 +1,484 @@
+#include "wire/httpserver.h"
+
+#include "wire/internal/eventloopstate.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <set>
+#include <vector>
+
+namespace cuminslip::wire {
+
+struct Responder
+{
+  h2o_req_t* mRequest = nullptr;
+  struct Generator* mGenerator = nullptr;
+  std::string mPending;
+  std::string mInFlight;
+  bool mHasStarted = false;
+  bool mIsSending = false;
+  bool mIsFinishing = false;
+  bool mIsDone = false;
+  std::function<void()> mOnClose;
+};
+
+/// Lives in the request's memory pool; keeps the responder reachable from h2o's
+/// callbacks until the pool is cleared.
+struct Generator
+{
+  h2o_generator_t mBase;
+  ResponderPtr* mResponder;
+};
+
+struct ServerHandler
+{
+  h2o_handler_t mBase;
+  HttpServer* mServer;
+};
+
+struct HttpServer
+{
+  EventLoop* mLoop = nullptr;
+  h2o_globalconf_t mConfig{};
+  h2o_context_t mContext{};
+  h2o_accept_ctx_t mAccept{};
+  h2o_socket_t* mListener = nullptr;
+  SocketAddress mAddress;
+  ListenerLimits mLimits;
+  RequestHandler mHandler;
+  std::shared_ptr<std::set<h2o_socket_t*>> mConnections =
+    std::make_shared<std::set<h2o_socket_t*>>();
+  std::vector<std::weak_ptr<Responder>> mResponders;
+};
+
+/// What a connection's close callback needs.
+struct ConnectionEntry
+{
+  std::shared_ptr<std::set<h2o_socket_t*>> mConnections;
+  h2o_socket_t* mSocket = nullptr;
+};
+
+namespace {
+
+constexpr auto kBacklog = 1024;
+constexpr auto kCloseRounds = 1000;
+
+auto
+ToString(const h2o_iovec_t& aBytes) -> std::string
+{
+  return { aBytes.base, aBytes.len };
+}
+
+auto
+ToHttpRequest(const h2o_req_t& aRequest) -> HttpRequest
+{
+  auto request = HttpRequest{};
+  request.mMethod = ToString(aRequest.method);
+  const auto path = ToString(aRequest.path);
+  const auto question = path.find('?');
+  request.mPath = path.substr(0, question);
+  if (question != std::string::npos) {
+    request.mQuery = path.substr(question + 1);
+  }
+  for (auto i = std::size_t{ 0 }; i < aRequest.headers.size; ++i) {
+    const auto& header = aRequest.headers.entries[i];
+    request.mHeaders.push_back(
+      { ToString(*header.name), ToString(header.value) });
+  }
+  request.mBody = ToString(aRequest.entity);
+  return request;
+}
+
+/// Detaches the responder from the request and reports a close that came
+/// before the response was done.
+auto
+Detach(Responder& aResponder) -> void
+{
+  aResponder.mRequest = nullptr;
+  aResponder.mGenerator = nullptr;
+  aResponder.mPending.clear();
+  const auto onClose = std::exchange(aResponder.mOnClose, {});
+  if (!aResponder.mIsDone && onClose) {
+    onClose();
+  }
+}
+
+auto
+OnPoolCleared(void* aData) -> void
+{
+  auto* generator = static_cast<Generator*>(aData);
+  Detach(**generator->mResponder);
+  delete generator->mResponder;
+}
+
+auto
+Flush(Responder& aResponder) -> void
+{
+  if (aResponder.mIsSending || aResponder.mRequest == nullptr ||
+      aResponder.mIsDone) {
+    return;
+  }
+  if (aResponder.mPending.empty() && !aResponder.mIsFinishing) {
+    return;
+  }
+  aResponder.mInFlight = std::exchange(aResponder.mPending, {});
+  aResponder.mIsSending = true;
+  auto* request = aResponder.mRequest;
+  auto buf =
+    h2o_iovec_init(aResponder.mInFlight.data(), aResponder.mInFlight.size());
+  const auto state =
+    aResponder.mIsFinishing ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS;
+  if (aResponder.mIsFinishing) {
+    aResponder.mIsDone = true;
+  }
+  h2o_send(request, &buf, buf.len > 0 ? 1 : 0, state);
+}
+
+auto
+OnProceed(h2o_generator_t* aGenerator, h2o_req_t*) -> void
+{
+  const auto responder = *reinterpret_cast<Generator*>(aGenerator)->mResponder;
+  responder->mIsSending = false;
+  responder->mInFlight.clear();
+  Flush(*responder);
+}
+
+auto
+OnStop(h2o_generator_t* aGenerator, h2o_req_t*) -> void
+{
+  const auto responder = *reinterpret_cast<Generator*>(aGenerator)->mResponder;
+  Detach(*responder);
+}
+
+auto
+AttachResponder(h2o_req_t* aRequest) -> ResponderPtr
+{
+  auto* generator = static_cast<Generator*>(
+    h2o_mem_alloc_shared(&aRequest->pool, sizeof(Generator), OnPoolCleared));
+  generator->mBase.proceed = OnProceed;
+  generator->mBase.stop = OnStop;
+  generator->mResponder = new ResponderPtr(std::make_shared<Responder>());
+  auto responder = *generator->mResponder;
+  responder->mRequest = aRequest;
+  responder->mGenerator = generator;
+  return responder;
+}
+
+auto
+RememberResponder(HttpServer& aServer, const ResponderPtr& aResponder) -> void
+{
+  constexpr auto kCompactAbove = std::size_t{ 256 };
+  auto& responders = aServer.mResponders;
+  if (responders.size() >= kCompactAbove &&
+      responders.size() >= 2 * aServer.mConnections->size()) {
+    std::erase_if(responders,
+                  [](const auto& aWeak) { return aWeak.expired(); });
+  }
+  responders.push_back(aResponder);
+}
+
+auto
+OnRequest(h2o_handler_t* aHandler, h2o_req_t* aRequest) -> int
+{
+  auto* server = reinterpret_cast<ServerHandler*>(aHandler)->mServer;
+  const auto responder = AttachResponder(aRequest);
+  RememberResponder(*server, responder);
+  server->mHandler(ToHttpRequest(*aRequest), responder);
+  return 0;
+}
+
+auto
+OnConnectionClosed(void* aData) -> void
+{
+  const auto entry =
+    std::unique_ptr<ConnectionEntry>(static_cast<ConnectionEntry*>(aData));
+  entry->mConnections->erase(entry->mSocket);
+}
+
+auto
+OnAccept(h2o_socket_t* aListener, const char* aError) -> void
+{
+  auto* server = static_cast<HttpServer*>(aListener->data);
+  if (aError != nullptr) {
+    return;
+  }
+  auto* sock = h2o_evloop_socket_accept(aListener);
+  if (sock == nullptr) {
+    return;
+  }
+  if (server->mConnections->size() >= server->mLimits.mMaxConnections) {
+    h2o_socket_close(sock);
+    return;
+  }
+  server->mConnections->insert(sock);
+  sock->on_close.cb = OnConnectionClosed;
+  sock->on_close.data = new ConnectionEntry{ server->mConnections, sock };
+  h2o_accept(&server->mAccept, sock);
+}
+
+auto
+AddressFinding(const SocketAddress& aAddress, const std::string& aProblem)
+  -> Findings
+{
+  return {
+    { { {}, FormatAddress(aAddress), aProblem, "a free local address" } }
+  };
+}
+
+auto
+OpenListener(const SocketAddress& aAddress) -> leaf::result<int>
+{
+  auto address = sockaddr_in{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(aAddress.mPort));
+  if (inet_pton(AF_INET, aAddress.mHost.c_str(), &address.sin_addr) != 1) {
+    return leaf::new_error(AddressFinding(aAddress, "not an IPv4 address"));
+  }
+  const auto fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const auto on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
+      listen(fd, kBacklog) != 0) {
+    const auto problem = std::string("cannot listen: ") + std::strerror(errno);
+    close(fd);
+    return leaf::new_error(AddressFinding(aAddress, problem));
+  }
+  return fd;
+}
+
+auto
+BoundPort(int aSocket) -> int
+{
+  auto address = sockaddr_in{};
+  auto length = socklen_t{ sizeof(address) };
+  getsockname(aSocket, reinterpret_cast<sockaddr*>(&address), &length);
+  return ntohs(address.sin_port);
+}
+
+auto
+Configure(HttpServer& aServer) -> void
+{
+  h2o_config_init(&aServer.mConfig);
+  aServer.mConfig.server_name = h2o_iovec_init(H2O_STRLIT("cuminslip"));
+  aServer.mConfig.max_request_entity_size = aServer.mLimits.mMaxBodyBytes;
+  aServer.mConfig.http1.req_timeout =
+    static_cast<std::uint64_t>(aServer.mLimits.mRequestTimeout.count());
+  auto* host = h2o_config_register_host(
+    &aServer.mConfig, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+  auto* path = h2o_config_register_path(host, "/", 0);
+  auto* handler = reinterpret_cast<ServerHandler*>(
+    h2o_create_handler(path, sizeof(ServerHandler)));
+  handler->mBase.on_req = OnRequest;
+  handler->mServer = &aServer;
+  h2o_context_init(&aServer.mContext, aServer.mLoop->mLoop, &aServer.mConfig);
+  aServer.mAccept.ctx = &aServer.mContext;
+  aServer.mAccept.hosts = aServer.mConfig.hosts;
+}
+
+auto
+SetResponseHead(h2o_req_t& aRequest, int aStatus, const Headers& aHeaders)
+  -> void
+{
+  aRequest.res.status = aStatus;
+  aRequest.res.reason = "status";
+  for (const auto& header : aHeaders) {
+    const auto name =
+      h2o_strdup(&aRequest.pool, header.mName.data(), header.mName.size());
+    const auto value =
+      h2o_strdup(&aRequest.pool, header.mValue.data(), header.mValue.size());
+    h2o_add_header_by_str(&aRequest.pool,
+                          &aRequest.res.headers,
+                          name.base,
+                          name.len,
+                          1,
+                          nullptr,
+                          value.base,
+                          value.len);
+  }
+}
+
+/// Answers what is still open and closes every connection, which h2o notices
+/// within a few rounds of the loop.
+auto
+CloseConnections(HttpServer& aServer) -> void
+{
+  for (const auto& weak : aServer.mResponders) {
+    const auto responder = weak.lock();
+    if (responder && !responder->mHasStarted) {
+      SendResponse(responder, { 503, {}, "" });
+    } else if (responder) {
+      AbortStream(responder);
+    }
+  }
+  for (auto* sock : *aServer.mConnections) {
+    shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+  }
+  for (auto i = 0; i < kCloseRounds && !aServer.mConnections->empty(); ++i) {
+    h2o_evloop_run(aServer.mLoop->mLoop, 1);
+  }
+}
+
+} // namespace
+
+auto
+HttpServerDeleter::operator()(HttpServer* aServer) const -> void
+{
+  StopAccepting(*aServer);
+  CloseConnections(*aServer);
+  h2o_context_dispose(&aServer->mContext);
+  h2o_config_dispose(&aServer->mConfig);
+  delete aServer;
+}
+
+auto
+StartHttpServer(EventLoop& aLoop,
+                const SocketAddress& aAddress,
+                const ListenerLimits& aLimits,
+                RequestHandler aHandler) -> leaf::result<HttpServerPtr>
+{
+  BOOST_LEAF_AUTO(fd, OpenListener(aAddress));
+  auto server = HttpServerPtr(new HttpServer);
+  server->mLoop = &aLoop;
+  server->mLimits = aLimits;
+  server->mHandler = std::move(aHandler);
+  server->mAddress = { aAddress.mHost, BoundPort(fd) };
+  Configure(*server);
+  server->mListener =
+    h2o_evloop_socket_create(aLoop.mLoop, fd, H2O_SOCKET_FLAG_DONT_READ);
+  server->mListener->data = server.get();
+  h2o_socket_read_start(server->mListener, OnAccept);
+  return server;
+}
+
+auto
+ListenAddress(const HttpServer& aServer) -> SocketAddress
+{
+  return aServer.mAddress;
+}
+
+auto
+StopAccepting(HttpServer& aServer) -> void
+{
+  if (aServer.mListener == nullptr) {
+    return;
+  }
+  h2o_socket_read_stop(aServer.mListener);
+  h2o_socket_close(aServer.mListener);
+  aServer.mListener = nullptr;
+}
+
+auto
+CountConnections(const HttpServer& aServer) -> std::size_t
+{
+  return aServer.mConnections->size();
+}
+
+auto
+SendResponse(const ResponderPtr& aResponder, const HttpResponse& aResponse)
+  -> void
+{
+  if (aResponder->mRequest == nullptr || aResponder->mIsDone) {
+    return;
+  }
+  auto& request = *aResponder->mRequest;
+  SetResponseHead(request, aResponse.mStatus, aResponse.mHeaders);
+  request.res.content_length = aResponse.mBody.size();
+  aResponder->mHasStarted = true;
+  h2o_start_response(&request, &aResponder->mGenerator->mBase);
+  aResponder->mPending = aResponse.mBody;
+  aResponder->mIsFinishing = true;
+  Flush(*aResponder);
+}
+
+auto
+StartStream(const ResponderPtr& aResponder,
+            int aStatus,
+            const Headers& aHeaders) -> void
+{
+  if (aResponder->mRequest == nullptr) {
+    return;
+  }
+  auto& request = *aResponder->mRequest;
+  SetResponseHead(request, aStatus, aHeaders);
+  aResponder->mHasStarted = true;
+  h2o_start_response(&request, &aResponder->mGenerator->mBase);
+  // NOTE: an empty piece makes h2o write the head at once.
+  aResponder->mIsSending = true;
+  h2o_send(&request, nullptr, 0, H2O_SEND_STATE_IN_PROGRESS);
+}
+
+auto
+SendPiece(const ResponderPtr& aResponder, std::string_view aPiece) -> void
+{
+  if (aResponder->mRequest == nullptr || aResponder->mIsFinishing) {
+    return;
+  }
+  aResponder->mPending += aPiece;
+  Flush(*aResponder);
+}
+
+auto
+FinishStream(const ResponderPtr& aResponder) -> void
+{
+  if (aResponder->mRequest == nullptr || aResponder->mIsFinishing) {
+    return;
+  }
+  aResponder->mIsFinishing = true;
+  Flush(*aResponder);
+}
+
+auto
+AbortStream(const ResponderPtr& aResponder) -> void
+{
+  if (aResponder->mRequest == nullptr || aResponder->mIsDone) {
+    return;
+  }
+  aResponder->mIsDone = true;
+  aResponder->mPending.clear();
+  auto* request = aResponder->mRequest;
+  request->http1_is_persistent = 0;
+  if (!aResponder->mIsSending) {
+    h2o_send(request, nullptr, 0, H2O_SEND_STATE_ERROR);
+    return;
+  }
+  // NOTE: a piece is still being written; closing both directions lets h2o find
+  // the broken connection itself, since it owns the socket.
+  auto* sock = request->conn->callbacks->get_socket(request->conn);
+  shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+}
+
+auto
+UnsentBytes(const ResponderPtr& aResponder) -> std::size_t
+{
+  return aResponder->mPending.size() + aResponder->mInFlight.size();
+}
+
+auto
+IsClosed(const ResponderPtr& aResponder) -> bool
+{
+  if (aResponder->mRequest == nullptr || aResponder->mIsDone) {
+    return true;
+  }
+  auto* conn = aResponder->mRequest->conn;
+  auto* sock = conn->callbacks->get_socket(conn);
+  auto byte = char{};
+  const auto n =
+    recv(h2o_socket_get_fd(sock), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+auto
+SetCloseHandler(const ResponderPtr& aResponder, std::function<void()> aAction)
+  -> void
+{
+  aResponder->mOnClose = std::move(aAction);
+}
+
+} // namespace cuminslip::wire
--- /dev/null
+++ b/src/wire/tests/http_tests.cpp
@@ -0,0 +1,242 @@
+#include "wire/httpclient.h"
+#include "wire/httpserver.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cuminslip;
+using namespace cuminslip::wire;
+
+namespace {
+
+constexpr auto kMaxBody = std::size_t{ 1024 } * 1024;
+constexpr auto kRound = Millis(5);
+constexpr auto kLongestTest = Seconds(20);
+
+struct Fixture
+{
+  EventLoopPtr mLoop = CreateEventLoop();
+  HttpServerPtr mServer;
+  HttpClientPtr mClient = CreateHttpClient(*mLoop);
+
+  auto Serve(RequestHandler aHandler) -> void
+  {
+    auto outcome = CollectOutcome<HttpServerPtr>([&] {
+      return StartHttpServer(
+        *mLoop, { "127.0.0.1", 0 }, { kMaxBody, 8, Millis(500) }, aHandler);
+    });
+    BOOST_REQUIRE(outcome.mValue.has_value());
+    mServer = std::move(*outcome.mValue);
+  }
+
+  auto RunUntil(const std::function<bool()>& aIsDone) -> void
+  {
+    const auto limit = MonotonicNow() + kLongestTest;
+    while (!aIsDone() && MonotonicNow() < limit) {
+      RunLoopOnce(*mLoop, kRound);
+    }
+    BOOST_REQUIRE(aIsDone());
+  }
+
+  auto Call(std::string aMethod, std::string aPath, std::string aBody)
+    -> HttpCall
+  {
+    return {
+      ListenAddress(*mServer),
+      { std::move(aMethod), std::move(aPath), "", {}, std::move(aBody) }
+    };
+  }
+};
+
+struct Answer
+{
+  std::optional<CallEnd> mEnd;
+  HttpResponse mResponse;
+};
+
+auto
+Fetch(Fixture& aFixture, HttpCall aCall) -> Answer
+{
+  auto answer = Answer{};
+  FetchResponse(*aFixture.mClient,
+                std::move(aCall),
+                kMaxBody,
+                [&](CallEnd aEnd, const HttpResponse& aResponse) {
+                  answer = { aEnd, aResponse };
+                });
+  aFixture.RunUntil([&] { return answer.mEnd.has_value(); });
+  return answer;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(HttpTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(PassesRequestAndResponse)
+{
+  auto seen = HttpRequest{};
+  Serve([&](const HttpRequest& aRequest, const ResponderPtr& aResponder) {
+    seen = aRequest;
+    SendResponse(aResponder, { 201, { { "x-a", "b" } }, "made" });
+  });
+
+  auto call = Call("POST", "/v1/things", "body");
+  call.mRequest.mQuery = "a=1";
+  const auto answer = Fetch(*this, call);
+
+  BOOST_TEST((answer.mEnd == CallEnd::Complete));
+  BOOST_TEST(answer.mResponse.mStatus == 201);
+  BOOST_TEST(answer.mResponse.mBody == "made");
+  BOOST_TEST(FindHeader(answer.mResponse.mHeaders, "x-a").value_or("") == "b");
+  BOOST_TEST(seen.mPath == "/v1/things");
+  BOOST_TEST(seen.mQuery == "a=1");
+  BOOST_TEST(seen.mBody == "body");
+}
+
+BOOST_AUTO_TEST_CASE(StreamsPieces)
+{
+  auto responder = ResponderPtr{};
+  Serve([&](const HttpRequest&, const ResponderPtr& aResponder) {
+    responder = aResponder;
+    StartStream(aResponder, 200, { { "content-type", "text/event-stream" } });
+    SendPiece(aResponder, "one ");
+  });
+  auto text = std::string{};
+  auto end = std::optional<CallEnd>{};
+  StartCall(*mClient,
+            Call("GET", "/", ""),
+            { nullptr,
+              [&](std::string_view aPiece) { text += aPiece; },
+              [&](CallEnd aEnd) { end = aEnd; } });
+
+  RunUntil([&] { return text == "one "; });
+  SendPiece(responder, "two");
+  RunUntil([&] { return text == "one two"; });
+  FinishStream(responder);
+  RunUntil([&] { return end.has_value(); });
+
+  BOOST_TEST((end == CallEnd::Complete));
+}
+
+BOOST_AUTO_TEST_CASE(AbortedStreamIsBroken)
+{
+  auto responder = ResponderPtr{};
+  Serve([&](const HttpRequest&, const ResponderPtr& aResponder) {
+    responder = aResponder;
+    StartStream(aResponder, 200, {});
+    SendPiece(aResponder, "one");
+  });
+  auto text = std::string{};
+  auto end = std::optional<CallEnd>{};
+  StartCall(*mClient,
+            Call("GET", "/", ""),
+            { nullptr,
+              [&](std::string_view aPiece) { text += aPiece; },
+              [&](CallEnd aEnd) { end = aEnd; } });
+
+  RunUntil([&] { return text == "one"; });
+  AbortStream(responder);
+  RunUntil([&] { return end.has_value(); });
+
+  BOOST_TEST((end == CallEnd::Broken));
+}
+
+BOOST_AUTO_TEST_CASE(NoticesACallerWhoLeaves)
+{
+  auto responder = ResponderPtr{};
+  auto isClosed = false;
+  Serve([&](const HttpRequest&, const ResponderPtr& aResponder) {
+    responder = aResponder;
+    SetCloseHandler(aResponder, [&] { isClosed = true; });
+    StartStream(aResponder, 200, {});
+    SendPiece(aResponder, "one");
+  });
+  auto text = std::string{};
+  const auto id = StartCall(
+    *mClient,
+    Call("GET", "/", ""),
+    { nullptr, [&](std::string_view aPiece) { text += aPiece; }, nullptr });
+  RunUntil([&] { return text == "one"; });
+
+  CancelCall(*mClient, id);
+  RunUntil([&] { return IsClosed(responder); });
+  RunUntil([&] {
+    SendPiece(responder, "more");
+    return isClosed;
+  });
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAnOversizeBody)
+{
+  auto isCalled = false;
+  Serve([&](const HttpRequest&, const ResponderPtr&) { isCalled = true; });
+
+  const auto answer =
+    Fetch(*this, Call("POST", "/", std::string(kMaxBody + 1, 'x')));
+
+  BOOST_TEST(!isCalled);
+  BOOST_TEST(
+    (answer.mEnd != CallEnd::Complete || answer.mResponse.mStatus == 413));
+}
+
+BOOST_AUTO_TEST_CASE(ReportsThatNothingListens)
+{
+  Serve([](const HttpRequest&, const ResponderPtr&) {});
+  const auto call = Call("GET", "/", "");
+  StopAccepting(*mServer);
+
+  const auto answer = Fetch(*this, call);
+
+  BOOST_TEST((answer.mEnd == CallEnd::NotConnected));
+}
+
+BOOST_AUTO_TEST_CASE(TimesOutASilentServer)
+{
+  Serve([](const HttpRequest&, const ResponderPtr&) {});
+  auto call = Call("GET", "/", "");
+  call.mTimeout = Millis(50);
+
+  const auto answer = Fetch(*this, call);
+
+  BOOST_TEST((answer.mEnd == CallEnd::TimedOut));
+}
+
+BOOST_AUTO_TEST_CASE(BoundsTheAnswersHead)
+{
+  Serve([](const HttpRequest&, const ResponderPtr& aResponder) {
+    SendResponse(aResponder,
+                 { 200, { { "x-long", std::string(1000000, 'x') } }, "" });
+  });
+
+  const auto answer = Fetch(*this, Call("GET", "/", ""));
+
+  BOOST_TEST((answer.mEnd != CallEnd::Complete));
+}
+
+BOOST_AUTO_TEST_CASE(TimersFireInOrderAndCanBeStopped)
+{
+  auto fired = std::string{};
+  StartTimer(*mLoop, Millis(20), [&] { fired += "b"; });
+  StartTimer(*mLoop, Millis(5), [&] { fired += "a"; });
+  const auto stopped = StartTimer(*mLoop, Millis(10), [&] { fired += "x"; });
+  StopTimer(*mLoop, stopped);
+
+  RunUntil([&] { return fired.size() == 2; });
+
+  BOOST_TEST(fired == "ab");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AddressTests)
+
+BOOST_AUTO_TEST_CASE(ParsesIpAndPort)
+{
+  BOOST_TEST(
+    (ParseAddress("127.0.0.1:80") == SocketAddress{ "127.0.0.1", 80 }));
+  for (const auto* text :
+       { "", "127.0.0.1", "host:80", "127.0.0.1:0", "127.0.0.1:70000", ":1" }) {
+    BOOST_TEST(!ParseAddress(text).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
