--- /dev/null
+++ b/src/endpoints/tests/fixedseed.cpp
@@ -0,0 +1,15 @@
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+
+namespace {
+
+/// Gives the property tests the same seed each run unless RC_PARAMS is set.
+struct FixedSeed
+{
+  FixedSeed() { setenv("RC_PARAMS", "seed=20261203", 0); }
+};
+
+} // namespace
+
+BOOST_TEST_GLOBAL_CONFIGURATION(FixedSeed);
--- /dev/null
+++ b/src/endpoints/types/endpointmessages.h
@@ -0,0 +1,200 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/types/ids.h"
+#include "policy/types/endpointview.h"
+#include "templates/types/template.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Requests to endpoints and their answers.
+namespace cuminslip::endpoints {
+
+/// The instance for which an endpoint keeps memory.
+struct Owner
+{
+  InstanceId mInstance;
+  Incarnation mIncarnation = 0;
+
+  auto operator<=>(const Owner&) const = default;
+};
+
+/// A part of a prompt that another engine holds.
+struct KvPart
+{
+  std::string mAddress;
+  HoldingId mHolding;
+  std::int64_t mTokens = 0;
+
+  auto operator==(const KvPart&) const -> bool = default;
+};
+
+/// Begins a stream.
+struct StreamRequest
+{
+  AttemptId mAttempt;
+  Owner mOwner;
+  ModelName mModel;
+  ModelVersion mVersion;
+  std::string mAdapter;
+  std::string mPrompt;
+  std::int64_t mMaxTokens = 0;
+  Priority mPriority = Priority::Normal;
+  /// Time left for the whole answer.
+  Millis mAllowance{ 0 };
+  Millis mLease{ 0 };
+  /// Hashes of the prompt's first 512, 1024, ... tokens.
+  std::vector<std::string> mPrefixHashes;
+  /// Pieces that were delivered from elsewhere.
+  std::int64_t mSkipPieces = 0;
+  std::vector<KvPart> mKvParts;
+
+  auto operator==(const StreamRequest&) const -> bool = default;
+};
+
+/// Continues a stream that the engine still has.
+struct ResumeRequest
+{
+  AttemptId mNewAttempt;
+  std::int64_t mFromPiece = 0;
+  Owner mOwner;
+  Millis mLease{ 0 };
+
+  auto operator==(const ResumeRequest&) const -> bool = default;
+};
+
+/// Sets memory aside.
+struct ReservationRequest
+{
+  HoldingId mId;
+  Owner mOwner;
+  std::int64_t mTokens = 0;
+  Millis mLease{ 0 };
+
+  auto operator==(const ReservationRequest&) const -> bool = default;
+};
+
+/// An earlier part of a long prompt, for import.
+struct PartImport
+{
+  std::string mAddress;
+  HoldingId mHolding;
+
+  auto operator==(const PartImport&) const -> bool = default;
+};
+
+/// Reads one part of a long prompt into a reservation.
+struct PartRequest
+{
+  HoldingId mReservation;
+  std::int64_t mPart = 0;
+  ModelName mModel;
+  ModelVersion mVersion;
+  std::string mPrompt;
+  /// Tokens of the prompt before this part.
+  std::int64_t mPosition = 0;
+  Priority mPriority = Priority::Normal;
+  std::vector<PartImport> mImports;
+
+  auto operator==(const PartRequest&) const -> bool = default;
+};
+
+/// Answer to a PartRequest: what the engine holds now.
+struct PartAnswer
+{
+  HoldingId mHolding;
+  std::int64_t mTokens = 0;
+
+  auto operator==(const PartAnswer&) const -> bool = default;
+};
+
+/// Keeps a cached prefix for import elsewhere.
+struct ExportRequest
+{
+  HoldingId mHolding;
+  std::string mPrefix;
+  Owner mOwner;
+  Millis mLease{ 0 };
+
+  auto operator==(const ExportRequest&) const -> bool = default;
+};
+
+/// Copies a block from another engine.
+struct ImportRequest
+{
+  HoldingId mId;
+  std::string mAddress;
+  HoldingId mHolding;
+  Owner mOwner;
+  Millis mLease{ 0 };
+
+  auto operator==(const ImportRequest&) const -> bool = default;
+};
+
+/// Renews the leases of holdings of one owner.
+struct RenewRequest
+{
+  Owner mOwner;
+  Millis mLease{ 0 };
+  std::vector<HoldingId> mIds;
+
+  auto operator==(const RenewRequest&) const -> bool = default;
+};
+
+enum class OrderAction : std::uint8_t
+{
+  LoadModel,
+  UnloadModel,
+  LoadAdapter,
+  UnloadAdapter,
+  SetRole
+};
+
+/// An order of the placement controller.
+struct Order
+{
+  std::string mOrder;
+  std::uint64_t mFencing = 0;
+  Millis mExpiresIn{ 0 };
+  OrderAction mAction = OrderAction::LoadModel;
+  ModelName mModel;
+  ModelVersion mVersion;
+  std::string mAdapter;
+  EngineRole mRole = EngineRole::Mixed;
+
+  auto operator==(const Order&) const -> bool = default;
+};
+
+enum class OrderProgress : std::uint8_t
+{
+  Running,
+  Done,
+  Failed
+};
+
+/// What an endpoint says of an order.
+struct OrderStatus
+{
+  std::string mOrder;
+  OrderProgress mProgress = OrderProgress::Running;
+  std::string mReason;
+
+  auto operator==(const OrderStatus&) const -> bool = default;
+};
+
+/// A refusal. mRan is true unless the endpoint said that nothing ran.
+struct Refusal
+{
+  bool mRan = true;
+  std::string mReason;
+  std::optional<Millis> mRetryAfter;
+  /// Highest fencing number seen, where the refusal is of an order.
+  std::optional<std::uint64_t> mHighestFencing;
+
+  auto operator==(const Refusal&) const -> bool = default;
+};
+
+} // namespace cuminslip::endpoints
