--- /dev/null
+++ b/src/policy/internal/choicecandidates.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "policy/endpointchoice.h"
+
+#include <cstddef>
+#include <random>
+#include <vector>
+
+/// Steps of ChooseEndpoint.
+namespace cuminslip {
+
+/// Endpoints that may take the request now, by position, and why the others
+/// may not.
+struct Candidates
+{
+  std::vector<std::size_t> mIndexes;
+  RuledOut mRuledOut;
+};
+
+/// Filters by permission, health, earlier attempts, memory and lane.
+auto
+FindCandidates(const ChoiceInput& aInput, const ChoiceSettings& aSettings)
+  -> Candidates;
+
+/// Keeps the holders of the longest cached prefixes and a random sample.
+auto
+SampleCandidates(std::vector<std::size_t> aIndexes,
+                 const std::vector<CachedPrefix>& aCached,
+                 const ChoiceSettings& aSettings,
+                 std::mt19937_64& aRandom) -> std::vector<std::size_t>;
+
+/// Predicts the times of one endpoint and their cost.
+auto
+ConsiderEndpoint(const ChoiceInput& aInput,
+                 std::size_t aIndex,
+                 const CachedPrefix& aCached,
+                 const ChoiceSettings& aSettings) -> ConsideredEndpoint;
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/policy/internal/prediction.cpp
@@ -0,0 +1,121 @@
+#include "policy/prediction.h"
+
+#include <algorithm>
+
+namespace cuminslip {
+
+namespace {
+
+constexpr double kMicrosPerSecond = 1e6;
+constexpr double kSlownessGain = 0.2;
+/// Below this a ratio of times says nothing about the engine.
+constexpr Micros kLeastComparableTime{ 2000 };
+
+auto
+ToMicros(double aSeconds) -> Micros
+{
+  return Micros(static_cast<std::int64_t>(aSeconds * kMicrosPerSecond));
+}
+
+auto
+RateOr(double aReported, double aDefault) -> double
+{
+  return aReported > 0 ? aReported : aDefault;
+}
+
+auto
+SlotWaitSeconds(const EndpointView& aEndpoint, double aAnswerSeconds) -> double
+{
+  const auto& load = aEndpoint.mLoad;
+  const auto slots = std::max<std::int64_t>(1, load.mBatchSlots);
+  const auto streams =
+    load.mRunningStreams + load.mWaitingStreams + aEndpoint.mSent.mStreams;
+  const auto ahead = std::max<std::int64_t>(0, streams - slots + 1);
+  return static_cast<double>(ahead) / static_cast<double>(slots) *
+         aAnswerSeconds;
+}
+
+} // namespace
+
+auto
+FirstTokenTime(const PredictedTimes& aTimes) -> Micros
+{
+  return aTimes.mQueue + aTimes.mPrefill;
+}
+
+auto
+TotalTime(const PredictedTimes& aTimes) -> Micros
+{
+  return aTimes.mQueue + aTimes.mPrefill + aTimes.mDecode;
+}
+
+auto
+EstimateQueuedTokens(const EndpointView& aEndpoint,
+                     const PredictionSettings& aSettings) -> std::int64_t
+{
+  const auto rate = RateOr(aEndpoint.mLoad.mPrefillTokensPerSecond,
+                           aSettings.mDefaultPrefillTokensPerSecond);
+  const auto age = std::chrono::duration<double>(aEndpoint.mReportAge).count();
+  const auto read = static_cast<std::int64_t>(rate * std::max(0.0, age));
+  const auto queued =
+    aEndpoint.mLoad.mQueuedPrefillTokens + aEndpoint.mSent.mPrefillTokens;
+  return std::max<std::int64_t>(0, queued - read);
+}
+
+auto
+EstimateFreeKvTokens(const EndpointView& aEndpoint) -> std::int64_t
+{
+  return std::max<std::int64_t>(
+    0, aEndpoint.mLoad.mFreeKvTokens - aEndpoint.mSent.mPrefillTokens);
+}
+
+auto
+PredictTimes(const EndpointView& aEndpoint,
+             const WorkSize& aWork,
+             const PredictionSettings& aSettings) -> PredictedTimes
+{
+  const auto& load = aEndpoint.mLoad;
+  const auto prefillRate = RateOr(load.mPrefillTokensPerSecond,
+                                  aSettings.mDefaultPrefillTokensPerSecond);
+  const auto decodeRate = RateOr(load.mDecodeTokensPerSecond,
+                                 aSettings.mDefaultDecodeTokensPerSecond);
+  const auto slowness = std::clamp(aEndpoint.mHealth.mSlowness,
+                                   aSettings.mLeastSlowness,
+                                   aSettings.mGreatestSlowness);
+  const auto share =
+    aSettings.mQueueShare.at(static_cast<std::size_t>(aWork.mPriority));
+  const auto queued =
+    share * static_cast<double>(EstimateQueuedTokens(aEndpoint, aSettings));
+  const auto answerSeconds =
+    static_cast<double>(aSettings.mTypicalAnswerTokens) / decodeRate;
+  const auto unread =
+    std::max<std::int64_t>(0, aWork.mPromptTokens - aWork.mCachedTokens);
+  return { ToMicros(slowness * (queued / prefillRate +
+                                SlotWaitSeconds(aEndpoint, answerSeconds))),
+           ToMicros(slowness * static_cast<double>(unread) / prefillRate),
+           ToMicros(slowness * static_cast<double>(aWork.mMaxTokens) /
+                    decodeRate) };
+}
+
+auto
+LearnSlowness(CallHealth& aHealth,
+              Micros aMeasured,
+              const PredictedTimes& aPredicted,
+              const PredictionSettings& aSettings) -> void
+{
+  const auto predicted = FirstTokenTime(aPredicted);
+  if (std::max(predicted, aMeasured) < kLeastComparableTime) {
+    return;
+  }
+  const auto base = std::max(predicted, kLeastComparableTime);
+  // NOTE: the prediction already contains the slowness learned before.
+  const auto ratio = aHealth.mSlowness *
+                     static_cast<double>(aMeasured.count()) /
+                     static_cast<double>(base.count());
+  aHealth.mSlowness +=
+    kSlownessGain *
+    (std::clamp(ratio, aSettings.mLeastSlowness, aSettings.mGreatestSlowness) -
+     aHealth.mSlowness);
+}
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/policy/prediction.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "base/clock.h"
+#include "policy/types/endpointview.h"
+#include "templates/types/template.h"
+
+#include <array>
+#include <cstdint>
+
+/// Predicts how long an engine would take for a request.
+namespace cuminslip {
+
+struct PredictionSettings
+{
+  /// Used where an engine reports no rate.
+  double mDefaultPrefillTokensPerSecond = 20000;
+  double mDefaultDecodeTokensPerSecond = 30;
+  /// Length of answer assumed for streams that others sent.
+  std::int64_t mTypicalAnswerTokens = 128;
+  /// Share of the queued prompt tokens that a request of each priority waits
+  /// for, as engines honour priorities.
+  std::array<double, 3> mQueueShare{ 0.25, 1.0, 1.0 };
+  double mLeastSlowness = 0.25;
+  double mGreatestSlowness = 20.0;
+
+  auto operator==(const PredictionSettings&) const -> bool = default;
+};
+
+struct WorkSize
+{
+  std::int64_t mPromptTokens = 0;
+  std::int64_t mMaxTokens = 0;
+  /// Prompt tokens that the engine is expected to have cached.
+  std::int64_t mCachedTokens = 0;
+  Priority mPriority = Priority::Normal;
+
+  auto operator==(const WorkSize&) const -> bool = default;
+};
+
+struct PredictedTimes
+{
+  Micros mQueue{ 0 };
+  Micros mPrefill{ 0 };
+  Micros mDecode{ 0 };
+
+  auto operator==(const PredictedTimes&) const -> bool = default;
+};
+
+/// Queue and prefill time. Thread safe.
+auto
+FirstTokenTime(const PredictedTimes& aTimes) -> Micros;
+
+/// Time until the end of the answer. Thread safe.
+auto
+TotalTime(const PredictedTimes& aTimes) -> Micros;
+
+/// Predicts from the last report, its age, what was sent since and the
+/// measured slowness. Thread safe.
+auto
+PredictTimes(const EndpointView& aEndpoint,
+             const WorkSize& aWork,
+             const PredictionSettings& aSettings) -> PredictedTimes;
+
+/// Prompt tokens expected to be queued at the engine now. Thread safe.
+auto
+EstimateQueuedTokens(const EndpointView& aEndpoint,
+                     const PredictionSettings& aSettings) -> std::int64_t;
+
+/// KV tokens expected to be free at the engine now; not below 0. Thread safe.
+auto
+EstimateFreeKvTokens(const EndpointView& aEndpoint) -> std::int64_t;
+
+/// Smooths the ratio of measured to predicted time to first token into
+/// aHealth.mSlowness. Not thread safe.
+auto
+LearnSlowness(CallHealth& aHealth,
+              Micros aMeasured,
+              const PredictedTimes& aPredicted,
+              const PredictionSettings& aSettings) -> void;
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/policy/types/cacheevent.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "policy/types/requestfacts.h"
+
+#include <cstdint>
+
+namespace cuminslip {
+
+enum class CacheEventKind : std::uint8_t
+{
+  Stored,
+  Evicted
+};
+
+/// An engine's note that it stored or evicted a prefix.
+struct CacheEvent
+{
+  std::uint64_t mSequence = 0;
+  CacheEventKind mKind = CacheEventKind::Stored;
+  PrefixHash mPrefix = 0;
+  std::int64_t mTokens = 0;
+
+  auto operator==(const CacheEvent&) const -> bool = default;
+};
+
+} // namespace cuminslip
--- a/src/policy/types/endpointview.h
+++ b/src/policy/types/endpointview.h
@@ -78,6 +78,15 @@
   auto operator==(const CallHealth&) const -> bool = default;
 };
 
+/// Which prompts an engine is meant for; see policy/lanes.h.
+enum class Lane : std::uint8_t
+{
+  /// Any prompt; long ones only when there is no better place.
+  Shared,
+  /// Set aside for long prompts; takes short ones when it is free.
+  Long
+};
+
 struct EndpointView
 {
   EndpointId mId;
@@ -98,6 +107,11 @@
   /// Streams of this instance that run there now, and their prompt tokens.
   std::int64_t mOwnStreams = 0;
   std::int64_t mOwnTokens = 0;
+  /// Long prompts of this instance that the engine is reading now.
+  std::int64_t mOwnLongPrefills = 0;
+  Lane mLane = Lane::Shared;
+  /// Set by the health rules: gets no work for now.
+  bool mIsEjected = false;
 
   auto operator==(const EndpointView&) const -> bool = default;
 };
