Add settings: YAML read with every problem placed

Cause: an instance learns its addresses, failure domain, roles, limits and keys from a file, and a wrong file must be told whole, not problem by problem. Change: module documents reads YAML (and JSON) key by key and collects findings with line and column; module settings reads and cross-checks an instance's settings. wire moves above settings so that addresses have one type. Tests: a table of 29 wrong files, each with its finding and place.

--- /dev/null
+++ b/src/settings/tests/settings_tests.cpp
@@ -0,0 +1,160 @@
+#include "settings/settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace cuminslip;
+
+namespace {
+
+const auto kExamples = std::string(CUMINSLIP_SOURCE_DIR) + "/examples/";
+
+auto
+ReadExample(const std::string& aName) -> std::string
+{
+  auto file = std::ifstream(kExamples + aName);
+  auto text = std::ostringstream{};
+  text << file.rdbuf();
+  return text.str();
+}
+
+auto
+Replace(std::string aText, const std::string& aOld, const std::string& aNew)
+  -> std::string
+{
+  const auto i = aText.find(aOld);
+  BOOST_REQUIRE_MESSAGE(i != std::string::npos, aOld);
+  return aText.replace(i, aOld.size(), aNew);
+}
+
+auto
+FindingsOf(const std::string& aText) -> std::string
+{
+  return FormatFindings(CollectOutcome<Settings>([&] {
+                          return ParseSettings(aText, "s.yaml");
+                        }).mFindings);
+}
+
+struct WrongCase
+{
+  const char* mOld;
+  const char* mNew;
+  const char* mFinding;
+};
+
+constexpr auto kWrongCases = std::array{
+  WrongCase{ "instance: entry-1", "instance:", "instance: missing" },
+  WrongCase{ "region:", "regoin:", "s.yaml:6:1: regoin: unknown key" },
+  WrongCase{ "region: porto-alegre", "", "region: missing" },
+  WrongCase{ "region: porto-alegre",
+             "instance: b",
+             "s.yaml:6:1: instance: stands twice" },
+  WrongCase{ "body: 8 MiB",
+             "body: 8 MB",
+             "s.yaml:19:9: limits.body: is \"8 MB\"; expected a size" },
+  WrongCase{ "body: 8 MiB", "body: 1 GiB", "limits.waiting_bytes: less than" },
+  WrongCase{ "10 s", "10", "limits.request_timeout: is \"10\"" },
+  WrongCase{ "10 s", "0 s", "limits.request_timeout: is \"0 s\"" },
+  WrongCase{ "4096", "many", "limits.connections: is \"many\"" },
+  WrongCase{ "4096", "0", "limits.connections: is \"0\"" },
+  WrongCase{ "127.0.0.1:8100", "localhost:8100", "listen.caller: is" },
+  WrongCase{ "127.0.0.1:8101", "127.0.0.1:8100", "has the address of" },
+  WrongCase{ "  caller: 127.0.0.1:8100", "", "listen.caller: missing" },
+  WrongCase{ "  platform: 127.0.0.1:8103", "", "listen.platform: missing" },
+  WrongCase{ "[entry, control]", "[]", "roles: none" },
+  WrongCase{ "[entry, control]", "[entry, boss]", "unknown role \"boss\"" },
+  WrongCase{ "[entry, control]", "entry", "roles: not a list" },
+  WrongCase{ "[entry, control]", "[entry]", "control_instances: none" },
+  WrongCase{ "data_folder: build/demo/data", "", "data_folder: missing" },
+  WrongCase{ "placement: best",
+             "placement: luck",
+             "is \"luck\"; expected one" },
+  WrongCase{ "classes: true", "classes: yes", "expected true or false" },
+  WrongCase{ "level: info", "level: loud", "log.level: is \"loud\"" },
+  WrongCase{ "sha256: ", "sha256: x", "keys.callers[0].sha256: not a hash" },
+  WrongCase{ "account: desconto-certo", "", "callers[0].account: missing" },
+  WrongCase{
+    "[entry, control]",
+    "[entry, control]\ndomain_instances: [{id: b, address: '127.0.0.1:1'}]",
+    "keys.peer_file: missing" },
+  WrongCase{ "[entry, control]",
+             "[entry, control]\ndomain_instances: [{id: entry-1, address: "
+             "'127.0.0.1:1'}]",
+             "lists this instance" },
+  WrongCase{
+    "[entry, control]",
+    "[entry, control]\ncontrol_instances: [{id: b, address: '127.0.0.1:1'}]",
+    "does not list this instance" },
+  WrongCase{ "[entry, control]",
+             "[entry, control]\ncontrol_instances: [{id: entry-1, address: "
+             "'127.0.0.1:1'}]",
+             "another address than listen.peer" },
+  WrongCase{ "listen: ", "listen: [", "not YAML" },
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SettingsTests)
+
+BOOST_AUTO_TEST_CASE(ReadsTheExampleOfOneInstance)
+{
+  const auto outcome = CollectOutcome<Settings>(
+    [] { return LoadSettings(kExamples + "one-instance.yaml"); });
+
+  BOOST_TEST(FormatFindings(outcome.mFindings) == "");
+  const auto& settings = outcome.mValue.value();
+  BOOST_TEST(settings.mInstance.mValue == "entry-1");
+  BOOST_TEST(HasRole(settings, Role::Control));
+  BOOST_TEST(settings.mLimits.mMaxBodyBytes == 8 * 1024 * 1024);
+  BOOST_TEST((settings.mLimits.mStopTime == Seconds(30)));
+  BOOST_TEST(settings.mKeys.mCallers.at(0).mName == "desconto-certo");
+}
+
+BOOST_AUTO_TEST_CASE(PlacesEachWrongValue)
+{
+  const auto right = ReadExample("one-instance.yaml");
+  for (const auto& wrong : kWrongCases) {
+    const auto findings = FindingsOf(Replace(right, wrong.mOld, wrong.mNew));
+    BOOST_TEST(findings.find(wrong.mFinding) != std::string::npos,
+               wrong.mNew << " gave " << findings);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReportsAllProblemsAtOnce)
+{
+  auto text = ReadExample("one-instance.yaml");
+  text = Replace(text, "8 MiB", "8 MB");
+  text = Replace(text, "level: info", "level: loud");
+  text = Replace(text, "region: ", "regoin: ");
+
+  const auto outcome =
+    CollectOutcome<Settings>([&] { return ParseSettings(text, "s"); });
+
+  BOOST_TEST(outcome.mFindings.mItems.size() == 4);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAKeyThatStandsTwice)
+{
+  auto text = ReadExample("one-instance.yaml");
+  const auto i = text.find("sha256: ") + 8;
+  const auto hash = text.substr(i, 64);
+  const auto j = text.find("sha256: ", i) + 8;
+  text.replace(j, 64, hash);
+
+  BOOST_TEST(FindingsOf(text).find("this key stands twice") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ReportsAMissingFile)
+{
+  const auto outcome =
+    CollectOutcome<Settings>([] { return LoadSettings("/nowhere.yaml"); });
+
+  BOOST_TEST(FormatFindings(outcome.mFindings) ==
+             "/nowhere.yaml: can't be read; expected a readable file\n");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/settings/types/settings.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/events.h"
+#include "base/types/ids.h"
+#include "wire/types/httpmessage.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// What one instance learns from its settings file.
+namespace cuminslip {
+
+enum class Role : std::uint8_t
+{
+  /// Takes requests from callers and sends them to endpoints.
+  Entry,
+  /// Keeps the control log on its data folder.
+  Control
+};
+
+/// Where the instance listens; an interface without an address is not served.
+struct ListenAddresses
+{
+  std::optional<wire::SocketAddress> mCaller;
+  std::optional<wire::SocketAddress> mOperator;
+  std::optional<wire::SocketAddress> mEndpoint;
+  std::optional<wire::SocketAddress> mPlatform;
+  std::optional<wire::SocketAddress> mPeer;
+
+  auto operator==(const ListenAddresses&) const -> bool = default;
+};
+
+/// An instance as others reach it.
+struct InstanceAddress
+{
+  InstanceId mId;
+  wire::SocketAddress mAddress;
+  FailureDomainId mFailureDomain;
+
+  auto operator==(const InstanceAddress&) const -> bool = default;
+};
+
+struct InstanceLimits
+{
+  std::int64_t mMaxBodyBytes = std::int64_t{ 8 } * 1024 * 1024;
+  std::int64_t mMaxConnections = 4096;
+  /// Longest time for a caller to send a request.
+  Millis mRequestTimeout{ 10000 };
+  /// Longest time that a connection may stay open without a request.
+  Millis mIdleTimeout{ 60000 };
+  std::int64_t mMaxWaitingRequests = 2000;
+  std::int64_t mMaxWaitingBytes = std::int64_t{ 512 } * 1024 * 1024;
+  /// Longest time from SIGTERM until the process ends.
+  Millis mStopTime{ 30000 };
+
+  auto operator==(const InstanceLimits&) const -> bool = default;
+};
+
+/// A key by its SHA-256, and who uses it: a client account, an operator's name
+/// or a name for a group of endpoints.
+struct KeyEntry
+{
+  std::string mSha256;
+  std::string mName;
+
+  auto operator==(const KeyEntry&) const -> bool = default;
+};
+
+/// Keys of one instance. The lists stay apart: a key of one interface is
+/// refused on every other.
+struct KeySettings
+{
+  std::vector<KeyEntry> mCallers;
+  std::vector<KeyEntry> mOperators;
+  std::vector<KeyEntry> mEndpoints;
+  /// File with the secret that instances show each other; may be empty when
+  /// there is one instance only.
+  std::string mPeerFile;
+
+  auto operator==(const KeySettings&) const -> bool = default;
+};
+
+/// Whether endpoints of a kind refuse orders with an old fencing number.
+enum class FencingSupport : std::uint8_t
+{
+  /// Each endpoint says so in its announcement.
+  Announced,
+  Checked,
+  Unchecked
+};
+
+struct FencingSettings
+{
+  FencingSupport mModelEngine = FencingSupport::Announced;
+  FencingSupport mPlainService = FencingSupport::Unchecked;
+
+  auto operator==(const FencingSettings&) const -> bool = default;
+};
+
+struct WeightStoreSettings
+{
+  std::int64_t mBytesPerSecond = std::int64_t{ 1024 } * 1024 * 1024;
+  std::int64_t mMaxConcurrentLoads = 4;
+
+  auto operator==(const WeightStoreSettings&) const -> bool = default;
+};
+
+/// How an endpoint is chosen; the ways other than Best serve as baselines.
+enum class PlacementPolicy : std::uint8_t
+{
+  Best,
+  RoundRobin,
+  LeastOutstanding,
+  LeastReported
+};
+
+enum class QueuePolicy : std::uint8_t
+{
+  Fair,
+  FirstCome
+};
+
+struct PolicySettings
+{
+  PlacementPolicy mPlacement = PlacementPolicy::Best;
+  QueuePolicy mQueue = QueuePolicy::Fair;
+  /// Whether prompts of unlike lengths are kept apart by length class.
+  bool mSeparatesClasses = true;
+
+  auto operator==(const PolicySettings&) const -> bool = default;
+};
+
+struct LogSettings
+{
+  /// Empty for standard error.
+  std::string mFile;
+  Severity mLowest = Severity::Info;
+
+  auto operator==(const LogSettings&) const -> bool = default;
+};
+
+struct Settings
+{
+  InstanceId mInstance;
+  FailureDomainId mFailureDomain;
+  RegionId mRegion;
+  std::vector<Role> mRoles;
+  ListenAddresses mListen;
+  /// Includes this instance where it has the control role.
+  std::vector<InstanceAddress> mControlInstances;
+  /// Other instances of the own failure domain.
+  std::vector<InstanceAddress> mDomainInstances;
+  std::string mDataFolder;
+  InstanceLimits mLimits;
+  KeySettings mKeys;
+  FencingSettings mFencing;
+  WeightStoreSettings mWeightStore;
+  PolicySettings mPolicy;
+  LogSettings mLog;
+
+  auto operator==(const Settings&) const -> bool = default;
+};
+
+/// True when aSettings give the instance aRole.
+auto
+HasRole(const Settings& aSettings, Role aRole) -> bool;
+
+} // namespace cuminslip
