--- a/src/settings/tests/settings_tests.cpp
+++ b/src/settings/tests/settings_tests.cpp
@@ -2,8 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 using namespace cuminslip;
@@ -113,6 +115,49 @@
   BOOST_TEST(settings.mKeys.mCallers.at(0).mName == "desconto-certo");
 }
 
+BOOST_AUTO_TEST_CASE(ReadsTheExampleOfNineInstances)
+{
+  auto addresses = std::set<wire::SocketAddress>{};
+  auto controlInstances = std::vector<InstanceAddress>{};
+  auto count = 0;
+  for (const auto& entry :
+       std::filesystem::directory_iterator(kExamples + "nine-instances")) {
+    if (entry.path().extension() != ".yaml") {
+      continue;
+    }
+    const auto outcome =
+      CollectOutcome<Settings>([&] { return LoadSettings(entry.path()); });
+    BOOST_TEST(FormatFindings(outcome.mFindings) == "");
+    const auto& settings = outcome.mValue.value();
+    BOOST_TEST(entry.path().stem().string() == settings.mInstance.mValue);
+    BOOST_TEST(addresses.insert(*settings.mListen.mCaller).second);
+    BOOST_TEST(addresses.insert(*settings.mListen.mPeer).second);
+    if (count > 0) {
+      BOOST_TEST((settings.mControlInstances == controlInstances));
+    }
+    controlInstances = settings.mControlInstances;
+    BOOST_TEST(settings.mDomainInstances.size() == 2);
+    ++count;
+  }
+  BOOST_TEST(count == 9);
+}
+
+BOOST_AUTO_TEST_CASE(LoadsThePeerKey)
+{
+  auto settings = Settings{};
+  const auto load = [&] {
+    return CollectOutcome<std::string>([&] { return LoadPeerKey(settings); });
+  };
+  BOOST_TEST(load().mValue.value() == "");
+
+  settings.mKeys.mPeerFile = kExamples + "nine-instances/peer.key";
+  BOOST_TEST(load().mValue.value() == "demo-peer-key-for-loopback-only");
+
+  settings.mKeys.mPeerFile = "/dev/null";
+  BOOST_TEST(FormatFindings(load().mFindings) ==
+             "/dev/null: too short; expected 16 characters\n");
+}
+
 BOOST_AUTO_TEST_CASE(PlacesEachWrongValue)
 {
   const auto right = ReadExample("one-instance.yaml");
