Add the request filter chain, the instance program and its interfaces

Change: src/requests (identify, readiness, parse, classify, isolation, admit, claim, queue; dispatch, piece order, recovery, cancels and lease renewal) over ports that tests stand in for; src/program (front task, operator, endpoint and platform handlers, metrics, graceful stop).

--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -1,5 +1,6 @@
 find_package(Threads REQUIRED)
 find_package(OpenSSL REQUIRED)
+set(Boost_NO_WARN_NEW_VERSIONS ON)
 find_package(Boost 1.81 EXACT REQUIRED COMPONENTS log log_setup json
                                                   unit_test_framework)
 find_package(yaml-cpp REQUIRED)
--- /dev/null
+++ b/src/program/instance.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "peers/peertask.h"
+#include "requests/front.h"
+#include "settings/types/settings.h"
+#include "wire/eventloop.h"
+#include "wire/httpclient.h"
+#include "wire/httpserver.h"
+
+#include <memory>
+
+/// One running instance: the front task, which owns the listeners and the
+/// calls to endpoints, and the peer task.
+namespace cuminslip::program {
+
+struct Instance
+{
+  Settings mSettings;
+  Incarnation mIncarnation = 0;
+  wire::EventLoopPtr mLoop;
+  wire::HttpClientPtr mClient;
+  requests::FrontPtr mFront;
+  wire::HttpServerPtr mCallerServer;
+  wire::HttpServerPtr mOperatorServer;
+  wire::HttpServerPtr mEndpointServer;
+  wire::HttpServerPtr mPlatformServer;
+  /// Declared last: stops first, as its replies go to the loop.
+  std::unique_ptr<PeerTask> mPeers;
+  bool mIsStopping = false;
+  bool mWasReady = false;
+};
+
+/// Builds an instance and starts its tasks and listeners. Fails with Findings.
+auto
+StartInstance(Settings aSettings) -> leaf::result<std::unique_ptr<Instance>>;
+
+/// Runs the front task until a stop has ended. Owner thread only.
+auto
+RunInstance(Instance& aInstance) -> void;
+
+/// Begins a graceful stop: no new work; what runs ends, or is given up after
+/// the settings' stop time. A second call has no effect. Front task only.
+auto
+BeginGracefulStop(Instance& aInstance) -> void;
+
+/// True while the platform may send callers here.
+auto
+IsReady(const Instance& aInstance) -> bool;
+
+} // namespace cuminslip::program
--- /dev/null
+++ b/src/program/internal/handlers.cpp
@@ -0,0 +1,114 @@
+#include "program/internal/handlers.h"
+
+#include "base/digest.h"
+#include "endpoints/protocol.h"
+#include "program/internal/metrics.h"
+#include "program/types/programevents.h"
+
+namespace cuminslip::program {
+
+namespace {
+
+constexpr auto kOk = 200;
+constexpr auto kUnauthorized = 401;
+constexpr auto kNotFound = 404;
+constexpr auto kUnavailable = 503;
+
+auto
+PlainResponse(int aStatus, std::string aText) -> wire::HttpResponse
+{
+  return { aStatus, { { "content-type", "text/plain" } }, std::move(aText) };
+}
+
+auto
+PortOf(const wire::ResponderPtr& aResponder) -> requests::CallerPort
+{
+  auto port = requests::CallerPort{};
+  port.mRespond = [aResponder](const wire::HttpResponse& aResponse) {
+    wire::SendResponse(aResponder, aResponse);
+  };
+  port.mStartStream = [aResponder](int aStatus, const wire::Headers& aHeaders) {
+    wire::StartStream(aResponder, aStatus, aHeaders);
+  };
+  port.mSendPiece = [aResponder](std::string_view aPiece) {
+    wire::SendPiece(aResponder, aPiece);
+  };
+  port.mFinish = [aResponder] { wire::FinishStream(aResponder); };
+  port.mAbort = [aResponder] { wire::AbortStream(aResponder); };
+  port.mIsClosed = [aResponder] { return wire::IsClosed(aResponder); };
+  port.mUnsentBytes = [aResponder] { return wire::UnsentBytes(aResponder); };
+  return port;
+}
+
+} // namespace
+
+auto
+FindKeyOwner(const std::vector<KeyEntry>& aKeys, std::string_view aKey)
+  -> std::optional<std::string>
+{
+  const auto digest = Sha256Hex(aKey);
+  auto owner = std::optional<std::string>{};
+  for (const auto& entry : aKeys) {
+    if (EqualsConstantTime(entry.mSha256, digest)) {
+      owner = entry.mName;
+    }
+  }
+  return owner;
+}
+
+auto
+HandleCaller(Instance& aInstance,
+             const wire::HttpRequest& aRequest,
+             const wire::ResponderPtr& aResponder) -> void
+{
+  requests::HandleCallerRequest(
+    *aInstance.mFront, aRequest, PortOf(aResponder));
+}
+
+auto
+HandleEndpoint(Instance& aInstance,
+               const wire::HttpRequest& aRequest,
+               const wire::ResponderPtr& aResponder) -> void
+{
+  const auto key = wire::BearerKey(aRequest.mHeaders);
+  if (!FindKeyOwner(aInstance.mSettings.mKeys.mEndpoints, key)) {
+    LogEvent(kKeyRefusedEvent, { { "interface", "endpoint" } });
+    wire::SendResponse(aResponder,
+                       PlainResponse(kUnauthorized, "unknown endpoint key\n"));
+    return;
+  }
+  const auto isAnnouncement =
+    aRequest.mMethod == "POST" && aRequest.mPath == endpoints::kAnnouncePath;
+  if (!isAnnouncement) {
+    wire::SendResponse(aResponder, PlainResponse(kNotFound, "no such path\n"));
+    return;
+  }
+  wire::SendResponse(
+    aResponder,
+    requests::HandleAnnouncement(*aInstance.mFront, aRequest.mBody));
+}
+
+auto
+HandlePlatform(Instance& aInstance,
+               const wire::HttpRequest& aRequest,
+               const wire::ResponderPtr& aResponder) -> void
+{
+  if (aRequest.mPath == "/livez") {
+    wire::SendResponse(aResponder, PlainResponse(kOk, "live\n"));
+    return;
+  }
+  if (aRequest.mPath == "/readyz") {
+    const auto isReady = IsReady(aInstance);
+    wire::SendResponse(aResponder,
+                       PlainResponse(isReady ? kOk : kUnavailable,
+                                     isReady ? "ready\n" : "not ready\n"));
+    return;
+  }
+  if (aRequest.mPath == "/metrics") {
+    wire::SendResponse(aResponder, MetricsResponse(aInstance));
+    return;
+  }
+  wire::SendResponse(aResponder, PlainResponse(kNotFound, "no such path\n"));
+}
+
+} // namespace cuminslip::program
--- /dev/null
+++ b/src/program/internal/instance.cpp
@@ -0,0 +1,303 @@
+#include "program/instance.h"
+
+#include "program/internal/handlers.h"
+#include "program/types/programevents.h"
+#include "settings/settings.h"
+#include "templates/templates.h"
+
+#include <chrono>
+#include <random>
+
+namespace cuminslip::program {
+
+namespace {
+
+constexpr auto kStopCheckInterval = Millis(50);
+
+/// A number that grows with each start, also on instances without a disk.
+auto
+MakeIncarnation() -> Incarnation
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<Incarnation>(
+    std::chrono::duration_cast<Millis>(now).count());
+}
+
+auto
+ToChoiceRule(PlacementPolicy aPolicy) -> ChoiceRule
+{
+  switch (aPolicy) {
+    case PlacementPolicy::Best:
+      return ChoiceRule::LeastCost;
+    case PlacementPolicy::RoundRobin:
+      return ChoiceRule::RoundRobin;
+    case PlacementPolicy::LeastOutstanding:
+      return ChoiceRule::LeastOutstanding;
+    case PlacementPolicy::LeastReported:
+      return ChoiceRule::LeastReportedLoad;
+  }
+  return ChoiceRule::LeastCost;
+}
+
+auto
+MakeFrontSettings(const Instance& aInstance) -> requests::FrontSettings
+{
+  const auto& settings = aInstance.mSettings;
+  auto front = requests::FrontSettings{};
+  front.mInstance = settings.mInstance;
+  front.mIncarnation = aInstance.mIncarnation;
+  front.mPlace = { settings.mFailureDomain, settings.mRegion };
+  front.mMaxWaitingRequests = settings.mLimits.mMaxWaitingRequests;
+  front.mMaxWaitingBytes = settings.mLimits.mMaxWaitingBytes;
+  front.mIsFirstComeFirstServed =
+    settings.mPolicy.mQueue == QueuePolicy::FirstCome;
+  front.mChoice.mRule = ToChoiceRule(settings.mPolicy.mPlacement);
+  front.mChoice.mLanes.mIsEnabled = settings.mPolicy.mSeparatesClasses;
+  return front;
+}
+
+auto
+MakeControlPort(Instance& aInstance) -> requests::ControlPort
+{
+  auto port = requests::ControlPort{};
+  port.mPropose = [&aInstance](Command aCommand, CommandReply aReply) {
+    aInstance.mPeers->Propose(
+      std::move(aCommand),
+      [&aInstance, reply = std::move(aReply)](const CommandResult& aResult) {
+        wire::PostToLoop(*aInstance.mLoop,
+                         [reply, result = aResult] { reply(result); });
+      });
+  };
+  port.mStanding = [&aInstance] {
+    const auto status = aInstance.mPeers->Status();
+    return requests::ControlStanding{ status.mIsReady,
+                                      status.mIsIsolated,
+                                      status.mIsolatedFor };
+  };
+  return port;
+}
+
+auto
+MakeFrontPorts(Instance& aInstance) -> requests::FrontPorts
+{
+  auto ports = requests::FrontPorts{};
+  ports.mNow = MonotonicNow;
+  ports.mControl = MakeControlPort(aInstance);
+  ports.mEndpoints.mStart = [&aInstance](wire::HttpCall aCall,
+                                         wire::CallHandlers aHandlers) {
+    return wire::StartCall(
+      *aInstance.mClient, std::move(aCall), std::move(aHandlers));
+  };
+  ports.mEndpoints.mCancel = [&aInstance](wire::CallId aCall) {
+    wire::CancelCall(*aInstance.mClient, aCall);
+  };
+  ports.mTimers.mStart = [&aInstance](Micros aDelay,
+                                      std::function<void()> aAction) {
+    return wire::StartTimer(*aInstance.mLoop, aDelay, std::move(aAction));
+  };
+  ports.mTimers.mStop = [&aInstance](wire::TimerId aTimer) {
+    wire::StopTimer(*aInstance.mLoop, aTimer);
+  };
+  ports.mIdentify =
+    [&aInstance](std::string_view aKey) -> std::optional<AccountId> {
+    const auto owner = FindKeyOwner(aInstance.mSettings.mKeys.mCallers, aKey);
+    return owner ? std::optional(AccountId{ *owner }) : std::nullopt;
+  };
+  return ports;
+}
+
+auto
+ToPeerInstances(const std::vector<InstanceAddress>& aInstances)
+  -> std::vector<PeerInstance>
+{
+  auto peers = std::vector<PeerInstance>{};
+  for (const auto& item : aInstances) {
+    peers.push_back(
+      { item.mId, wire::FormatAddress(item.mAddress), item.mFailureDomain });
+  }
+  return peers;
+}
+
+auto
+MakePeerSettings(const Settings& aSettings) -> leaf::result<PeerSettings>
+{
+  BOOST_LEAF_AUTO(key, LoadPeerKey(aSettings));
+  auto peers = PeerSettings{};
+  peers.mInstance = aSettings.mInstance;
+  peers.mFailureDomain = aSettings.mFailureDomain;
+  if (aSettings.mListen.mPeer) {
+    peers.mAddress = wire::FormatAddress(*aSettings.mListen.mPeer);
+  }
+  peers.mPeerKey = key;
+  if (HasRole(aSettings, Role::Control)) {
+    peers.mDataFolder = aSettings.mDataFolder;
+  }
+  peers.mControlInstances = ToPeerInstances(aSettings.mControlInstances);
+  peers.mDomainInstances = ToPeerInstances(aSettings.mDomainInstances);
+  return peers;
+}
+
+auto
+ReadTemplatesInForce(const TemplateUpdate& aUpdate)
+  -> std::vector<TemplateInForce>
+{
+  auto items = std::vector<TemplateInForce>{};
+  for (const auto& stored : aUpdate.mTemplates) {
+    const auto outcome = CollectOutcome<Template>(
+      [&] { return ParseTemplate(stored.mDocument, stored.mAccount.mValue); });
+    if (!outcome.mValue) {
+      LogEvent(kTemplateUnreadableEvent,
+               { { "account", stored.mAccount.mValue },
+                 { "revision", stored.mRevision },
+                 { "findings", FormatFindings(outcome.mFindings) } });
+      continue;
+    }
+    items.push_back({ stored.mRevision, *outcome.mValue });
+  }
+  return items;
+}
+
+auto
+MakePeerCallbacks(Instance& aInstance) -> PeerCallbacks
+{
+  auto callbacks = PeerCallbacks{};
+  callbacks.mOnTemplates = [&aInstance](const TemplateUpdate& aUpdate) {
+    wire::PostToLoop(*aInstance.mLoop,
+                     [&aInstance, items = ReadTemplatesInForce(aUpdate)] {
+                       requests::ApplyTemplates(*aInstance.mFront, items);
+                     });
+  };
+  callbacks.mOnPeerMessage = [](const InstanceId&, const std::string&) {};
+  return callbacks;
+}
+
+using Handler = auto(*)(Instance&,
+                        const wire::HttpRequest&,
+                        const wire::ResponderPtr&) -> void;
+
+auto
+StartListener(Instance& aInstance,
+              const std::optional<wire::SocketAddress>& aAddress,
+              Handler aHandler) -> leaf::result<wire::HttpServerPtr>
+{
+  if (!aAddress) {
+    return wire::HttpServerPtr{};
+  }
+  const auto& settings = aInstance.mSettings.mLimits;
+  auto limits = wire::ListenerLimits{};
+  limits.mMaxBodyBytes = static_cast<std::size_t>(settings.mMaxBodyBytes);
+  limits.mMaxConnections = static_cast<std::size_t>(settings.mMaxConnections);
+  limits.mRequestTimeout = settings.mRequestTimeout;
+  return wire::StartHttpServer(
+    *aInstance.mLoop,
+    *aAddress,
+    limits,
+    [&aInstance, aHandler](const wire::HttpRequest& aRequest,
+                           const wire::ResponderPtr& aResponder) {
+      aHandler(aInstance, aRequest, aResponder);
+    });
+}
+
+auto
+StartListeners(Instance& aInstance) -> leaf::result<void>
+{
+  const auto& listen = aInstance.mSettings.mListen;
+  BOOST_LEAF_ASSIGN(aInstance.mCallerServer,
+                    StartListener(aInstance, listen.mCaller, HandleCaller));
+  BOOST_LEAF_ASSIGN(aInstance.mOperatorServer,
+                    StartListener(aInstance, listen.mOperator, HandleOperator));
+  BOOST_LEAF_ASSIGN(aInstance.mEndpointServer,
+                    StartListener(aInstance, listen.mEndpoint, HandleEndpoint));
+  BOOST_LEAF_ASSIGN(aInstance.mPlatformServer,
+                    StartListener(aInstance, listen.mPlatform, HandlePlatform));
+  return {};
+}
+
+auto
+NoteReadiness(Instance& aInstance) -> void
+{
+  if (aInstance.mWasReady || !IsReady(aInstance)) {
+    return;
+  }
+  aInstance.mWasReady = true;
+  LogEvent(kInstanceReadyEvent,
+           { { "revision", aInstance.mPeers->Status().mRevision } });
+}
+
+auto
+ScheduleTick(Instance& aInstance) -> void
+{
+  wire::StartTimer(*aInstance.mLoop, requests::kFrontTick, [&aInstance] {
+    requests::TickFront(*aInstance.mFront);
+    NoteReadiness(aInstance);
+    ScheduleTick(aInstance);
+  });
+}
+
+auto
+CheckStopped(Instance& aInstance, TimePoint aLimit) -> void
+{
+  const auto isLate = MonotonicNow() >= aLimit;
+  if (requests::IsIdle(*aInstance.mFront) || isLate) {
+    requests::AbandonRequests(*aInstance.mFront);
+    wire::StopLoop(*aInstance.mLoop);
+    return;
+  }
+  wire::StartTimer(*aInstance.mLoop, kStopCheckInterval, [&aInstance, aLimit] {
+    CheckStopped(aInstance, aLimit);
+  });
+}
+
+} // namespace
+
+auto
+StartInstance(Settings aSettings) -> leaf::result<std::unique_ptr<Instance>>
+{
+  auto instance = std::make_unique<Instance>();
+  instance->mSettings = std::move(aSettings);
+  instance->mIncarnation = MakeIncarnation();
+  instance->mLoop = wire::CreateEventLoop();
+  instance->mClient = wire::CreateHttpClient(*instance->mLoop);
+  instance->mFront = requests::CreateFront(MakeFrontSettings(*instance),
+                                           MakeFrontPorts(*instance),
+                                           std::random_device{}());
+  BOOST_LEAF_AUTO(peerSettings, MakePeerSettings(instance->mSettings));
+  BOOST_LEAF_ASSIGN(
+    instance->mPeers,
+    StartPeerTask(std::move(peerSettings), MakePeerCallbacks(*instance)));
+  BOOST_LEAF_CHECK(StartListeners(*instance));
+  LogEvent(kInstanceStartedEvent,
+           { { "failure_domain", instance->mSettings.mFailureDomain.mValue },
+             { "region", instance->mSettings.mRegion.mValue },
+             { "incarnation", instance->mIncarnation } });
+  return instance;
+}
+
+auto
+RunInstance(Instance& aInstance) -> void
+{
+  ScheduleTick(aInstance);
+  wire::RunLoop(*aInstance.mLoop);
+  LogEvent(kInstanceStoppedEvent, {});
+}
+
+auto
+BeginGracefulStop(Instance& aInstance) -> void
+{
+  if (aInstance.mIsStopping) {
+    return;
+  }
+  aInstance.mIsStopping = true;
+  LogEvent(kStopBeganEvent, {});
+  requests::BeginStop(*aInstance.mFront);
+  CheckStopped(aInstance,
+               MonotonicNow() + aInstance.mSettings.mLimits.mStopTime);
+}
+
+auto
+IsReady(const Instance& aInstance) -> bool
+{
+  return !aInstance.mIsStopping && aInstance.mPeers->Status().mIsReady;
+}
+
+} // namespace cuminslip::program
--- /dev/null
+++ b/src/program/internal/serve.cpp
@@ -0,0 +1,71 @@
+#include "program/serve.h"
+
+#include "program/instance.h"
+#include "settings/settings.h"
+
+#include <atomic>
+#include <csignal>
+#include <ostream>
+#include <thread>
+
+namespace cuminslip::program {
+
+namespace {
+
+constexpr auto kExitSettings = 2;
+constexpr auto kExitStart = 3;
+
+auto
+StopSignals() -> sigset_t
+{
+  auto signals = sigset_t{};
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+/// Waits for a stop signal in a thread of its own and passes it on to the front
+/// task. Precondition: the signals are blocked in every thread.
+auto
+WatchSignals(Instance& aInstance) -> std::jthread
+{
+  return std::jthread([&aInstance] {
+    const auto signals = StopSignals();
+    auto number = 0;
+    sigwait(&signals, &number);
+    wire::PostToLoop(*aInstance.mLoop,
+                     [&aInstance] { BeginGracefulStop(aInstance); });
+  });
+}
+
+} // namespace
+
+auto
+Serve(const std::string& aPath, std::ostream& aErrors) -> int
+{
+  const auto signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  auto settings = CollectOutcome<Settings>([&] { return LoadSettings(aPath); });
+  if (!settings.mValue) {
+    aErrors << FormatFindings(settings.mFindings);
+    return kExitSettings;
+  }
+  const auto& log = settings.mValue->mLog;
+  StartLog(settings.mValue->mInstance.mValue, log.mFile, log.mLowest);
+  auto instance = CollectOutcome<std::unique_ptr<Instance>>(
+    [&] { return StartInstance(*settings.mValue); });
+  if (!instance.mValue) {
+    aErrors << FormatFindings(instance.mFindings);
+    return kExitStart;
+  }
+  {
+    const auto watcher = WatchSignals(**instance.mValue);
+    RunInstance(**instance.mValue);
+    // NOTE: wakes the watcher when the stop came from elsewhere.
+    kill(getpid(), SIGTERM);
+  }
+  return 0;
+}
+
+} // namespace cuminslip::program
--- /dev/null
+++ b/src/requests/internal/dispatch.cpp
@@ -0,0 +1,335 @@
+#include "requests/internal/dispatch.h"
+
+#include "endpoints/protocol.h"
+#include "policy/prefixhashes.h"
+#include "requests/internal/attemptevents.h"
+#include "requests/internal/delivery.h"
+#include "requests/internal/holdings.h"
+#include "requests/internal/waiting.h"
+#include "requests/types/requestsevents.h"
+
+#include <algorithm>
+
+namespace cuminslip::requests {
+
+namespace {
+
+constexpr auto kLoggedAlternatives = std::size_t{ 3 };
+constexpr auto kQueueTimeRetry = Millis(2000);
+
+auto
+AllowanceLeft(const Front& aFront, const Request& aRequest) -> Millis
+{
+  return MillisBetween(aFront.mPorts.mNow(), aRequest.mFacts.mDeadline);
+}
+
+auto
+AuthorizationFor(const Front& aFront) -> wire::Headers
+{
+  if (aFront.mSettings.mEndpointKey.empty()) {
+    return {};
+  }
+  return { { "authorization", "Bearer " + aFront.mSettings.mEndpointKey } };
+}
+
+auto
+BuildStreamCall(const Front& aFront,
+                const Request& aRequest,
+                const Attempt& aAttempt) -> wire::HttpRequest
+{
+  const auto& facts = aRequest.mFacts;
+  auto stream = endpoints::StreamRequest{};
+  stream.mAttempt = aAttempt.mId;
+  stream.mOwner = { aFront.mSettings.mInstance, aFront.mSettings.mIncarnation };
+  stream.mModel = facts.mModel;
+  stream.mVersion = facts.mVersion;
+  stream.mPrompt = aRequest.mCompletion->mPrompt;
+  stream.mMaxTokens = facts.mMaxTokens;
+  const auto slack = facts.mDeadline - aFront.mPorts.mNow();
+  stream.mPriority = static_cast<Priority>(
+    EnginePriority(facts.mPriority, slack, aFront.mSettings.mChoice.mLanes));
+  stream.mAllowance = AllowanceLeft(aFront, aRequest);
+  stream.mLease = aFront.mSettings.mLease;
+  stream.mSkipPieces = aRequest.mSequencer.mNext;
+  std::transform(facts.mPrefixes.begin(),
+                 facts.mPrefixes.end(),
+                 std::back_inserter(stream.mPrefixHashes),
+                 FormatPrefixHash);
+  auto headers = AuthorizationFor(aFront);
+  headers.push_back({ "content-type", "application/json" });
+  return { "POST",
+           std::string(endpoints::kStreamsPath),
+           "",
+           headers,
+           endpoints::EncodeStreamRequest(stream) };
+}
+
+auto
+IsForwardedHeader(const wire::Header& aHeader) -> bool
+{
+  constexpr auto kOwn = std::array{
+    std::string_view("authorization"),  std::string_view("connection"),
+    std::string_view("content-length"), std::string_view("host"),
+    std::string_view("keep-alive"),     std::string_view("transfer-encoding"),
+    std::string_view("upgrade"),        std::string_view("expect")
+  };
+  if (aHeader.mName.starts_with("x-cuminslip-")) {
+    return false;
+  }
+  return std::find(kOwn.begin(), kOwn.end(), aHeader.mName) == kOwn.end();
+}
+
+auto
+BuildServiceCall(const Front& aFront, const Request& aRequest)
+  -> wire::HttpRequest
+{
+  auto call = wire::HttpRequest{ aRequest.mHttp.mMethod,
+                                 aRequest.mServicePath,
+                                 aRequest.mHttp.mQuery,
+                                 {},
+                                 aRequest.mHttp.mBody };
+  std::copy_if(aRequest.mHttp.mHeaders.begin(),
+               aRequest.mHttp.mHeaders.end(),
+               std::back_inserter(call.mHeaders),
+               IsForwardedHeader);
+  call.mHeaders.push_back(
+    { "x-cuminslip-request-id", aRequest.mFacts.mId.mValue });
+  call.mHeaders.push_back(
+    { "x-cuminslip-allowance-ms",
+      std::to_string(AllowanceLeft(aFront, aRequest).count()) });
+  return call;
+}
+
+/// The endpoints compared, as "id=cost_us", the chosen one first.
+auto
+DescribeAlternatives(const EndpointChoice& aChoice,
+                     const std::vector<EndpointView>& aViews) -> std::string
+{
+  auto text = std::string{};
+  for (const auto& item : aChoice.mConsidered) {
+    if (&item - aChoice.mConsidered.data() >=
+        static_cast<std::ptrdiff_t>(kLoggedAlternatives)) {
+      break;
+    }
+    text += text.empty() ? "" : " ";
+    text +=
+      aViews[item.mIndex].mId.mValue + "=" + std::to_string(item.mCost.count());
+  }
+  return text;
+}
+
+auto
+LogRouted(const Front& aFront,
+          const Request& aRequest,
+          const EndpointChoice& aChoice,
+          const std::vector<EndpointView>& aViews) -> void
+{
+  const auto& view = aViews[*aChoice.mIndex];
+  const auto cached = aChoice.mConsidered.empty()
+                        ? std::int64_t{ 0 }
+                        : aChoice.mConsidered.front().mCached.mTokens;
+  const auto waited =
+    MillisBetween(aRequest.mWaitingSince, aFront.mPorts.mNow());
+  LogEvent(kRequestRoutedEvent,
+           { { "request", aRequest.mFacts.mId.mValue },
+             { "attempt", aRequest.mAttempt->mId.mValue },
+             { "endpoint", view.mId.mValue },
+             { "failure_domain", view.mFailureDomain.mValue },
+             { "reason", ToText(aChoice.mReason) },
+             { "cost_us", DescribeAlternatives(aChoice, aViews) },
+             { "cached_tokens", cached },
+             { "first_token_us",
+               FirstTokenTime(aRequest.mAttempt->mPredicted).count() },
+             { "waited_ms", waited.count() } });
+}
+
+auto
+ToRan(const Attempt& aAttempt) -> Ran
+{
+  return aAttempt.mFirstPiece ? Ran::Yes : Ran::Unknown;
+}
+
+auto
+RefuseExpired(Front& aFront) -> void
+{
+  const auto now = aFront.mPorts.mNow();
+  for (const auto& entry : TakeExpired(aFront.mQueue, now)) {
+    auto* request = FindRequest(aFront, entry.mId);
+    if (request == nullptr) {
+      continue;
+    }
+    RefuseRequest(aFront,
+                  *request,
+                  { RefusalType::TimedOut,
+                    "no endpoint had room within the queue time",
+                    request->mRan,
+                    kQueueTimeRetry });
+  }
+}
+
+/// Takes over the account's template in force now, so that the permission is
+/// checked again right before sending.
+auto
+RebindTemplate(Front& aFront, Request& aRequest) -> bool
+{
+  const auto it = aFront.mTemplates.find(aRequest.mFacts.mAccount);
+  if (it == aFront.mTemplates.end()) {
+    return false;
+  }
+  aRequest.mTemplate = it->second;
+  return true;
+}
+
+struct Candidate
+{
+  RequestId mId;
+  EndpointChoice mChoice;
+};
+
+auto
+StartNext(Front& aFront) -> bool
+{
+  auto candidate = std::optional<Candidate>{};
+  const auto canStart = [&](const WaitEntry& aEntry) {
+    auto* request = FindRequest(aFront, aEntry.mId);
+    if (request == nullptr || !RebindTemplate(aFront, *request)) {
+      return false;
+    }
+    auto choice = TryChoice(aFront, *request);
+    const auto hasPlace = choice.mIndex.has_value();
+    if (hasPlace) {
+      candidate = Candidate{ aEntry.mId, std::move(choice) };
+    }
+    return hasPlace;
+  };
+  const auto started = TakeNext(aFront.mQueue, aFront.mPorts.mNow(), canStart);
+  if (!started) {
+    return false;
+  }
+  RecordWait(aFront.mOverload, started->mWaited);
+  auto* request = FindRequest(aFront, started->mEntry.mId);
+  if (request == nullptr) {
+    return true;
+  }
+  const auto isSame = candidate && candidate->mId == started->mEntry.mId;
+  const auto choice = isSame ? candidate->mChoice : TryChoice(aFront, *request);
+  if (choice.mIndex) {
+    StartAttempt(aFront, *request, choice, aFront.mFleet.mViews);
+  }
+  return true;
+}
+
+} // namespace
+
+auto
+PumpQueue(Front& aFront) -> void
+{
+  if (aFront.mIsPumping) {
+    return;
+  }
+  aFront.mIsPumping = true;
+  RefuseExpired(aFront);
+  while (StartNext(aFront)) {
+  }
+  aFront.mIsPumping = false;
+}
+
+auto
+StartAttempt(Front& aFront,
+             Request& aRequest,
+             const EndpointChoice& aChoice,
+             const std::vector<EndpointView>& aViews) -> void
+{
+  const auto now = aFront.mPorts.mNow();
+  const auto& view = aViews[*aChoice.mIndex];
+  auto attempt = Attempt{};
+  attempt.mId = AttemptId{ MakeUniqueId(aFront, "a") };
+  attempt.mEndpoint = view.mId;
+  attempt.mIncarnation = view.mIncarnation;
+  attempt.mAddress =
+    wire::ParseAddress(view.mAddress).value_or(wire::SocketAddress{});
+  attempt.mStarted = now;
+  attempt.mLastSign = now;
+  if (!aChoice.mConsidered.empty()) {
+    attempt.mPredicted = aChoice.mConsidered.front().mTimes;
+  }
+  aRequest.mStage = Stage::Running;
+  aRequest.mAttempt = std::move(attempt);
+  ++aRequest.mAttempts;
+  ++aFront.mCounters.mAttempts;
+  if (aRequest.mAttempts == 1) {
+    RecordFirstAttempt(aFront.mRetryBudget, aFront.mSettings.mRetries);
+  }
+  LogRouted(aFront, aRequest, aChoice, aViews);
+  RecordSentPrompt(aFront.mPrefixes,
+                   view.mId,
+                   view.mIncarnation,
+                   aRequest.mFacts.mPrefixes,
+                   now);
+  auto& running = *aRequest.mAttempt;
+  endpoints::BeginAttempt(aRequest.mSequencer, running.mId);
+  running.mIsTrial = NoteAttemptBegan(
+    aFront.mFleet, running.mEndpoint, aRequest.mFacts.mPromptTokens, now);
+  auto call = wire::HttpCall{};
+  call.mAddress = running.mAddress;
+  call.mRequest = aRequest.mCompletion
+                    ? BuildStreamCall(aFront, aRequest, running)
+                    : BuildServiceCall(aFront, aRequest);
+  call.mTimeout = AllowanceLeft(aFront, aRequest) + Millis(1);
+  running.mCall = aFront.mPorts.mEndpoints.mStart(
+    std::move(call), HandlersFor(aFront, aRequest, running.mId));
+}
+
+auto
+CloseAttempt(Front& aFront, Request& aRequest, bool aIsCancelling) -> void
+{
+  if (!aRequest.mAttempt) {
+    return;
+  }
+  const auto attempt = std::move(*aRequest.mAttempt);
+  aRequest.mAttempt.reset();
+  aFront.mPorts.mEndpoints.mCancel(attempt.mCall);
+  if (attempt.mIsTrial) {
+    ForgetTrial(aFront.mFleet, attempt.mEndpoint);
+  }
+  NoteAttemptEnded(aFront.mFleet,
+                   attempt.mEndpoint,
+                   aRequest.mFacts.mPromptTokens,
+                   aFront.mPorts.mNow());
+  if (aIsCancelling && aRequest.mCompletion) {
+    CancelAttempt(aFront, attempt);
+  }
+}
+
+auto
+CheckSilence(Front& aFront) -> void
+{
+  const auto now = aFront.mPorts.mNow();
+  auto silent = std::vector<RequestId>{};
+  for (const auto& [id, request] : aFront.mRequests) {
+    if (!request->mAttempt || !request->mCompletion) {
+      continue;
+    }
+    const auto& attempt = *request->mAttempt;
+    const auto left = request->mFacts.mDeadline - now;
+    const auto limit =
+      attempt.mStatus == 0
+        ? std::min<Micros>(SilenceLimit(attempt.mPredicted, left),
+                           aFront.mSettings.mSilenceLimit)
+        : Micros(aFront.mSettings.mSilenceLimit);
+    if (now - attempt.mLastSign > limit) {
+      silent.push_back(id);
+    }
+  }
+  for (const auto& id : silent) {
+    if (auto* request = FindRequest(aFront, id)) {
+      FailAttempt(aFront,
+                  *request,
+                  CallOutcome::TimedOut,
+                  ToRan(*request->mAttempt),
+                  "no sign of life");
+    }
+  }
+}
+
+} // namespace cuminslip::requests
--- /dev/null
+++ b/src/requests/internal/dispatch.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "policy/endpointchoice.h"
+#include "requests/internal/frontstate.h"
+
+/// Sends requests to endpoints.
+namespace cuminslip::requests {
+
+/// Starts every waiting request that has a place now and refuses those whose
+/// time is over.
+auto
+PumpQueue(Front& aFront) -> void;
+
+/// Sends the request to the endpoint of aChoice.
+auto
+StartAttempt(Front& aFront,
+             Request& aRequest,
+             const EndpointChoice& aChoice,
+             const std::vector<EndpointView>& aViews) -> void;
+
+/// Takes the end of the running attempt as a failure and decides what follows.
+auto
+FailAttempt(Front& aFront,
+            Request& aRequest,
+            CallOutcome aOutcome,
+            Ran aRan,
+            const std::string& aCause) -> void;
+
+/// Forgets the running attempt, and cancels it at the endpoint when asked.
+auto
+CloseAttempt(Front& aFront, Request& aRequest, bool aIsCancelling) -> void;
+
+/// Fails attempts from which nothing was heard for too long.
+auto
+CheckSilence(Front& aFront) -> void;
+
+} // namespace cuminslip::requests
--- /dev/null
+++ b/src/requests/internal/fleet.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "endpoints/registry.h"
+#include "policy/endpointhealth.h"
+#include "policy/lanes.h"
+
+#include <map>
+#include <random>
+#include <vector>
+
+/// The endpoints as the decisions see them: the registry's views with lanes and
+/// health, kept between decisions.
+namespace cuminslip::requests {
+
+struct Fleet
+{
+  endpoints::Registry mRegistry;
+  std::map<EndpointId, EndpointHealth> mHealth;
+  std::vector<EndpointView> mViews;
+  bool mIsStale = true;
+};
+
+/// Rebuilds the views when endpoints came, went or changed, or when they are
+/// to be refreshed. Cheap otherwise.
+auto
+RefreshViews(Fleet& aFleet, const LaneSettings& aLanes, TimePoint aNow) -> void;
+
+/// Makes the next RefreshViews rebuild.
+auto
+MarkStale(Fleet& aFleet) -> void;
+
+/// The view of one endpoint, or null. Valid until the next refresh.
+auto
+FindView(const Fleet& aFleet, const EndpointId& aEndpoint)
+  -> const EndpointView*;
+
+/// Counts a stream sent to an endpoint; returns whether it is a trial call.
+auto
+NoteAttemptBegan(Fleet& aFleet,
+                 const EndpointId& aEndpoint,
+                 std::int64_t aPromptTokens,
+                 TimePoint aNow) -> bool;
+
+/// Counts the end of a stream that NoteAttemptBegan counted.
+auto
+NoteAttemptEnded(Fleet& aFleet,
+                 const EndpointId& aEndpoint,
+                 std::int64_t aPromptTokens,
+                 TimePoint aNow) -> void;
+
+/// Takes in how a call ended.
+auto
+NoteCallOutcome(Fleet& aFleet,
+                const EndpointId& aEndpoint,
+                CallOutcome aOutcome,
+                bool aWasTrial,
+                const HealthSettings& aSettings,
+                TimePoint aNow) -> void;
+
+/// Frees the place of a trial call that ended without telling anything.
+auto
+ForgetTrial(Fleet& aFleet, const EndpointId& aEndpoint) -> void;
+
+/// Ejects, tries and returns endpoints; writes a log line for each change.
+auto
+UpdateFleetHealth(Fleet& aFleet,
+                  const HealthSettings& aSettings,
+                  TimePoint aNow,
+                  std::mt19937_64& aRandom) -> void;
+
+} // namespace cuminslip::requests
--- /dev/null
+++ b/src/requests/types/frontsettings.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/types/ids.h"
+#include "policy/admission.h"
+#include "policy/endpointchoice.h"
+#include "policy/endpointhealth.h"
+#include "policy/overload.h"
+#include "policy/retries.h"
+#include "policy/types/requestfacts.h"
+
+namespace cuminslip::requests {
+
+/// Time between two calls of TickFront.
+inline constexpr auto kFrontTick = Millis(20);
+
+struct FrontSettings
+{
+  InstanceId mInstance;
+  Incarnation mIncarnation = 0;
+  OwnPlace mPlace;
+  /// Key shown to endpoints; may be empty.
+  std::string mEndpointKey;
+  std::int64_t mMaxWaitingRequests = 2000;
+  std::int64_t mMaxWaitingBytes = std::int64_t{ 512 } * 1024 * 1024;
+  /// Lease of memory held at engines, and how often it is renewed.
+  Millis mLease{ 15000 };
+  Millis mRenewInterval{ 5000 };
+  /// Longest time without any byte from an endpoint that reads or answers.
+  Millis mSilenceLimit{ 5000 };
+  /// Bytes of an answer that may wait for a slow caller.
+  std::size_t mMaxUnsentBytes = std::size_t{ 4 } * 1024 * 1024;
+  /// Largest answer that is recorded with a non-idempotent run.
+  std::size_t mMaxRecordedBytes = std::size_t{ 256 } * 1024;
+  bool mIsFirstComeFirstServed = false;
+  AdmissionSettings mAdmission;
+  ChoiceSettings mChoice;
+  HealthSettings mHealth;
+  RetrySettings mRetries;
+  OverloadSettings mOverload;
+
+  auto operator==(const FrontSettings&) const -> bool = default;
+};
+
+} // namespace cuminslip::requests
--- /dev/null
+++ b/src/requests/types/ports.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "base/clock.h"
+#include "control/types/command.h"
+#include "wire/httpclient.h"
+#include "wire/types/httpmessage.h"
+
+#include <functional>
+#include <string_view>
+
+/// The request module's ways to the outside, each a struct of functions so
+/// that tests stand in for it. All run on the front task.
+namespace cuminslip::requests {
+
+/// The response side of one caller's request. After mAbort or mFinish, and
+/// once the caller is gone, the others do nothing.
+struct CallerPort
+{
+  std::function<void(const wire::HttpResponse&)> mRespond;
+  std::function<void(int aStatus, const wire::Headers&)> mStartStream;
+  std::function<void(std::string_view aPiece)> mSendPiece;
+  std::function<void()> mFinish;
+  std::function<void()> mAbort;
+  std::function<bool()> mIsClosed;
+  std::function<std::size_t()> mUnsentBytes;
+};
+
+/// Calls to endpoints; the contract is that of wire/httpclient.h.
+struct EndpointPort
+{
+  std::function<wire::CallId(wire::HttpCall, wire::CallHandlers)> mStart;
+  std::function<void(wire::CallId)> mCancel;
+};
+
+/// How this instance stands towards the control log.
+struct ControlStanding
+{
+  bool mIsReady = false;
+  bool mIsIsolated = true;
+  Millis mIsolatedFor{ 0 };
+
+  auto operator==(const ControlStanding&) const -> bool = default;
+};
+
+/// The control log. Replies come exactly once, on the front task, and may come
+/// before mPropose returns.
+struct ControlPort
+{
+  std::function<void(Command, std::function<void(const CommandResult&)>)>
+    mPropose;
+  std::function<ControlStanding()> mStanding;
+};
+
+/// Timers of the front task; the contract is that of wire/eventloop.h.
+struct TimerPort
+{
+  std::function<wire::TimerId(Micros, std::function<void()>)> mStart;
+  std::function<void(wire::TimerId)> mStop;
+};
+
+} // namespace cuminslip::requests
