Add the control log core, its state machine, codec and storage

Cause: templates, run records, leases and submitted work must survive the loss of any minority of control instances.

--- /dev/null
+++ b/src/control/internal/memberchange.cpp
@@ -0,0 +1,278 @@
+#include "control/controlcodec.h"
+#include "control/internal/stepcontext.h"
+
+#include <algorithm>
+
+namespace cuminslip {
+
+namespace {
+
+constexpr auto kMaxVoters = std::size_t{ 7 };
+/// Entries that a learner may lack when it becomes a voter.
+constexpr auto kCaughtUpEntries = Revision{ 64 };
+
+auto
+Refuse(StepContext& aContext, const char* aProblem) -> void
+{
+  aContext.mOutput.mMembershipProblem = aProblem;
+}
+
+auto
+HasAnsweredLately(const StepContext& aContext, MemberId aMember) -> bool
+{
+  const auto& state = aContext.mState;
+  if (aMember == state.mVote.mMember) {
+    return true;
+  }
+  const auto it = state.mProgress.find(aMember);
+  return it != state.mProgress.end() && !it->second.mIsUntrusted &&
+         it->second.mAckedSend + state.mOptions.mElectionMin > aContext.mNow;
+}
+
+/// True when enough voters of aMembership answer to make its quorum.
+auto
+HasLiveQuorum(const StepContext& aContext, const Membership& aMembership)
+  -> bool
+{
+  const auto live = std::count_if(aMembership.mMembers.begin(),
+                                  aMembership.mMembers.end(),
+                                  [&](const auto& it) {
+                                    return it.mRole == MemberRole::Voter &&
+                                           HasAnsweredLately(aContext, it.mId);
+                                  });
+  const auto quorum = QuorumSize(aMembership);
+  return quorum > 0 && static_cast<std::size_t>(live) >= quorum;
+}
+
+/// True when this member may change the membership; else says why not.
+auto
+MayChange(StepContext& aContext) -> bool
+{
+  const auto& state = aContext.mState;
+  if (state.mRole != CoreRole::Leader) {
+    Refuse(aContext, "not the leader");
+    return false;
+  }
+  if (state.mCommit < state.mTermStart) {
+    Refuse(aContext, "the leader has committed nothing in its term yet");
+    return false;
+  }
+  if (state.mMemberships.back().mIndex > state.mCommit) {
+    Refuse(aContext, "another membership change is under way");
+    return false;
+  }
+  return true;
+}
+
+auto
+ProposeMembership(StepContext& aContext,
+                  Membership aMembership,
+                  MemberId aConcerned,
+                  const char* aReason) -> void
+{
+  auto& state = aContext.mState;
+  AddEvent(aContext, CoreEventKind::MembershipChanged, aConcerned, aReason);
+  AppendEntries(aContext,
+                { LogEntry{ LastIndex(state.mLog) + 1,
+                            state.mVote.mTerm,
+                            EntryKind::Membership,
+                            LeaderClock(aContext),
+                            EncodeMembership(aMembership) } });
+  BroadcastAppend(aContext, false);
+}
+
+auto
+WithoutMember(Membership aMembership, MemberId aId) -> Membership
+{
+  std::erase_if(aMembership.mMembers,
+                [&](const auto& it) { return it.mId == aId; });
+  return aMembership;
+}
+
+auto
+WithVoter(Membership aMembership, MemberId aId) -> Membership
+{
+  for (auto& it : aMembership.mMembers) {
+    if (it.mId == aId) {
+      it.mRole = MemberRole::Voter;
+      it.mReplaces = 0;
+    }
+  }
+  return aMembership;
+}
+
+auto
+IsCaughtUp(const StepContext& aContext, const Member& aLearner) -> bool
+{
+  const auto& state = aContext.mState;
+  const auto it = state.mProgress.find(aLearner.mId);
+  return it != state.mProgress.end() &&
+         HasAnsweredLately(aContext, aLearner.mId) &&
+         it->second.mMatch >= state.mCommit &&
+         it->second.mMatch + kCaughtUpEntries >= LastIndex(state.mLog);
+}
+
+auto
+AdvanceLearner(StepContext& aContext, const Member& aLearner) -> void
+{
+  const auto& membership = CurrentMembership(aContext.mState);
+  if (aLearner.mReplaces != 0 &&
+      FindMember(membership, aLearner.mReplaces) != nullptr) {
+    auto next = WithoutMember(membership, aLearner.mReplaces);
+    if (HasLiveQuorum(aContext, next)) {
+      ProposeMembership(aContext,
+                        std::move(next),
+                        aLearner.mReplaces,
+                        "replaced member removed");
+    }
+    return;
+  }
+  auto next = WithVoter(membership, aLearner.mId);
+  if (HasLiveQuorum(aContext, next)) {
+    ProposeMembership(
+      aContext, std::move(next), aLearner.mId, "learner became voter");
+  }
+}
+
+} // namespace
+
+auto
+HandleFound(StepContext& aContext, const FoundInput& aInput) -> void
+{
+  auto& state = aContext.mState;
+  if (state.mVote.mCluster != 0 || LastIndex(state.mLog) != 0) {
+    Refuse(aContext, "this disk belongs to a control log already");
+    return;
+  }
+  state.mVote.mCluster = aInput.mCluster;
+  state.mVote.mTerm = 1;
+  state.mVote.mVote = state.mVote.mMember;
+  aContext.mIsVoteDirty = true;
+  auto membership = Membership{ { Member{ state.mVote.mMember,
+                                          state.mInstance,
+                                          state.mAddress,
+                                          aInput.mFailureDomain,
+                                          MemberRole::Voter,
+                                          0 } },
+                                aInput.mExpected };
+  AppendEntries(
+    aContext,
+    { LogEntry{
+      1, 1, EntryKind::Membership, 0, EncodeMembership(membership) } });
+  // NOTE: the only voter has no other leader to wait for.
+  state.mElectionDeadline = aContext.mNow;
+}
+
+auto
+HandleAddMember(StepContext& aContext, const AddMemberInput& aInput) -> void
+{
+  const auto& membership = CurrentMembership(aContext.mState);
+  if (FindMember(membership, aInput.mMember.mId)) {
+    return;
+  }
+  const auto& instance = aInput.mMember.mInstance;
+  if (FindMemberOf(membership, instance)) {
+    Refuse(aContext, "the instance is a member with another disk; replace it");
+    return;
+  }
+  const auto isExpected = std::count(membership.mExpected.begin(),
+                                     membership.mExpected.end(),
+                                     instance) > 0;
+  if (!aInput.mIsOperator && !isExpected) {
+    Refuse(aContext, "the instance is not expected; an operator must add it");
+    return;
+  }
+  if (membership.mMembers.size() >= kMaxVoters) {
+    Refuse(aContext, "there are seven members already");
+    return;
+  }
+  if (!MayChange(aContext)) {
+    return;
+  }
+  auto next = membership;
+  std::erase(next.mExpected, instance);
+  next.mMembers.push_back(aInput.mMember);
+  next.mMembers.back().mRole = MemberRole::Learner;
+  next.mMembers.back().mReplaces = 0;
+  ProposeMembership(
+    aContext, std::move(next), aInput.mMember.mId, "learner added");
+}
+
+auto
+HandleReplaceMember(StepContext& aContext, const ReplaceMemberInput& aInput)
+  -> void
+{
+  const auto& membership = CurrentMembership(aContext.mState);
+  if (FindMember(membership, aInput.mMember.mId)) {
+    Refuse(aContext, "this disk is a member already");
+    return;
+  }
+  const auto* former = FindMemberOf(membership, aInput.mMember.mInstance);
+  if (!former) {
+    Refuse(aContext, "the instance is no member; add it");
+    return;
+  }
+  if (!MayChange(aContext)) {
+    return;
+  }
+  auto next = membership;
+  auto replaced = former->mId;
+  if (former->mRole == MemberRole::Learner) {
+    // NOTE: a learner counts for nothing and can go at once.
+    const auto before = former->mReplaces;
+    next = WithoutMember(std::move(next), former->mId);
+    replaced = before;
+  } else if (!HasLiveQuorum(aContext, WithoutMember(membership, former->mId))) {
+    Refuse(aContext,
+           "without the former member the others that answer make no quorum");
+    return;
+  }
+  next.mMembers.push_back(aInput.mMember);
+  next.mMembers.back().mRole = MemberRole::Learner;
+  next.mMembers.back().mReplaces = replaced;
+  ProposeMembership(
+    aContext, std::move(next), aInput.mMember.mId, "replacement begun");
+}
+
+auto
+HandleRemoveMember(StepContext& aContext, const RemoveMemberInput& aInput)
+  -> void
+{
+  const auto& membership = CurrentMembership(aContext.mState);
+  const auto* member = FindMemberOf(membership, aInput.mInstance);
+  if (!member) {
+    Refuse(aContext, "the instance is no member");
+    return;
+  }
+  if (!MayChange(aContext)) {
+    return;
+  }
+  const auto id = member->mId;
+  auto next = WithoutMember(membership, id);
+  std::erase(next.mExpected, aInput.mInstance);
+  if (!HasLiveQuorum(aContext, next)) {
+    Refuse(aContext, "the members that are left and answer make no quorum");
+    return;
+  }
+  ProposeMembership(aContext, std::move(next), id, "member removed");
+}
+
+auto
+AdvanceMembership(StepContext& aContext) -> void
+{
+  const auto& state = aContext.mState;
+  if (state.mCommit < state.mTermStart ||
+      state.mMemberships.back().mIndex > state.mCommit) {
+    return;
+  }
+  for (const auto& it : CurrentMembership(state).mMembers) {
+    if (it.mRole == MemberRole::Learner && IsCaughtUp(aContext, it)) {
+      // NOTE: a copy, as the membership is replaced meanwhile.
+      const auto learner = it;
+      AdvanceLearner(aContext, learner);
+      return;
+    }
+  }
+}
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/control/types/coreio.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "control/types/corestate.h"
+
+/// Inputs and outputs of a step of the control core.
+namespace cuminslip {
+
+struct TickInput
+{};
+
+struct MessageInput
+{
+  ControlMessage mMessage;
+};
+
+/// All writes up to mId are on the disk, their folder entries included.
+struct DiskDoneInput
+{
+  std::uint64_t mId = 0;
+};
+
+/// Whether the disk takes more changes.
+struct DiskSpaceInput
+{
+  bool mIsFull = false;
+};
+
+/// Founds a new control log with this member as the only one. Precondition:
+/// the member belongs to none.
+struct FoundInput
+{
+  ClusterId mCluster = 0;
+  FailureDomainId mFailureDomain;
+  /// Other instances that may join without an operator.
+  std::vector<InstanceId> mExpected;
+};
+
+/// One proposed command. mToken comes back with its place.
+struct Proposal
+{
+  std::uint64_t mToken = 0;
+  std::string mPayload;
+};
+
+struct ProposeInput
+{
+  std::vector<Proposal> mProposals;
+};
+
+/// An expected instance asks to join, or an operator adds one.
+struct AddMemberInput
+{
+  Member mMember;
+  bool mIsOperator = false;
+};
+
+/// Puts mMember in the place of the present member of the same instance.
+struct ReplaceMemberInput
+{
+  Member mMember;
+};
+
+struct RemoveMemberInput
+{
+  InstanceId mInstance;
+};
+
+/// The state machine's state as of mIndex, for compaction.
+struct SnapshotInput
+{
+  Revision mIndex = 0;
+  std::shared_ptr<const std::string> mState;
+};
+
+using CoreInput = std::variant<TickInput,
+                               MessageInput,
+                               DiskDoneInput,
+                               DiskSpaceInput,
+                               FoundInput,
+                               ProposeInput,
+                               AddMemberInput,
+                               ReplaceMemberInput,
+                               RemoveMemberInput,
+                               SnapshotInput>;
+
+/// What the disk is to make durable, in this order: vote, snapshot,
+/// truncation, entries. Nothing that depends on it happens before.
+struct DiskWrite
+{
+  std::uint64_t mId = 0;
+  std::optional<VoteRecord> mVote;
+  std::optional<Snapshot> mSnapshot;
+  /// Entries from this index on are void; 0 for none.
+  Revision mTruncateFrom = 0;
+  /// The snapshot replaces the whole log.
+  bool mIsLogReplaced = false;
+  std::vector<LogEntry> mEntries;
+};
+
+enum class ProposalFate : std::uint8_t
+{
+  Appended,
+  NotLeader,
+  DiskFull,
+  /// Too much waits to be committed.
+  Overloaded
+};
+
+struct ProposalPlace
+{
+  std::uint64_t mToken = 0;
+  ProposalFate mFate = ProposalFate::NotLeader;
+  Revision mIndex = 0;
+  Term mTerm = 0;
+};
+
+enum class CoreEventKind : std::uint8_t
+{
+  ElectionStarted,
+  LeaderElected,
+  SteppedDown,
+  MembershipChanged,
+  SnapshotInstalled,
+  MemberUntrusted,
+  Halted
+};
+
+/// Something worth a log line.
+struct CoreEvent
+{
+  CoreEventKind mKind = CoreEventKind::ElectionStarted;
+  Term mTerm = 0;
+  MemberId mMember = 0;
+  std::string mReason;
+};
+
+struct CoreOutput
+{
+  std::vector<OutgoingMessage> mMessages;
+  std::vector<DiskWrite> mWrites;
+  /// Replaces the state machine's state before mCommitted is applied.
+  std::optional<Snapshot> mRestore;
+  std::vector<LogEntry> mCommitted;
+  std::vector<ProposalPlace> mPlaces;
+  std::vector<CoreEvent> mEvents;
+  /// Why a membership change was refused; empty when begun.
+  std::string mMembershipProblem;
+};
+
+struct StepResult
+{
+  CoreState mState;
+  CoreOutput mOutput;
+};
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/control/types/snapshot.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "control/types/membership.h"
+
+#include <memory>
+
+/// The replicated state as of one log index.
+namespace cuminslip {
+
+struct Snapshot
+{
+  Revision mIndex = 0;
+  Term mTerm = 0;
+  LogMillis mClock = 0;
+  Membership mMembership;
+  /// Encoded state; shared as it is large and never changes. Not null.
+  std::shared_ptr<const std::string> mState =
+    std::make_shared<const std::string>();
+};
+
+/// True when both cover the same log and hold the same state.
+auto
+IsSameSnapshot(const Snapshot& aLeft, const Snapshot& aRight) -> bool;
+
+} // namespace cuminslip
