Refuse at once while no endpoint is known; keep logs silent until started

Cause: a front test showed a request waiting its whole queue time although no endpoint had announced itself; tests printed log lines. Change: admission refuses with ran no and a hint; LogEvent writes nothing before StartLog. Ruled out: a fault in the wait queue (the entry expired in time).

--- a/src/base/events.h
+++ b/src/base/events.h
@@ -51,7 +51,7 @@
          const std::string& aFile,
          Severity aLowest) -> void;
 
-/// Writes one line. Thread safe.
+/// Writes one line; nothing before StartLog. Thread safe.
 auto
 LogEvent(const Event& aEvent, std::initializer_list<EventField> aFields)
   -> void;
--- a/src/base/internal/events.cpp
+++ b/src/base/internal/events.cpp
@@ -10,6 +10,7 @@
 #include <boost/log/utility/setup/file.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <iostream>
 #include <string>
@@ -32,6 +33,13 @@
   return sName;
 }
 
+auto
+IsLogStarted() -> std::atomic<bool>&
+{
+  static auto sIsStarted = std::atomic<bool>{ false };
+  return sIsStarted;
+}
+
 auto
 GlobalLogger() -> Logger&
 {
@@ -151,11 +159,15 @@
   }
   logging::core::get()->set_filter(SeverityAttribute >=
                                    static_cast<int>(aLowest));
+  IsLogStarted() = true;
 }
 
 auto
 LogEvent(const Event& aEvent, std::initializer_list<EventField> aFields) -> void
 {
+  if (!IsLogStarted()) {
+    return;
+  }
   auto record = GlobalLogger().open_record(
     logging::keywords::severity = static_cast<int>(aEvent.mSeverity));
   if (!record) {
--- a/src/requests/internal/admit.cpp
+++ b/src/requests/internal/admit.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr auto kNoEndpointRetry = Millis(1000);
+
 auto
 ToRefusalType(AdmissionReason aReason) -> RefusalType
 {
@@ -54,6 +56,15 @@
 {
   const auto now = aFront.mPorts.mNow();
   const auto choice = TryChoice(aFront, aRequest);
+  if (choice.mReason == ChoiceReason::NoEndpoint) {
+    RefuseRequest(aFront,
+                  aRequest,
+                  { RefusalType::NoEndpoint,
+                    "no endpoint has announced itself here",
+                    Ran::No,
+                    kNoEndpointRetry });
+    return FilterResult::Done;
+  }
   const auto entry = MakeEntry(aFront, aRequest, choice);
   const auto& facts = aRequest.mFacts;
   const auto& limits = aRequest.mTemplate->mTemplate.mLimits;
