--- a/src/requests/internal/admit.cpp
+++ b/src/requests/internal/admit.cpp
@@ -1,7 +1,7 @@
+#include "policy/decisionlog.h"
 #include "requests/internal/delivery.h"
 #include "requests/internal/filters.h"
 #include "requests/internal/waiting.h"
-#include "requests/types/requestsevents.h"
 
 namespace cuminslip::requests {
 
@@ -33,22 +33,6 @@
   return RefusalType::CannotMeetDeadline;
 }
 
-auto
-LogAdmission(const Request& aRequest, const AdmissionDecision& aDecision)
-  -> void
-{
-  const auto& facts = aRequest.mFacts;
-  LogEvent(kRequestAdmittedEvent,
-           { { "request", facts.mId.mValue },
-             { "account", facts.mAccount.mValue },
-             { "kind", facts.mKind.mValue },
-             { "revision", aRequest.mTemplate->mRevision },
-             { "prompt_tokens", facts.mPromptTokens },
-             { "length_class", facts.mLengthClass },
-             { "allowance_us", aDecision.mAllowance.count() },
-             { "predicted_us", aDecision.mPredictedTotal.count() } });
-}
-
 } // namespace
 
 auto
@@ -82,6 +66,7 @@
                                         aFront.mSettings.mAdmission,
                                         aFront.mBuckets[facts.mAccount],
                                         aFront.mRandom);
+  LogAdmission(facts, decision);
   if (!IsAdmitted(decision)) {
     RefuseRequest(aFront,
                   aRequest,
@@ -93,7 +78,6 @@
     return FilterResult::Done;
   }
   ++aFront.mCounters.mAdmitted;
-  LogAdmission(aRequest, decision);
   return FilterResult::Continue;
 }
 
--- a/src/requests/internal/delivery.cpp
+++ b/src/requests/internal/delivery.cpp
@@ -190,7 +190,7 @@
   ++aFront.mCounters.mRefusals.at(static_cast<std::size_t>(aRefusal.mType));
   const auto isFailure = aRefusal.mRan != Ran::No;
   LogEvent(
-    isFailure ? kRequestFailedEvent : kRequestRefusedEvent,
+    isFailure ? kRequestFailedEvent : kRefusalSentEvent,
     { { "request", aRequest.mFacts.mId.mValue },
       { "account", aRequest.mFacts.mAccount.mValue },
       { "type", RefusalName(aRefusal.mType) },
--- a/src/requests/internal/dispatch.cpp
+++ b/src/requests/internal/dispatch.cpp
@@ -1,6 +1,7 @@
 #include "requests/internal/dispatch.h"
 
 #include "endpoints/protocol.h"
+#include "policy/decisionlog.h"
 #include "policy/prefixhashes.h"
 #include "requests/internal/attemptevents.h"
 #include "requests/internal/delivery.h"
@@ -14,7 +15,6 @@
 
 namespace {
 
-constexpr auto kLoggedAlternatives = std::size_t{ 3 };
 constexpr auto kQueueTimeRetry = Millis(2000);
 
 auto
@@ -100,47 +100,15 @@
   return call;
 }
 
-/// The endpoints compared, as "id=cost_us", the chosen one first.
 auto
-DescribeAlternatives(const EndpointChoice& aChoice,
-                     const std::vector<EndpointView>& aViews) -> std::string
+LogAttemptStarted(const Request& aRequest) -> void
 {
-  auto text = std::string{};
-  for (const auto& item : aChoice.mConsidered) {
-    if (&item - aChoice.mConsidered.data() >=
-        static_cast<std::ptrdiff_t>(kLoggedAlternatives)) {
-      break;
-    }
-    text += text.empty() ? "" : " ";
-    text +=
-      aViews[item.mIndex].mId.mValue + "=" + std::to_string(item.mCost.count());
-  }
-  return text;
-}
-
-auto
-LogRouted(const Front& aFront,
-          const Request& aRequest,
-          const EndpointChoice& aChoice,
-          const std::vector<EndpointView>& aViews) -> void
-{
-  const auto& view = aViews[*aChoice.mIndex];
-  const auto cached = aChoice.mConsidered.empty()
-                        ? std::int64_t{ 0 }
-                        : aChoice.mConsidered.front().mCached.mTokens;
-  const auto waited =
-    MillisBetween(aRequest.mWaitingSince, aFront.mPorts.mNow());
-  LogEvent(kRequestRoutedEvent,
+  LogEvent(kAttemptStartedEvent,
            { { "request", aRequest.mFacts.mId.mValue },
              { "attempt", aRequest.mAttempt->mId.mValue },
-             { "endpoint", view.mId.mValue },
-             { "failure_domain", view.mFailureDomain.mValue },
-             { "reason", ToText(aChoice.mReason) },
-             { "cost_us", DescribeAlternatives(aChoice, aViews) },
-             { "cached_tokens", cached },
-             { "first_token_us",
-               FirstTokenTime(aRequest.mAttempt->mPredicted).count() },
-             { "waited_ms", waited.count() } });
+             { "endpoint", aRequest.mAttempt->mEndpoint.mValue },
+             { "number", aRequest.mAttempts },
+             { "skipped_pieces", aRequest.mSequencer.mNext } });
 }
 
 auto
@@ -154,6 +122,7 @@
 {
   const auto now = aFront.mPorts.mNow();
   for (const auto& entry : TakeExpired(aFront.mQueue, now)) {
+    LogWaitExpired(entry, now);
     auto* request = FindRequest(aFront, entry.mId);
     if (request == nullptr) {
       continue;
@@ -206,6 +175,7 @@
   if (!started) {
     return false;
   }
+  LogWaitEnded(*started);
   RecordWait(aFront.mOverload, started->mWaited);
   auto* request = FindRequest(aFront, started->mEntry.mId);
   if (request == nullptr) {
@@ -260,7 +230,8 @@
   if (aRequest.mAttempts == 1) {
     RecordFirstAttempt(aFront.mRetryBudget, aFront.mSettings.mRetries);
   }
-  LogRouted(aFront, aRequest, aChoice, aViews);
+  LogChoice(aRequest.mFacts, aChoice, aViews);
+  LogAttemptStarted(aRequest);
   RecordSentPrompt(aFront.mPrefixes,
                    view.mId,
                    view.mIncarnation,
--- a/src/requests/internal/fleet.cpp
+++ b/src/requests/internal/fleet.cpp
@@ -1,6 +1,6 @@
 #include "requests/internal/fleet.h"
 
-#include "requests/types/requestsevents.h"
+#include "policy/decisionlog.h"
 
 #include <algorithm>
 
@@ -75,17 +75,6 @@
   return aView.mService + "/" + aView.mRegion.mValue;
 }
 
-auto
-LogHealthChange(const HealthChange& aChange) -> void
-{
-  LogEvent(kEndpointHealthEvent,
-           { { "endpoint", aChange.mEndpoint.mValue },
-             { "change", ToText(aChange.mKind) },
-             { "for_ms", aChange.mFor.count() },
-             { "consecutive_failures", aChange.mCalls.mConsecutiveFailures },
-             { "failure_share", aChange.mCalls.mFailureShare } });
-}
-
 } // namespace
 
 auto
--- a/src/requests/internal/front.cpp
+++ b/src/requests/internal/front.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "endpoints/protocol.h"
+#include "policy/decisionlog.h"
 #include "policy/prefixhashes.h"
 #include "requests/internal/delivery.h"
 #include "requests/internal/dispatch.h"
@@ -78,14 +79,11 @@
 UpdateOverloadLevel(Front& aFront) -> void
 {
   const auto now = aFront.mPorts.mNow();
-  const auto hasChanged = UpdateOverload(aFront.mOverload,
-                                         aFront.mSettings.mOverload,
-                                         OldestWait(aFront.mQueue, now),
-                                         now);
+  const auto oldest = OldestWait(aFront.mQueue, now);
+  const auto hasChanged =
+    UpdateOverload(aFront.mOverload, aFront.mSettings.mOverload, oldest, now);
   if (hasChanged) {
-    LogEvent(kOverloadLevelEvent,
-             { { "level", aFront.mOverload.mLevel },
-               { "waiting", aFront.mQueue.mEntries.size() } });
+    LogOverload(aFront.mOverload.mLevel, oldest);
   }
 }
 
--- a/src/requests/internal/recovery.cpp
+++ b/src/requests/internal/recovery.cpp
@@ -1,4 +1,5 @@
 #include "endpoints/protocol.h"
+#include "policy/decisionlog.h"
 #include "requests/internal/delivery.h"
 #include "requests/internal/dispatch.h"
 #include "requests/internal/filters.h"
@@ -71,8 +72,10 @@
   }
   input.mHasOtherEndpoint =
     choice.mIndex.has_value() || MayPass(choice.mReason);
-  return DecideRetry(
+  const auto decision = DecideRetry(
     input, aFront.mSettings.mRetries, aFront.mRetryBudget, aFront.mRandom);
+  LogRetry(aRequest.mFacts, input, decision);
+  return decision;
 }
 
 auto
@@ -82,11 +85,6 @@
             const std::string& aCause) -> void
 {
   const auto decision = DecideNextAttempt(aFront, aRequest, aRan);
-  LogEvent(kRetryDecidedEvent,
-           { { "request", aRequest.mFacts.mId.mValue },
-             { "decision", ToText(decision.mReason) },
-             { "delay_ms", decision.mDelay.count() },
-             { "attempts", aRequest.mAttempts } });
   if (decision.mReason != RetryReason::Allowed) {
     RefuseRequest(aFront,
                   aRequest,
--- a/src/requests/internal/waiting.cpp
+++ b/src/requests/internal/waiting.cpp
@@ -1,6 +1,7 @@
 #include "requests/internal/waiting.h"
 
 #include "base/digest.h"
+#include "policy/decisionlog.h"
 #include "requests/internal/delivery.h"
 #include "requests/internal/dispatch.h"
 #include "requests/internal/filters.h"
@@ -104,14 +105,14 @@
 {
   const auto now = aFront.mPorts.mNow();
   const auto choice = TryChoice(aFront, aRequest);
-  auto entry = MakeEntry(aFront, aRequest, choice);
+  const auto entry = MakeEntry(aFront, aRequest, choice);
   aRequest.mStage = Stage::Waiting;
   aRequest.mWaitingSince = now;
-  const auto result = Enqueue(aFront.mQueue,
-                              std::move(entry),
-                              aRequest.mTemplate->mTemplate.mLimits,
-                              now);
+  const auto result =
+    Enqueue(aFront.mQueue, entry, aRequest.mTemplate->mTemplate.mLimits, now);
+  LogWaitStarted(entry, result);
   for (const auto& displaced : result.mDisplaced) {
+    LogWaitDisplaced(displaced, now);
     if (auto* other = FindRequest(aFront, displaced.mId)) {
       RefuseRequest(aFront,
                     *other,
