Bound the record of a run by what the control log takes

Cause: the front kept answers of 256 KiB, the control state refuses above 64 KiB, so that a large answer would have left its claim open. Change: the encoded record is bounded at 60 KiB; above it only the fact that the run finished is kept.

--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -265,7 +265,9 @@
   BOOST_LEAF_ASSIGN(
     instance->mPeers,
     StartPeerTask(std::move(peerSettings), MakePeerCallbacks(*instance)));
-  BOOST_LEAF_CHECK(StartListeners(*instance));
+  if (auto listening = StartListeners(*instance); !listening) {
+    return listening.error();
+  }
   LogEvent(kInstanceStartedEvent,
            { { "failure_domain", instance->mSettings.mFailureDomain.mValue },
              { "region", instance->mSettings.mRegion.mValue },
--- a/src/requests/internal/delivery.cpp
+++ b/src/requests/internal/delivery.cpp
@@ -120,11 +120,13 @@
 auto
 RecordAnswer(Front& aFront, Request& aRequest, RunRecord aRecord) -> void
 {
-  if (aRecord.mBody.size() > aFront.mSettings.mMaxRecordedBytes) {
+  auto text = EncodeRunRecord(aRecord);
+  if (text.size() > aFront.mSettings.mMaxRecordedBytes) {
     aRecord.mBody = {};
     aRecord.mIsWhole = false;
+    text = EncodeRunRecord(aRecord);
   }
-  RecordOutcome(aFront, aRequest, EncodeRunRecord(aRecord));
+  RecordOutcome(aFront, aRequest, std::move(text));
 }
 
 auto
--- a/src/requests/tests/front_tests.cpp
+++ b/src/requests/tests/front_tests.cpp
@@ -316,6 +316,27 @@
   BOOST_TEST(StandingOf(*mFront).mCounters.mAttempts == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(AnAnswerTooLargeForTheRecordIsStillKnownToHaveRun)
+{
+  AnnounceService("booker-1", 9101);
+  mResults.push_back({ CommandStatus::Accepted });
+  const auto caller = Book("{}", { { "idempotency-key", "k1" } });
+  const auto call = OpenCalls("/rooms").at(0);
+  SendHead(call, 200);
+  SendBytes(call, std::string(100000, 'x'));
+  End(call, wire::CallEnd::Complete);
+  BOOST_TEST(caller->mBody.size() == 100000U);
+  const auto& finish = std::get<FinishRunCommand>(mProposed.at(1));
+  BOOST_TEST(finish.mAnswer.size() < 60 * 1024U);
+
+  auto finished = CommandResult{};
+  finished.mStatus = CommandStatus::Finished;
+  finished.mBytes = finish.mAnswer;
+  mResults.push_back(finished);
+  const auto again = Book("{}", { { "idempotency-key", "k1" } });
+  BOOST_TEST(RanOf(again->mBody) == "yes");
+}
+
 BOOST_AUTO_TEST_CASE(AnswersEachStandingOfTheRecord)
 {
   struct Row
--- a/src/requests/types/frontsettings.h
+++ b/src/requests/types/frontsettings.h
@@ -30,8 +30,8 @@
   Millis mSilenceLimit{ 5000 };
   /// Bytes of an answer that may wait for a slow caller.
   std::size_t mMaxUnsentBytes = std::size_t{ 4 } * 1024 * 1024;
-  /// Largest answer that is recorded with a non-idempotent run.
-  std::size_t mMaxRecordedBytes = std::size_t{ 256 } * 1024;
+  /// Largest record of a non-idempotent run; the control log takes 64 KiB.
+  std::size_t mMaxRecordedBytes = std::size_t{ 60 } * 1024;
   bool mIsFirstComeFirstServed = false;
   AdmissionSettings mAdmission;
   ChoiceSettings mChoice;
