Add the peer task: RPC, forwarding, following, membership and reports

Cause: instances must share one control state over plain TCP. Change: a KJ thread with Cap'n Proto RPC owns the control core, a disk thread groups its writes, and instances without a disk follow control instances of their own failure domain first.

--- a/src/control/internal/replication.cpp
+++ b/src/control/internal/replication.cpp
@@ -304,6 +304,12 @@
   if (!isIn && state.mCommit >= state.mMemberships.back().mIndex) {
     BroadcastAppend(aContext, true);
     StepDown(aContext, "removed from the membership");
+    return;
+  }
+  // NOTE: with nothing more to send, no other message would tell the commit.
+  if (state.mCommit == LastIndex(state.mLog)) {
+    state.mNextHeartbeat = aContext.mNow + state.mOptions.mHeartbeat;
+    BroadcastAppend(aContext, true);
   }
 }
 
@@ -344,6 +350,7 @@
   if (!MergeEntries(aContext, aRequest)) {
     return;
   }
+  state.mLeaderCommit = std::max(state.mLeaderCommit, aRequest.mCommit);
   AdvanceCommit(aContext, std::min(aRequest.mCommit, match));
   reply(true, match);
 }
--- a/src/control/types/corestate.h
+++ b/src/control/types/corestate.h
@@ -100,6 +100,8 @@
   Revision mCommit = 0;
   Revision mApplied = 0;
   Revision mDurable = 0;
+  /// Highest commit index that a leader told of.
+  Revision mLeaderCommit = 0;
   std::uint64_t mLastWrite = 0;
   std::deque<PendingWrite> mPendingWrites;
   bool mIsDiskFull = false;
--- /dev/null
+++ b/src/peers/internal/controlnode.cpp
@@ -0,0 +1,375 @@
+#include "peers/internal/controlnode.h"
+
+#include "control/controlcodec.h"
+#include "control/types/controlevents.h"
+
+#include <filesystem>
+#include <random>
+#include <utility>
+
+namespace cuminslip {
+
+namespace {
+
+/// A snapshot is taken after this many entries, or bytes of them.
+constexpr auto kSnapshotEntries = Revision{ 1000 };
+constexpr auto kSnapshotBytes = std::size_t{ 8 } * 1024 * 1024;
+
+auto
+OutcomeOf(ProposalFate aFate) -> LeaderOutcome
+{
+  switch (aFate) {
+    case ProposalFate::DiskFull:
+      return LeaderOutcome::DiskFull;
+    case ProposalFate::Overloaded:
+      return LeaderOutcome::Overloaded;
+    default:
+      return LeaderOutcome::NotLeader;
+  }
+}
+
+auto
+EventOf(CoreEventKind aKind) -> const Event&
+{
+  switch (aKind) {
+    case CoreEventKind::ElectionStarted:
+      return kElectionStartedEvent;
+    case CoreEventKind::LeaderElected:
+      return kLeaderElectedEvent;
+    case CoreEventKind::SteppedDown:
+      return kSteppedDownEvent;
+    case CoreEventKind::MembershipChanged:
+      return kMembershipChangedEvent;
+    case CoreEventKind::SnapshotInstalled:
+      return kSnapshotInstalledEvent;
+    case CoreEventKind::MemberUntrusted:
+      return kMemberUntrustedEvent;
+    case CoreEventKind::Halted:
+      break;
+  }
+  return kControlHaltedEvent;
+}
+
+auto
+RandomNumber() -> std::uint64_t
+{
+  auto device = std::random_device();
+  constexpr auto kHalf = 32U;
+  return (std::uint64_t{ device() } << kHalf) | device();
+}
+
+} // namespace
+
+ControlNode::ControlNode(CoreState aCore,
+                         ControlState aState,
+                         ControlStore aStore,
+                         ControlNodeHooks aHooks)
+  : mHooks(std::move(aHooks))
+  , mCore(std::move(aCore))
+  , mState(std::move(aState))
+  , mFloorDone(std::max(aStore.mFloor, aStore.mSnapshotIndex))
+{
+  mFloorWanted = mFloorDone;
+  auto post = [this, post = mHooks.mPostToTask, isAlive = mIsAlive](
+                const DiskReport& aReport) {
+    post([this, isAlive, aReport] {
+      if (*isAlive) {
+        TakeReport(aReport);
+      }
+    });
+  };
+  mDisk = std::make_unique<DiskThread>(std::move(aStore), std::move(post));
+}
+
+ControlNode::~ControlNode()
+{
+  *mIsAlive = false;
+  mDisk.reset();
+  FailPending();
+}
+
+auto
+ControlNode::Tick() -> void
+{
+  Feed(TickInput{});
+  AnnounceTemplates();
+}
+
+auto
+ControlNode::Receive(std::string_view aMessage) -> void
+{
+  auto message = CollectOutcome<ControlMessage>(
+    [&] { return DecodeControlMessage(aMessage); });
+  if (message.mValue) {
+    Feed(MessageInput{ std::move(*message.mValue) });
+  }
+}
+
+auto
+ControlNode::Propose(std::string aCommand, ProposalReply aReply) -> void
+{
+  const auto token = mNextToken++;
+  mReplies[token] = std::move(aReply);
+  mQueue.push_back({ token, std::move(aCommand) });
+  if (mQueue.size() > 1) {
+    return;
+  }
+  mHooks.mPostToTask([this, isAlive = mIsAlive] {
+    if (*isAlive) {
+      FlushProposals();
+    }
+  });
+}
+
+auto
+ControlNode::FlushProposals() -> void
+{
+  auto input = ProposeInput{ std::exchange(mQueue, {}) };
+  if (!mFailure.empty() || mCore.mRole == CoreRole::Halted) {
+    for (const auto& it : input.mProposals) {
+      auto reply = mReplies.extract(it.mToken);
+      reply.mapped()({ LeaderOutcome::NotLeader, {} });
+    }
+    return;
+  }
+  Feed(input);
+}
+
+auto
+ControlNode::ChangeMembership(const CoreInput& aInput) -> std::string
+{
+  auto problem = Feed(aInput);
+  if (!problem.empty()) {
+    LogEvent(kMembershipRefusedEvent, { { "reason", problem } });
+  }
+  return problem;
+}
+
+auto
+ControlNode::IsLeader() const -> bool
+{
+  return mCore.mRole == CoreRole::Leader && mFailure.empty();
+}
+
+auto
+ControlNode::HasLease() const -> bool
+{
+  return IsLeader() && HasLeaderLease(mCore, mHooks.mNow());
+}
+
+auto
+ControlNode::LeaderInstance() const -> InstanceId
+{
+  const auto* member = FindMember(CurrentMembership(mCore), mCore.mLeader);
+  return member ? member->mInstance : InstanceId{};
+}
+
+auto
+ControlNode::LeaderAddress() const -> std::string
+{
+  const auto* member = FindMember(CurrentMembership(mCore), mCore.mLeader);
+  return member ? member->mAddress : std::string{};
+}
+
+auto
+ControlNode::Feed(const CoreInput& aInput) -> std::string
+{
+  if (!mFailure.empty()) {
+    return "the control storage stopped: " + mFailure;
+  }
+  const auto wasLeader = mCore.mRole == CoreRole::Leader;
+  auto result = Step(std::move(mCore), aInput, mHooks.mNow());
+  mCore = std::move(result.mState);
+  auto& output = result.mOutput;
+  for (const auto& it : output.mEvents) {
+    LogCoreEvent(it);
+  }
+  for (const auto& it : output.mMessages) {
+    mHooks.mSend(it);
+  }
+  TakePlaces(output.mPlaces);
+  if (output.mRestore) {
+    Restore(*output.mRestore);
+  }
+  Apply(output.mCommitted);
+  if (!output.mWrites.empty() || mFloorWanted > mFloorDone) {
+    mDisk->Submit(std::move(output.mWrites), mFloorWanted);
+  }
+  if (wasLeader && mCore.mRole != CoreRole::Leader) {
+    FailPending();
+  }
+  TakeSnapshotIfDue();
+  return output.mMembershipProblem;
+}
+
+auto
+ControlNode::Restore(const Snapshot& aSnapshot) -> void
+{
+  auto state = CollectOutcome<ControlState>(
+    [&] { return DecodeControlState(*aSnapshot.mState); });
+  if (!state.mValue) {
+    mFailure = "a snapshot from the leader can't be decoded";
+    LogEvent(kStoreFailedEvent, { { "reason", mFailure } });
+    return;
+  }
+  mState = std::move(*state.mValue);
+  mFloorWanted = std::max(mFloorWanted, aSnapshot.mIndex);
+}
+
+auto
+ControlNode::Apply(const std::vector<LogEntry>& aEntries) -> void
+{
+  if (aEntries.empty()) {
+    return;
+  }
+  const auto before = TemplateRevision(mState);
+  for (const auto& it : aEntries) {
+    const auto result = ApplyEntry(mState, mBounds, it);
+    AnswerProposal(it, result);
+  }
+  const auto revision = TemplateRevision(mState);
+  if (revision > before) {
+    mFloorWanted = std::max(mFloorWanted, revision);
+  }
+}
+
+auto
+ControlNode::AnswerProposal(const LogEntry& aEntry,
+                            const CommandResult& aResult) -> void
+{
+  auto pending = mPending.extract(aEntry.mIndex);
+  if (pending.empty()) {
+    return;
+  }
+  const auto isOwn = pending.mapped().mTerm == aEntry.mTerm;
+  pending.mapped().mReply(isOwn ? ProposalResult{ LeaderOutcome::Done, aResult }
+                                : ProposalResult{});
+}
+
+auto
+ControlNode::TakePlaces(const std::vector<ProposalPlace>& aPlaces) -> void
+{
+  for (const auto& it : aPlaces) {
+    auto reply = mReplies.extract(it.mToken);
+    if (reply.empty()) {
+      continue;
+    }
+    if (it.mFate == ProposalFate::Appended) {
+      mPending[it.mIndex] = { it.mTerm, std::move(reply.mapped()) };
+    } else {
+      reply.mapped()({ OutcomeOf(it.mFate), {} });
+    }
+  }
+}
+
+auto
+ControlNode::FailPending() -> void
+{
+  auto pending = std::exchange(mPending, {});
+  for (const auto& [index, it] : pending) {
+    it.mReply({ LeaderOutcome::NotLeader, {} });
+  }
+}
+
+auto
+ControlNode::TakeReport(const DiskReport& aReport) -> void
+{
+  mFigures = aReport.mFigures;
+  mFloorDone = std::max(mFloorDone, aReport.mFloor);
+  if (aReport.mStatus == IoStatus::Failed) {
+    mFailure = "the control log can't be written";
+    LogEvent(kStoreFailedEvent, { { "reason", mFailure } });
+    mCore.mRole = CoreRole::Halted;
+    FailPending();
+    return;
+  }
+  if (aReport.mIsFull != mCore.mIsDiskFull) {
+    LogEvent(kStoreFullEvent, { { "is_full", aReport.mIsFull } });
+    Feed(DiskSpaceInput{ aReport.mIsFull });
+  }
+  Feed(DiskDoneInput{ aReport.mDone });
+  AnnounceTemplates();
+}
+
+auto
+ControlNode::AnnounceTemplates() -> void
+{
+  const auto limit = std::min(mFloorDone, mState.mApplied);
+  if (limit <= mAnnounced) {
+    return;
+  }
+  auto templates = TemplatesAfter(mState, mAnnounced);
+  std::erase_if(templates,
+                [&](const auto& it) { return it.mRevision > limit; });
+  mAnnounced = limit;
+  if (!templates.empty()) {
+    mHooks.mOnTemplates(std::move(templates));
+  }
+}
+
+auto
+ControlNode::TakeSnapshotIfDue() -> void
+{
+  const auto entries = mCore.mApplied - mCore.mSnapshot.mIndex;
+  const auto isDue = entries >= kSnapshotEntries ||
+                     (mCore.mLog.mBytes >= kSnapshotBytes && entries > 0);
+  if (!isDue || !mFailure.empty()) {
+    return;
+  }
+  auto bytes = std::make_shared<const std::string>(EncodeControlState(mState));
+  LogEvent(kSnapshotTakenEvent,
+           { { "index", mCore.mApplied },
+             { "bytes", static_cast<std::uint64_t>(bytes->size()) } });
+  Feed(SnapshotInput{ mCore.mApplied, std::move(bytes) });
+}
+
+auto
+ControlNode::LogCoreEvent(const CoreEvent& aEvent) -> void
+{
+  const auto* member = FindMember(CurrentMembership(mCore), aEvent.mMember);
+  LogEvent(
+    EventOf(aEvent.mKind),
+    { { "term", aEvent.mTerm },
+      { "member", aEvent.mMember },
+      { "of_instance", member ? member->mInstance.mValue : std::string{} },
+      { "reason", aEvent.mReason } });
+}
+
+auto
+OpenControlNode(const std::string& aFolder,
+                const InstanceId& aInstance,
+                const std::string& aAddress,
+                ControlNodeHooks aHooks)
+  -> leaf::result<std::unique_ptr<ControlNode>>
+{
+  auto ec = std::error_code{};
+  std::filesystem::create_directories(aFolder, ec);
+  BOOST_LEAF_AUTO(opened,
+                  OpenStore(LocalFileSystem(), aFolder, {}, RandomNumber()));
+  auto state = ControlState{};
+  if (opened.mDisk.mSnapshot.mIndex > 0) {
+    BOOST_LEAF_ASSIGN(state,
+                      DecodeControlState(*opened.mDisk.mSnapshot.mState));
+  }
+  LogEvent(kStoreOpenedEvent,
+           { { "member", opened.mStore.mVote.mMember },
+             { "boot", opened.mStore.mVote.mBoot },
+             { "snapshot", opened.mDisk.mSnapshot.mIndex },
+             { "entries",
+               static_cast<std::uint64_t>(opened.mDisk.mEntries.size()) } });
+  if (opened.mDroppedBytes > 0) {
+    LogEvent(kStoreTailDroppedEvent, { { "bytes", opened.mDroppedBytes } });
+  }
+  auto core = StartCore({},
+                        aInstance,
+                        aAddress,
+                        std::move(opened.mDisk),
+                        RandomNumber(),
+                        aHooks.mNow());
+  return std::make_unique<ControlNode>(std::move(core),
+                                       std::move(state),
+                                       std::move(opened.mStore),
+                                       std::move(aHooks));
+}
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/peers/internal/joining.cpp
@@ -0,0 +1,245 @@
+#include "peers/internal/joining.h"
+
+#include "control/types/controlevents.h"
+
+#include <algorithm>
+#include <random>
+
+namespace cuminslip {
+
+namespace {
+
+constexpr auto kAskLimit = Millis(1000);
+constexpr auto kJoinPause = Millis(300);
+constexpr auto kDescribeRetries = 3;
+constexpr auto kChangeLimit = Millis(6000);
+
+/// What the other control instances say of themselves.
+struct JoinSurvey
+{
+  std::size_t mAnswers = 0;
+  std::vector<std::string> mWithLog;
+};
+
+using DescribeResponse = capnp::Response<schema::Session::DescribeResults>;
+using JoinResponse = capnp::Response<schema::Session::JoinResults>;
+
+auto
+MemberOf(const Joiner& aJoiner) -> Member
+{
+  return { aJoiner.mMember,
+           aJoiner.mInstance.mInstance,
+           aJoiner.mInstance.mAddress,
+           aJoiner.mInstance.mFailureDomain,
+           MemberRole::Learner,
+           0 };
+}
+
+auto
+AskControls(PeerContext& aContext, std::shared_ptr<JoinSurvey> aSurvey)
+  -> kj::Promise<void>
+{
+  auto calls = kj::Vector<kj::Promise<void>>();
+  for (const auto& address : OtherControls(aContext)) {
+    kj::Promise<DescribeResponse> sent =
+      aContext.mLinks.SessionAt(address).describeRequest().send();
+    calls.add(aContext.mLinks.WithLimit(address, kAskLimit, kj::mv(sent))
+                .then(
+                  [aSurvey, address](DescribeResponse aResponse) {
+                    aSurvey->mAnswers += aResponse.getIsControl() ? 1 : 0;
+                    if (aResponse.getCluster() != 0) {
+                      aSurvey->mWithLog.push_back(address);
+                    }
+                  },
+                  [](kj::Exception&&) {}));
+  }
+  return kj::joinPromises(calls.releaseAsArray());
+}
+
+auto
+IsFirstByName(const PeerContext& aContext) -> bool
+{
+  const auto& controls = aContext.mSettings.mControlInstances;
+  return std::all_of(
+    controls.begin(), controls.end(), [&](const PeerInstance& it) {
+      return aContext.mSettings.mInstance <= it.mInstance;
+    });
+}
+
+auto
+FoundLog(PeerContext& aContext) -> void
+{
+  auto input = FoundInput{};
+  auto device = std::random_device();
+  constexpr auto kHalf = 32U;
+  input.mCluster = (ClusterId{ device() } << kHalf) | device() | 1U;
+  input.mFailureDomain = aContext.mSettings.mFailureDomain;
+  for (const auto& it : aContext.mSettings.mControlInstances) {
+    if (it.mInstance != aContext.mSettings.mInstance) {
+      input.mExpected.push_back(it.mInstance);
+    }
+  }
+  LogEvent(
+    kLogFoundedEvent,
+    { { "expected", static_cast<std::uint64_t>(input.mExpected.size()) } });
+  aContext.mControl->ChangeMembership(input);
+}
+
+auto
+OwnJoiner(const PeerContext& aContext) -> Joiner
+{
+  return { aContext.mControl->Core().mVote.mMember,
+           { aContext.mSettings.mInstance,
+             aContext.mSettings.mAddress,
+             aContext.mSettings.mFailureDomain } };
+}
+
+auto
+AskToJoin(PeerContext& aContext, const std::vector<std::string>& aAddresses)
+  -> kj::Promise<void>
+{
+  auto calls = kj::Vector<kj::Promise<void>>();
+  for (const auto& address : aAddresses) {
+    auto request = aContext.mLinks.SessionAt(address).joinRequest();
+    WriteJoiner(request.initJoiner(), OwnJoiner(aContext));
+    kj::Promise<JoinResponse> sent = request.send();
+    calls.add(aContext.mLinks.WithLimit(address, kAskLimit, kj::mv(sent))
+                .then([](JoinResponse) {}, [](kj::Exception&&) {}));
+  }
+  return kj::joinPromises(calls.releaseAsArray());
+}
+
+auto
+TakeSurvey(PeerContext& aContext, const JoinSurvey& aSurvey)
+  -> kj::Promise<void>
+{
+  if (!aSurvey.mWithLog.empty()) {
+    return AskToJoin(aContext, aSurvey.mWithLog);
+  }
+  const auto others = OtherControls(aContext).size();
+  if (aSurvey.mAnswers == others && IsFirstByName(aContext)) {
+    FoundLog(aContext);
+  }
+  return kj::READY_NOW;
+}
+
+auto
+DescribeAndChange(PeerContext& aContext,
+                  const MembershipRequest& aRequest,
+                  OnceReplyPointer<MembershipReply> aReply,
+                  int aTriesLeft) -> void
+{
+  const auto address = aRequest.mInstance.mAddress;
+  kj::Promise<DescribeResponse> sent =
+    aContext.mLinks.SessionAt(address).describeRequest().send();
+  aContext.mTasks.add(
+    aContext.mLinks.WithLimit(address, kAskLimit, kj::mv(sent))
+      .then(
+        [&aContext, aRequest, aReply](DescribeResponse aResponse) {
+          if (!aResponse.getIsControl()) {
+            aReply->Send({ "the instance has no data folder" });
+            return;
+          }
+          const auto cluster = aContext.mControl->Core().mVote.mCluster;
+          if (aResponse.getCluster() != 0 &&
+              aResponse.getCluster() != cluster) {
+            aReply->Send({ "the disk belongs to another control log" });
+            return;
+          }
+          const auto member =
+            MemberOf({ aResponse.getMember(), aRequest.mInstance });
+          const auto isReplacing =
+            aRequest.mAction == MembershipAction::Replace;
+          const auto input = isReplacing
+                               ? CoreInput(ReplaceMemberInput{ member })
+                               : CoreInput(AddMemberInput{ member, true });
+          aReply->Send({ aContext.mControl->ChangeMembership(input) });
+        },
+        [&aContext, aRequest, aReply, aTriesLeft](kj::Exception&&) {
+          if (aTriesLeft == 0) {
+            aReply->Send({ "the instance does not answer at its address" });
+            return;
+          }
+          // NOTE: the first call after a restart meets the old connection.
+          aContext.mTasks.add(
+            aContext.mTimer.afterDelay(kJoinPause.count() * kj::MILLISECONDS)
+              .then([&aContext, aRequest, aReply, aTriesLeft] {
+                DescribeAndChange(aContext, aRequest, aReply, aTriesLeft - 1);
+              }));
+        }));
+}
+
+} // namespace
+
+auto
+JoinControlLog(PeerContext& aContext) -> kj::Promise<void>
+{
+  if (!aContext.mControl || aContext.mControl->Core().mVote.mCluster != 0) {
+    return kj::READY_NOW;
+  }
+  auto survey = std::make_shared<JoinSurvey>();
+  return AskControls(aContext, survey)
+    .then([&aContext, survey] { return TakeSurvey(aContext, *survey); })
+    .then([&aContext] {
+      return aContext.mTimer.afterDelay(kJoinPause.count() * kj::MILLISECONDS);
+    })
+    .then([&aContext] { return JoinControlLog(aContext); });
+}
+
+auto
+ChangeMembershipHere(PeerContext& aContext,
+                     const MembershipRequest& aRequest,
+                     OnceReplyPointer<MembershipReply> aReply) -> void
+{
+  if (aRequest.mAction != MembershipAction::Remove) {
+    DescribeAndChange(aContext, aRequest, std::move(aReply), kDescribeRetries);
+    return;
+  }
+  aReply->Send({ aContext.mControl->ChangeMembership(
+    RemoveMemberInput{ aRequest.mInstance.mInstance }) });
+}
+
+auto
+ChangeMembershipAtLeader(PeerContext& aContext,
+                         const MembershipRequest& aRequest,
+                         OnceReplyPointer<MembershipReply> aReply) -> void
+{
+  if (aContext.mControl && aContext.mControl->IsLeader()) {
+    ChangeMembershipHere(aContext, aRequest, std::move(aReply));
+    return;
+  }
+  auto address = aContext.mControl ? aContext.mControl->LeaderAddress()
+                                   : aContext.mLeaderHint;
+  const auto controls = OtherControls(aContext);
+  if (address.empty() && !controls.empty()) {
+    address = controls.front();
+  }
+  if (address.empty()) {
+    aReply->Send({ "no leader is known" });
+    return;
+  }
+  auto request = aContext.mLinks.SessionAt(address).changeMembershipRequest();
+  request.setAction(static_cast<std::uint8_t>(aRequest.mAction));
+  WriteJoiner(request.initJoiner(), { 0, aRequest.mInstance });
+  using Response = capnp::Response<schema::Session::ChangeMembershipResults>;
+  kj::Promise<Response> sent = request.send();
+  aContext.mTasks.add(
+    aContext.mLinks.WithLimit(address, kChangeLimit, kj::mv(sent))
+      .then(
+        [&aContext, aRequest, aReply, address](Response aResponse) {
+          const auto leader = FromText(aResponse.getLeader());
+          if (FromSchema(aResponse.getOutcome()) == LeaderOutcome::Done) {
+            aReply->Send({ FromText(aResponse.getProblem()) });
+          } else if (leader.empty() || leader == address) {
+            aReply->Send({ "no leader is known; try again" });
+          } else if (leader != aContext.mLeaderHint) {
+            aContext.mLeaderHint = leader;
+            ChangeMembershipAtLeader(aContext, aRequest, aReply);
+          }
+        },
+        [aReply](kj::Exception&&) {
+          aReply->Send({ "the leader does not answer" });
+        }));
+}
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/peers/internal/peercontext.cpp
@@ -0,0 +1,106 @@
+#include "peers/internal/peercontext.h"
+
+#include "peers/types/peersevents.h"
+
+#include <algorithm>
+
+namespace cuminslip {
+
+namespace {
+
+/// Without word of a quorum for this long an instance counts as isolated.
+constexpr auto kIsolationAfter = Millis(12000);
+
+} // namespace
+
+auto
+PutInForce(PeerContext& aContext, std::vector<StoredTemplate> aTemplates)
+  -> void
+{
+  const auto update = MergeTemplates(aContext.mCache, std::move(aTemplates));
+  if (update.mTemplates.empty()) {
+    return;
+  }
+  LogEvent(
+    kTemplatesInForceEvent,
+    { { "revision", update.mRevision },
+      { "templates", static_cast<std::uint64_t>(update.mTemplates.size()) } });
+  if (aContext.mCallbacks.mOnTemplates) {
+    aContext.mCallbacks.mOnTemplates(update);
+  }
+  auto waiting = std::move(aContext.mWaiting);
+  aContext.mWaiting.clear();
+  for (auto& it : waiting) {
+    it->fulfill();
+  }
+}
+
+auto
+QuorumAgeNow(const PeerContext& aContext) -> std::optional<Millis>
+{
+  const auto now = aContext.mNow();
+  auto age = std::optional<Millis>{};
+  if (aContext.mControl) {
+    age = QuorumAge(aContext.mControl->Core(), now);
+  }
+  if (aContext.mQuorumContact) {
+    const auto other = MillisBetween(*aContext.mQuorumContact, now);
+    age = std::min(age.value_or(other), other);
+  }
+  return age;
+}
+
+auto
+IsIsolatedNow(const PeerContext& aContext) -> bool
+{
+  const auto age = QuorumAgeNow(aContext);
+  return !age || *age > kIsolationAfter;
+}
+
+auto
+OtherControls(const PeerContext& aContext) -> std::vector<std::string>
+{
+  const auto& settings = aContext.mSettings;
+  auto own = std::vector<std::string>{};
+  auto others = std::vector<std::string>{};
+  for (const auto& it : settings.mControlInstances) {
+    if (it.mInstance == settings.mInstance) {
+      continue;
+    }
+    const auto isNear = it.mFailureDomain == settings.mFailureDomain;
+    (isNear ? own : others).push_back(it.mAddress);
+  }
+  if (!others.empty()) {
+    // NOTE: spreads the instances of a domain without its own over the others.
+    const auto first = std::hash<InstanceId>{}(settings.mInstance);
+    std::rotate(others.begin(),
+                others.begin() +
+                  static_cast<std::ptrdiff_t>(first % others.size()),
+                others.end());
+  }
+  own.insert(own.end(), others.begin(), others.end());
+  return own;
+}
+
+auto
+OtherDomainInstances(const PeerContext& aContext) -> std::vector<std::string>
+{
+  const auto& settings = aContext.mSettings;
+  auto addresses = std::vector<std::string>{};
+  const auto add = [&](const PeerInstance& aInstance) {
+    const auto isOther = aInstance.mInstance != settings.mInstance &&
+                         aInstance.mFailureDomain == settings.mFailureDomain;
+    if (isOther &&
+        std::count(addresses.begin(), addresses.end(), aInstance.mAddress) ==
+          0) {
+      addresses.push_back(aInstance.mAddress);
+    }
+  };
+  std::for_each(
+    settings.mDomainInstances.begin(), settings.mDomainInstances.end(), add);
+  std::for_each(
+    settings.mControlInstances.begin(), settings.mControlInstances.end(), add);
+  return addresses;
+}
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/peers/internal/peercontext.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "peers/internal/controlnode.h"
+#include "peers/internal/peerlinks.h"
+#include "peers/internal/templatecache.h"
+#include "peers/peertask.h"
+
+#include <list>
+#include <optional>
+
+namespace cuminslip {
+
+/// What another instance said when it last pulled templates.
+struct Subscriber
+{
+  FailureDomainId mFailureDomain;
+  Revision mRevision = 0;
+  TimePoint mHeard{};
+  /// It waits for news now.
+  int mPulls = 0;
+};
+
+/// What the parts of one peer task share. Peer thread only.
+struct PeerContext
+{
+  const PeerSettings& mSettings;
+  const PeerCallbacks& mCallbacks;
+  kj::Timer& mTimer;
+  kj::TaskSet& mTasks;
+  PeerLinks& mLinks;
+  NowFunction mNow;
+  /// Null on an instance without a disk.
+  std::unique_ptr<ControlNode> mControl;
+  TemplateCache mCache;
+  std::map<InstanceId, Subscriber> mSubscribers;
+  /// Wakes the pulls that wait for a higher revision.
+  std::list<kj::Own<kj::PromiseFulfiller<void>>> mWaiting;
+  /// When a quorum was last known to be reached; none if never.
+  std::optional<TimePoint> mQuorumContact;
+  TimePoint mStarted{};
+  bool mIsReady = false;
+  bool mWasIsolated = true;
+  std::string mLeaderHint;
+  /// No new tasks may begin.
+  bool mIsStopping = false;
+};
+
+/// Puts templates in force: keeps the newer ones, tells the callback and those
+/// that wait.
+auto
+PutInForce(PeerContext& aContext, std::vector<StoredTemplate> aTemplates)
+  -> void;
+
+/// Time since the quorum was last known to be reached, by the control log or
+/// by a source of templates; none when never.
+auto
+QuorumAgeNow(const PeerContext& aContext) -> std::optional<Millis>;
+
+/// True when no quorum was heard of lately.
+auto
+IsIsolatedNow(const PeerContext& aContext) -> bool;
+
+/// Addresses of the control instances but this one; the ones of the own
+/// failure domain first.
+auto
+OtherControls(const PeerContext& aContext) -> std::vector<std::string>;
+
+/// Addresses of other instances of the own failure domain.
+auto
+OtherDomainInstances(const PeerContext& aContext) -> std::vector<std::string>;
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/peers/internal/peerthread.cpp
@@ -0,0 +1,276 @@
+#include "peers/internal/peerthread.h"
+
+#include "control/controlcodec.h"
+#include "peers/internal/joining.h"
+#include "peers/internal/rpcparts.h"
+#include "peers/internal/sessionserver.h"
+#include "peers/internal/templatefollower.h"
+#include "peers/types/peersevents.h"
+
+#include <kj/async-unix.h>
+
+#include <cstring>
+#include <future>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace cuminslip {
+
+namespace {
+
+constexpr auto kTick = Millis(50);
+
+/// Swallows the failure of a task; each handles its own.
+class TaskErrors final : public kj::TaskSet::ErrorHandler
+{
+public:
+  auto taskFailed(kj::Exception&& aException) -> void override
+  {
+    LogEvent(kPeerLostEvent,
+             { { "reason", aException.getDescription().cStr() } });
+  }
+};
+
+auto
+OneFinding(const std::string& aPlace,
+           std::string aProblem,
+           const char* aExpected) -> Findings
+{
+  return { { { { aPlace }, "", std::move(aProblem), aExpected } } };
+}
+
+/// Accepts connections until it fails.
+auto
+AcceptForever(kj::ConnectionReceiver& aListener, capnp::TwoPartyServer& aServer)
+  -> kj::Promise<void>
+{
+  return aListener.accept().then(
+    [&aListener, &aServer](kj::Own<kj::AsyncIoStream> aStream) {
+      SetNoDelay(*aStream);
+      aServer.accept(kj::mv(aStream));
+      return AcceptForever(aListener, aServer);
+    });
+}
+
+} // namespace
+
+PeerThread::PeerThread(PeerSettings aSettings, PeerCallbacks aCallbacks)
+  : mSettings(std::move(aSettings))
+  , mCallbacks(std::move(aCallbacks))
+  , mMailbox([this] { Wake(); })
+{
+  mStanding.mQuorumContact = MonotonicNow();
+}
+
+PeerThread::~PeerThread() noexcept
+{
+  mIsStopping = true;
+  Wake();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+  // NOTE: destroys what was not run, which gives the replies of it.
+  mMailbox.TakeAll();
+  if (mWakeRead >= 0) {
+    ::close(mWakeRead);
+    ::close(mWakeWrite);
+  }
+}
+
+auto
+PeerThread::Start() -> Findings
+{
+  int ends[2] = { -1, -1 };
+  if (::pipe2(ends, O_CLOEXEC | O_NONBLOCK) != 0) {
+    return OneFinding("", "no pipe can be made", "free file descriptors");
+  }
+  mWakeRead = ends[0];
+  mWakeWrite = ends[1];
+  auto started = std::promise<Findings>();
+  auto result = started.get_future();
+  mThread = std::thread([this, &started] {
+    Run([&started](Findings aFindings) {
+      started.set_value(std::move(aFindings));
+    });
+  });
+  return result.get();
+}
+
+auto
+PeerThread::Wake() const -> void
+{
+  const auto byte = char{ 1 };
+  // NOTE: a full pipe wakes the reader as well.
+  [[maybe_unused]] const auto n = ::write(mWakeWrite, &byte, 1);
+}
+
+auto
+PeerThread::Post(PeerWork aWork) -> void
+{
+  mMailbox.Post(std::move(aWork));
+}
+
+auto
+PeerThread::Status() const -> PeerStatus
+{
+  const auto lock = std::lock_guard(mStandingMutex);
+  auto status = mStanding.mStatus;
+  status.mIsolatedFor =
+    status.mIsIsolated ? MillisBetween(mStanding.mQuorumContact, MonotonicNow())
+                       : Millis(0);
+  return status;
+}
+
+auto
+PeerThread::UpdateStanding(PeerContext& aContext) -> void
+{
+  const auto isIsolated = IsIsolatedNow(aContext);
+  if (isIsolated != aContext.mWasIsolated) {
+    LogEvent(isIsolated ? kInstanceIsolatedEvent : kInstanceRejoinedEvent,
+             { { "revision", aContext.mCache.mRevision } });
+    aContext.mWasIsolated = isIsolated;
+  }
+  const auto age = QuorumAgeNow(aContext);
+  auto status = PeerStatus{};
+  status.mIsReady = aContext.mIsReady;
+  status.mIsIsolated = isIsolated;
+  status.mRevision = aContext.mCache.mRevision;
+  if (const auto& control = aContext.mControl) {
+    status.mIsControl = true;
+    status.mIsLeader = control->IsLeader();
+    status.mLeader = control->LeaderInstance();
+    status.mStorageFailure = control->StorageFailure();
+    if (control->Core().mRole == CoreRole::Halted &&
+        status.mStorageFailure.empty()) {
+      status.mStorageFailure = "the disk can't be trusted; replace it";
+    }
+  }
+  const auto lock = std::lock_guard(mStandingMutex);
+  mStanding.mStatus = std::move(status);
+  mStanding.mQuorumContact = age ? aContext.mNow() - *age : aContext.mStarted;
+}
+
+auto
+PeerThread::DrainMailbox(PeerContext& aContext, kj::AsyncInputStream& aWakeUp)
+  -> kj::Promise<void>
+{
+  return aWakeUp.tryRead(mWakeBuffer, 1, sizeof(mWakeBuffer))
+    .then([this, &aContext, &aWakeUp](std::size_t) -> kj::Promise<void> {
+      if (mIsStopping) {
+        mStop->fulfill();
+        return kj::READY_NOW;
+      }
+      for (auto& it : mMailbox.TakeAll()) {
+        it(aContext);
+      }
+      return DrainMailbox(aContext, aWakeUp);
+    });
+}
+
+auto
+PeerThread::TickForever(PeerContext& aContext) -> kj::Promise<void>
+{
+  if (aContext.mControl) {
+    aContext.mControl->Tick();
+  }
+  UpdateStanding(aContext);
+  return aContext.mTimer.afterDelay(kTick.count() * kj::MILLISECONDS)
+    .then([this, &aContext] { return TickForever(aContext); });
+}
+
+auto
+PeerThread::OpenControl(PeerContext& aContext) -> Findings
+{
+  if (!mSettings.mDataFolder) {
+    return {};
+  }
+  auto hooks = ControlNodeHooks{};
+  hooks.mNow = aContext.mNow;
+  hooks.mSend = [&aContext](const OutgoingMessage& aMessage) {
+    aContext.mLinks.SendControl(aMessage.mAddress,
+                                EncodeControlMessage(aMessage.mMessage));
+  };
+  hooks.mOnTemplates = [&aContext](std::vector<StoredTemplate> aTemplates) {
+    PutInForce(aContext, std::move(aTemplates));
+  };
+  hooks.mPostToTask = [this](std::function<void()> aWork) {
+    Post([work = std::move(aWork)](PeerContext&) { work(); });
+  };
+  auto outcome = CollectOutcome<std::unique_ptr<ControlNode>>([&]() mutable {
+    return OpenControlNode(*mSettings.mDataFolder,
+                           mSettings.mInstance,
+                           mSettings.mAddress,
+                           std::move(hooks));
+  });
+  if (!outcome.mValue) {
+    return outcome.mFindings;
+  }
+  aContext.mControl = std::move(*outcome.mValue);
+  return {};
+}
+
+auto
+PeerThread::Serve(PeerContext& aContext,
+                  kj::AsyncIoContext& aIo,
+                  kj::Own<kj::TaskSet>& aTasks,
+                  std::function<void(Findings)>& aOnStarted) -> Findings
+{
+  auto findings = OpenControl(aContext);
+  if (!IsEmpty(findings)) {
+    return findings;
+  }
+  auto listener = aIo.provider->getNetwork()
+                    .parseAddress(mSettings.mAddress.c_str())
+                    .wait(aIo.waitScope)
+                    ->listen();
+  auto server = capnp::TwoPartyServer(MakePeerServer(aContext));
+  auto wakeUp = aIo.lowLevelProvider->wrapInputFd(mWakeRead);
+  auto follower = TemplateFollower(aContext);
+  auto stop = kj::newPromiseAndFulfiller<void>();
+  mStop = kj::mv(stop.fulfiller);
+  aContext.mTasks.add(AcceptForever(*listener, server));
+  aContext.mTasks.add(DrainMailbox(aContext, *wakeUp));
+  aContext.mTasks.add(TickForever(aContext));
+  aContext.mTasks.add(JoinControlLog(aContext));
+  follower.Start();
+  LogEvent(kPeerTaskStartedEvent,
+           { { "address", mSettings.mAddress },
+             { "is_control", aContext.mControl != nullptr } });
+  std::exchange(aOnStarted, nullptr)({});
+  stop.promise.wait(aIo.waitScope);
+  // NOTE: the tasks refer to what is destroyed on the way out.
+  aContext.mIsStopping = true;
+  aTasks = nullptr;
+  return {};
+}
+
+auto
+PeerThread::Run(std::function<void(Findings)> aOnStarted) -> void
+{
+  auto io = kj::setupAsyncIo();
+  auto errors = TaskErrors();
+  auto tasks = kj::heap<kj::TaskSet>(errors);
+  auto links = PeerLinks(
+    mSettings, io.provider->getNetwork(), io.provider->getTimer(), *tasks);
+  auto context = PeerContext{ mSettings, mCallbacks, io.provider->getTimer(),
+                              *tasks,    links,      MonotonicNow };
+  context.mStarted = MonotonicNow();
+  auto findings = Findings{};
+  auto problem = kj::runCatchingExceptions(
+    [&] { findings = Serve(context, io, tasks, aOnStarted); });
+  KJ_IF_MAYBE (exception, problem) {
+    findings = OneFinding(mSettings.mAddress,
+                          exception->getDescription().cStr(),
+                          "a free address of this machine");
+  }
+  context.mIsStopping = true;
+  tasks = nullptr;
+  context.mControl.reset();
+  if (aOnStarted) {
+    aOnStarted(std::move(findings));
+  }
+  LogEvent(kPeerTaskStoppedEvent, { { "address", mSettings.mAddress } });
+}
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/peers/internal/rpcparts.cpp
@@ -0,0 +1,97 @@
+#include "peers/internal/rpcparts.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace cuminslip {
+
+auto
+ToText(const std::string& aText) -> capnp::Text::Reader
+{
+  return { aText.c_str(), aText.size() };
+}
+
+auto
+ToData(const std::string& aBytes) -> capnp::Data::Reader
+{
+  return { reinterpret_cast<const kj::byte*>(aBytes.data()), aBytes.size() };
+}
+
+auto
+FromText(capnp::Text::Reader aText) -> std::string
+{
+  return { aText.cStr(), aText.size() };
+}
+
+auto
+FromData(capnp::Data::Reader aBytes) -> std::string
+{
+  return { reinterpret_cast<const char*>(aBytes.begin()), aBytes.size() };
+}
+
+auto
+WritePulled(PulledTemplates::Builder aTo,
+            const std::vector<StoredTemplate>& aFrom) -> void
+{
+  auto n = 0U;
+  for (const auto& it : aFrom) {
+    auto pulled = aTo[n++];
+    pulled.setAccount(ToText(it.mAccount.mValue));
+    pulled.setRevision(it.mRevision);
+    pulled.setDocument(ToData(it.mDocument));
+  }
+}
+
+auto
+ReadPulled(PulledTemplates::Reader aFrom) -> std::vector<StoredTemplate>
+{
+  auto templates = std::vector<StoredTemplate>{};
+  for (const auto it : aFrom) {
+    templates.push_back({ { FromText(it.getAccount()) },
+                          it.getRevision(),
+                          FromData(it.getDocument()) });
+  }
+  return templates;
+}
+
+auto
+ToSchema(LeaderOutcome aOutcome) -> schema::LeaderOutcome
+{
+  return static_cast<schema::LeaderOutcome>(aOutcome);
+}
+
+auto
+FromSchema(schema::LeaderOutcome aOutcome) -> LeaderOutcome
+{
+  const auto isKnown = aOutcome <= schema::LeaderOutcome::OVERLOADED;
+  return isKnown ? static_cast<LeaderOutcome>(aOutcome)
+                 : LeaderOutcome::NotLeader;
+}
+
+auto
+WriteJoiner(schema::Joiner::Builder aTo, const Joiner& aFrom) -> void
+{
+  aTo.setMember(aFrom.mMember);
+  aTo.setInstance(ToText(aFrom.mInstance.mInstance.mValue));
+  aTo.setAddress(ToText(aFrom.mInstance.mAddress));
+  aTo.setFailureDomain(ToText(aFrom.mInstance.mFailureDomain.mValue));
+}
+
+auto
+ReadJoiner(schema::Joiner::Reader aFrom) -> Joiner
+{
+  return { aFrom.getMember(),
+           { { FromText(aFrom.getInstance()) },
+             FromText(aFrom.getAddress()),
+             { FromText(aFrom.getFailureDomain()) } } };
+}
+
+auto
+SetNoDelay(kj::AsyncIoStream& aStream) -> void
+{
+  const auto value = 1;
+  aStream.setsockopt(IPPROTO_TCP, TCP_NODELAY, &value, sizeof(value));
+}
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/peers/peer.capnp
@@ -0,0 +1,58 @@
+@0xd1f0a3b5c7e92846;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("cuminslip::schema");
+
+struct PulledTemplate {
+  account @0 :Text;
+  revision @1 :UInt64;
+  document @2 :Data;
+}
+
+struct Joiner {
+  member @0 :UInt64;
+  instance @1 :Text;
+  address @2 :Text;
+  failureDomain @3 :Text;
+}
+
+struct InstanceReport {
+  instance @0 :Text;
+  failureDomain @1 :Text;
+  revision @2 :UInt64;
+  ageMillis @3 :Int64;
+}
+
+# How a call that only the leader serves ended.
+enum LeaderOutcome {
+  done @0;
+  notLeader @1;
+  diskFull @2;
+  overloaded @3;
+}
+
+interface Peer {
+  open @0 (key :Data, instance :Text, failureDomain :Text) -> (session :Session);
+}
+
+interface Session {
+  control @0 (message :Data) -> ();
+  propose @1 (command :Data)
+    -> (outcome :LeaderOutcome, leader :Text, result :Data);
+  pull @2 (have :UInt64, waitMillis :UInt32)
+    -> (revision :UInt64, templates :List(PulledTemplate),
+        quorumAgeMillis :Int64, ready :Bool, more :Bool);
+  history @3 (account :Text) -> (known :Bool, templates :List(PulledTemplate));
+  fetchWork @4 (account :Text, work :Text)
+    -> (outcome :LeaderOutcome, leader :Text, result :Data);
+  changeMembership @5 (action :UInt8, joiner :Joiner)
+    -> (outcome :LeaderOutcome, leader :Text, problem :Text);
+  confirm @6 () -> (outcome :LeaderOutcome, leader :Text, revision :UInt64);
+  report @7 ()
+    -> (instances :List(InstanceReport), accepted :UInt64, leader :Text,
+        hasQuorum :Bool, membership :Data);
+  send @8 (bytes :Data) -> ();
+  describe @9 () -> (cluster :UInt64, member :UInt64, isControl :Bool);
+  join @10 (joiner :Joiner)
+    -> (outcome :LeaderOutcome, leader :Text, problem :Text);
+}
