Add the operator command line

Cause: operators publish and change templates and look at the fleet; a publish whose answer is lost must be resent without doing it twice. Change: RunClientCommand with template, endpoint, placement and status commands, check and key-hash, tables for people and JSON for scripts, and an exit code for each way to end. A publish is resent with the same request id to the instances in turn. Tests: a fake operator server; lost answers, races, each status and exit code.

--- /dev/null
+++ b/src/client/internal/client.cpp
@@ -0,0 +1,246 @@
+#include "client/client.h"
+
+#include "client/internal/answers.h"
+#include "client/internal/commands.h"
+#include "client/internal/formatjson.h"
+#include "client/internal/options.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cuminslip {
+
+namespace {
+
+using client::Options;
+using client::Output;
+
+/// A command with its words, as "template get", and its operand, if it has one.
+struct Command
+{
+  std::string_view mWords;
+  std::string_view mOperand;
+  std::string_view mHelp;
+  bool mNeedsInstance;
+  ExitCode (*mRun)(const Options&, const Output&);
+};
+
+template<const char* kPath>
+auto
+Get(const Options& aOptions, const Output& aOutput) -> ExitCode
+{
+  return client::RunFetch(aOptions, "GET", kPath, aOutput);
+}
+
+constexpr char kTemplatesPath[] = "/operator/v1/templates";
+constexpr char kRevisionsPath[] = "/operator/v1/revisions";
+constexpr char kEndpointsPath[] = "/operator/v1/endpoints";
+constexpr char kPlanPath[] = "/operator/v1/placement/plan";
+constexpr char kStatusPath[] = "/operator/v1/status";
+
+auto
+RunHistory(const Options& aOptions, const Output& aOutput) -> ExitCode
+{
+  const auto path =
+    std::string(kTemplatesPath) + "/" + aOptions.mWords.at(2) + "/history";
+  return client::RunFetch(aOptions, "GET", path, aOutput);
+}
+
+auto
+RunDrain(const Options& aOptions, const Output& aOutput) -> ExitCode
+{
+  const auto path =
+    std::string(kEndpointsPath) + "/" + aOptions.mWords.at(2) + "/drain";
+  return client::RunFetch(aOptions, "POST", path, aOutput);
+}
+
+constexpr auto kCommands = std::array{
+  Command{ "check",
+           "FILE",
+           "checks a settings or template file",
+           false,
+           client::RunCheck },
+  Command{ "key-hash",
+           "FILE",
+           "prints the hash of the key in FILE (- for standard input)",
+           false,
+           client::RunKeyHash },
+  Command{ "template publish",
+           "FILE",
+           "publishes a template; --dry-run tells what would change",
+           true,
+           client::RunTemplatePublish },
+  Command{ "template get",
+           "ACCOUNT",
+           "prints the template in force",
+           true,
+           client::RunTemplateGet },
+  Command{ "template list",
+           "",
+           "lists templates with their revisions",
+           true,
+           Get<kTemplatesPath> },
+  Command{ "template history",
+           "ACCOUNT",
+           "lists earlier revisions",
+           true,
+           RunHistory },
+  Command{ "template status",
+           "",
+           "lists the revision in force by instance",
+           true,
+           Get<kRevisionsPath> },
+  Command{ "template diff",
+           "FILE",
+           "compares a file with the template in force",
+           true,
+           client::RunTemplateDiff },
+  Command{ "endpoint list", "", "lists endpoints", true, Get<kEndpointsPath> },
+  Command{ "endpoint drain",
+           "ENDPOINT",
+           "gives an endpoint no new work",
+           true,
+           RunDrain },
+  Command{ "placement plan",
+           "",
+           "lists orders that would be given, with reasons",
+           true,
+           Get<kPlanPath> },
+  Command{ "status", "", "one-screen overview", true, Get<kStatusPath> },
+};
+
+constexpr auto kOptionsHelp = R"(
+Options:
+  -i, --instance IP:PORT[,...]   operator address; several are tried in turn
+                                 (else CUMINSLIP_INSTANCES)
+  -k, --key-file FILE            file with the operator key
+                                 (else CUMINSLIP_KEY_FILE)
+  -j, --json                     output for scripts
+  -t, --timeout-ms N             longest time for one attempt
+  -e, --expected-revision N      publish only over revision N (0: none yet)
+  -r, --request-id ID            publish: makes a resend harmless
+  -n, --dry-run                  publish: only tell what would change
+
+Exit status: 0 ok, 1 failed, 2 wrong command line, 3 findings, 4 conflict,
+5 refused, 6 not found, 7 unavailable and not done, 8 sent but not answered.
+)";
+
+auto
+SplitWords(std::string_view aWords) -> std::vector<std::string>
+{
+  const auto space = aWords.find(' ');
+  if (space == std::string_view::npos) {
+    return { std::string(aWords) };
+  }
+  return { std::string(aWords.substr(0, space)),
+           std::string(aWords.substr(space + 1)) };
+}
+
+auto
+Matches(const Command& aCommand, const std::vector<std::string>& aWords) -> bool
+{
+  const auto words = SplitWords(aCommand.mWords);
+  const auto operands = aCommand.mOperand.empty() ? 0U : 1U;
+  return aWords.size() == words.size() + operands &&
+         std::equal(words.begin(), words.end(), aWords.begin());
+}
+
+auto
+FindCommand(const std::vector<std::string>& aWords) -> const Command*
+{
+  const auto* it =
+    std::find_if(kCommands.begin(), kCommands.end(), [&](const auto& aCommand) {
+      return Matches(aCommand, aWords);
+    });
+  return it == kCommands.end() ? nullptr : it;
+}
+
+auto
+CheckAccess(const Options& aOptions, std::ostream& aErr) -> bool
+{
+  if (aOptions.mInstances.empty()) {
+    aErr << "no instance; expected --instance IP:PORT or "
+            "CUMINSLIP_INSTANCES\n";
+  }
+  if (aOptions.mKey.empty()) {
+    aErr << "no key; expected --key-file FILE or CUMINSLIP_KEY_FILE\n";
+  }
+  return !aOptions.mInstances.empty() && !aOptions.mKey.empty();
+}
+
+} // namespace
+
+namespace client {
+
+auto
+RunFetch(const Options& aOptions,
+         const std::string& aMethod,
+         const std::string& aPath,
+         const Output& aOutput) -> ExitCode
+{
+  const auto answer = CallOperator(aOptions, aMethod, aPath, "");
+  if (!IsSuccess(answer)) {
+    return ReportFailure(aOptions, answer, aOutput);
+  }
+  if (aOptions.mIsJson) {
+    *aOutput.mOut << answer.mResponse.mBody << "\n";
+  } else {
+    *aOutput.mOut << FormatForPeople(ParseBody(answer.mResponse));
+  }
+  return ExitCode::Ok;
+}
+
+} // namespace client
+
+auto
+IsClientCommand(std::string_view aCommand) -> bool
+{
+  return std::any_of(
+    kCommands.begin(), kCommands.end(), [&](const auto& aOther) {
+      return SplitWords(aOther.mWords).front() == aCommand;
+    });
+}
+
+auto
+ClientUsage() -> std::string
+{
+  constexpr auto kHelpColumn = std::size_t{ 30 };
+  auto text = std::string("Commands:\n");
+  for (const auto& command : kCommands) {
+    auto line = "  " + std::string(command.mWords);
+    if (!command.mOperand.empty()) {
+      line += " " + std::string(command.mOperand);
+    }
+    line.resize(std::max(line.size() + 1, kHelpColumn), ' ');
+    text += line + std::string(command.mHelp) + "\n";
+  }
+  return text + kOptionsHelp;
+}
+
+auto
+RunClientCommand(const std::vector<std::string>& aArguments,
+                 std::ostream& aOut,
+                 std::ostream& aErr) -> ExitCode
+{
+  const auto options =
+    CollectOutcome<Options>([&] { return client::ParseOptions(aArguments); });
+  if (!options.mValue) {
+    aErr << FormatFindings(options.mFindings);
+    return ExitCode::Usage;
+  }
+  if (options.mValue->mWantsHelp) {
+    aOut << ClientUsage();
+    return ExitCode::Ok;
+  }
+  const auto* command = FindCommand(options.mValue->mWords);
+  if (command == nullptr) {
+    aErr << "unknown command or wrong operands\n" << ClientUsage();
+    return ExitCode::Usage;
+  }
+  if (command->mNeedsInstance && !CheckAccess(*options.mValue, aErr)) {
+    return ExitCode::Usage;
+  }
+  return command->mRun(*options.mValue, { &aOut, &aErr });
+}
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/client/internal/commands.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "client/client.h"
+#include "client/types/options.h"
+
+/// The client's commands. Words and operands are in Options::mWords; the
+/// dispatcher has checked their number.
+namespace cuminslip::client {
+
+/// Where a command writes.
+struct Output
+{
+  std::ostream* mOut = nullptr;
+  std::ostream* mErr = nullptr;
+};
+
+/// Checks a settings file or a template file; needs no instance.
+auto
+RunCheck(const Options& aOptions, const Output& aOutput) -> ExitCode;
+
+/// Prints the SHA-256 of the key in a file, or on standard input for "-".
+auto
+RunKeyHash(const Options& aOptions, const Output& aOutput) -> ExitCode;
+
+auto
+RunTemplatePublish(const Options& aOptions, const Output& aOutput) -> ExitCode;
+
+auto
+RunTemplateGet(const Options& aOptions, const Output& aOutput) -> ExitCode;
+
+auto
+RunTemplateDiff(const Options& aOptions, const Output& aOutput) -> ExitCode;
+
+/// Fetches aPath and prints the answer.
+auto
+RunFetch(const Options& aOptions,
+         const std::string& aMethod,
+         const std::string& aPath,
+         const Output& aOutput) -> ExitCode;
+
+} // namespace cuminslip::client
--- /dev/null
+++ b/src/client/internal/options.cpp
@@ -0,0 +1,271 @@
+#include "client/internal/options.h"
+
+#include <popt.h>
+
+#include <array>
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <sstream>
+
+namespace cuminslip::client {
+
+namespace {
+
+constexpr auto kInstancesVariable = "CUMINSLIP_INSTANCES";
+constexpr auto kKeyFileVariable = "CUMINSLIP_KEY_FILE";
+
+enum OptionValue
+{
+  InstanceOption = 1,
+  KeyFileOption,
+  JsonOption,
+  DryRunOption,
+  ExpectedRevisionOption,
+  RequestIdOption,
+  TimeoutOption,
+  HelpOption
+};
+
+constexpr auto kTakesText = POPT_ARG_STRING;
+constexpr auto kTakesNothing = POPT_ARG_NONE;
+
+const auto kOptionTable = std::array{
+  poptOption{ "instance",
+              'i',
+              kTakesText,
+              nullptr,
+              InstanceOption,
+              nullptr,
+              nullptr },
+  poptOption{ "key-file",
+              'k',
+              kTakesText,
+              nullptr,
+              KeyFileOption,
+              nullptr,
+              nullptr },
+  poptOption{ "json",
+              'j',
+              kTakesNothing,
+              nullptr,
+              JsonOption,
+              nullptr,
+              nullptr },
+  poptOption{ "dry-run",
+              'n',
+              kTakesNothing,
+              nullptr,
+              DryRunOption,
+              nullptr,
+              nullptr },
+  poptOption{ "expected-revision",
+              'e',
+              kTakesText,
+              nullptr,
+              ExpectedRevisionOption,
+              nullptr,
+              nullptr },
+  poptOption{ "request-id",
+              'r',
+              kTakesText,
+              nullptr,
+              RequestIdOption,
+              nullptr,
+              nullptr },
+  poptOption{ "timeout-ms",
+              't',
+              kTakesText,
+              nullptr,
+              TimeoutOption,
+              nullptr,
+              nullptr },
+  poptOption{ "help",
+              'h',
+              kTakesNothing,
+              nullptr,
+              HelpOption,
+              nullptr,
+              nullptr },
+  poptOption{ nullptr, 0, 0, nullptr, 0, nullptr, nullptr },
+};
+
+struct ContextDeleter
+{
+  auto operator()(poptContext aContext) const -> void
+  {
+    poptFreeContext(aContext);
+  }
+};
+using ContextPtr =
+  std::unique_ptr<std::remove_pointer_t<poptContext>, ContextDeleter>;
+
+auto
+AddUsageFinding(Findings& aFindings,
+                const std::string& aOption,
+                const std::string& aProblem,
+                const std::string& aExpected) -> void
+{
+  AddFinding(aFindings, { {}, aOption, aProblem, aExpected });
+}
+
+auto
+AddInstances(Options& aOptions, const std::string& aText, Findings& aFindings)
+  -> void
+{
+  auto list = std::istringstream(aText);
+  for (auto item = std::string{}; std::getline(list, item, ',');) {
+    const auto address = wire::ParseAddress(item);
+    if (address) {
+      aOptions.mInstances.push_back(*address);
+    } else {
+      AddUsageFinding(
+        aFindings, "--instance", "is \"" + item + "\"", "IP:PORT");
+    }
+  }
+}
+
+auto
+ParseCount(const std::string& aOption,
+           const std::string& aText,
+           Findings& aFindings) -> std::uint64_t
+{
+  auto value = std::uint64_t{ 0 };
+  const auto* end = aText.data() + aText.size();
+  const auto [rest, ec] = std::from_chars(aText.data(), end, value);
+  if (ec != std::errc{} || rest != end) {
+    AddUsageFinding(
+      aFindings, aOption, "is \"" + aText + "\"", "a whole number");
+  }
+  return value;
+}
+
+auto
+ApplyOption(Options& aOptions,
+            int aOption,
+            const std::string& aText,
+            Findings& aFindings) -> void
+{
+  switch (aOption) {
+    case InstanceOption:
+      AddInstances(aOptions, aText, aFindings);
+      return;
+    case KeyFileOption:
+      aOptions.mKeyFile = aText;
+      return;
+    case JsonOption:
+      aOptions.mIsJson = true;
+      return;
+    case DryRunOption:
+      aOptions.mIsDryRun = true;
+      return;
+    case ExpectedRevisionOption:
+      aOptions.mExpectedRevision =
+        ParseCount("--expected-revision", aText, aFindings);
+      return;
+    case RequestIdOption:
+      aOptions.mRequestId = aText;
+      return;
+    case TimeoutOption:
+      aOptions.mRetry.mAttemptTimeout =
+        Millis(ParseCount("--timeout-ms", aText, aFindings));
+      return;
+    default:
+      aOptions.mWantsHelp = true;
+  }
+}
+
+auto
+TakeOptionText(poptContext aContext) -> std::string
+{
+  auto* text = poptGetOptArg(aContext);
+  if (text == nullptr) {
+    return {};
+  }
+  auto copy = std::string(text);
+  std::free(text);
+  return copy;
+}
+
+auto
+ReadVariable(const char* aName) -> std::string
+{
+  const auto* value = std::getenv(aName);
+  return value == nullptr ? std::string{} : std::string(value);
+}
+
+auto
+ReadKey(const std::string& aPath, Findings& aFindings) -> std::string
+{
+  auto file = std::ifstream(aPath);
+  auto key = std::string{};
+  if (!(file >> key)) {
+    AddUsageFinding(
+      aFindings, "--key-file", aPath + " can't be read", "a file with a key");
+  }
+  return key;
+}
+
+auto
+ApplyDefaults(Options& aOptions, Findings& aFindings) -> void
+{
+  if (aOptions.mInstances.empty()) {
+    AddInstances(aOptions, ReadVariable(kInstancesVariable), aFindings);
+  }
+  if (aOptions.mKeyFile.empty()) {
+    aOptions.mKeyFile = ReadVariable(kKeyFileVariable);
+  }
+  if (!aOptions.mKeyFile.empty()) {
+    aOptions.mKey = ReadKey(aOptions.mKeyFile, aFindings);
+  }
+}
+
+auto
+ReadWords(poptContext aContext) -> std::vector<std::string>
+{
+  auto words = std::vector<std::string>{};
+  while (const auto* word = poptGetArg(aContext)) {
+    words.emplace_back(word);
+  }
+  return words;
+}
+
+} // namespace
+
+auto
+ParseOptions(const std::vector<std::string>& aArguments)
+  -> leaf::result<Options>
+{
+  auto arguments = std::vector<const char*>{ "cuminslip" };
+  for (const auto& argument : aArguments) {
+    arguments.push_back(argument.c_str());
+  }
+  arguments.push_back(nullptr);
+  const auto context =
+    ContextPtr(poptGetContext("cuminslip",
+                              static_cast<int>(arguments.size()) - 1,
+                              arguments.data(),
+                              kOptionTable.data(),
+                              0));
+  auto options = Options{};
+  auto findings = Findings{};
+  auto option = 0;
+  while ((option = poptGetNextOpt(context.get())) > 0) {
+    ApplyOption(options, option, TakeOptionText(context.get()), findings);
+  }
+  if (option < -1) {
+    AddUsageFinding(findings,
+                    poptBadOption(context.get(), POPT_BADOPTION_NOALIAS),
+                    poptStrerror(option),
+                    "an option that --help lists");
+  }
+  options.mWords = ReadWords(context.get());
+  ApplyDefaults(options, findings);
+  if (!IsEmpty(findings)) {
+    return leaf::new_error(findings);
+  }
+  return options;
+}
+
+} // namespace cuminslip::client
--- /dev/null
+++ b/src/client/tests/fakeoperator.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "wire/httpserver.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// A hand-written operator server on a thread of its own.
+namespace cuminslip::client::testing {
+
+class FakeOperator
+{
+public:
+  /// Answers the request; a status of 0 breaks the connection.
+  using Answer = std::function<wire::HttpResponse(const wire::HttpRequest&)>;
+
+  explicit FakeOperator(Answer aAnswer);
+  ~FakeOperator();
+  FakeOperator(const FakeOperator&) = delete;
+  FakeOperator(FakeOperator&&) = delete;
+  auto operator=(const FakeOperator&) -> FakeOperator& = delete;
+  auto operator=(FakeOperator&&) -> FakeOperator& = delete;
+
+  auto Address() const -> std::string;
+  /// Requests seen so far. Thread safe.
+  auto Seen() -> std::vector<wire::HttpRequest>;
+
+private:
+  auto Handle(const wire::HttpRequest& aRequest,
+              const wire::ResponderPtr& aResponder) -> void;
+
+  Answer mAnswer;
+  std::mutex mMutex;
+  std::vector<wire::HttpRequest> mSeen;
+  wire::EventLoopPtr mLoop;
+  wire::HttpServerPtr mServer;
+  std::thread mThread;
+};
+
+} // namespace cuminslip::client::testing
--- /dev/null
+++ b/src/client/types/options.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/types/ids.h"
+#include "wire/types/httpmessage.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+/// A parsed command line of the client.
+namespace cuminslip::client {
+
+/// How often and how long a call is tried.
+struct RetryLimits
+{
+  int mMaxAttempts = 6;
+  /// Longest time for one attempt.
+  Millis mAttemptTimeout{ 5000 };
+  /// Doubles with each attempt.
+  Millis mFirstDelay{ 100 };
+
+  auto operator==(const RetryLimits&) const -> bool = default;
+};
+
+struct Options
+{
+  /// The command's words and operands, as "template", "get", "desconto-certo".
+  std::vector<std::string> mWords;
+  std::vector<wire::SocketAddress> mInstances;
+  std::string mKeyFile;
+  /// Read from mKeyFile.
+  std::string mKey;
+  bool mIsJson = false;
+  bool mIsDryRun = false;
+  bool mWantsHelp = false;
+  std::optional<Revision> mExpectedRevision;
+  /// Empty: a random one is made.
+  std::string mRequestId;
+  RetryLimits mRetry;
+
+  auto operator==(const Options&) const -> bool = default;
+};
+
+} // namespace cuminslip::client
--- a/src/settings/internal/settings.cpp
+++ b/src/settings/internal/settings.cpp
@@ -1,11 +1,10 @@
 #include "settings/settings.h"
 
+#include "documents/readfile.h"
 #include "settings/internal/settingschecks.h"
 #include "settings/internal/settingssections.h"
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 
 namespace cuminslip {
 
@@ -56,19 +55,6 @@
   return settings;
 }
 
-auto
-ReadFile(const std::string& aPath) -> leaf::result<std::string>
-{
-  auto file = std::ifstream(aPath, std::ios::binary);
-  auto text = std::ostringstream{};
-  text << file.rdbuf();
-  if (!file) {
-    return leaf::new_error(Findings{
-      { { { aPath, 0, 0 }, "", "can't be read", "a readable file" } } });
-  }
-  return text.str();
-}
-
 auto
 Trim(const std::string& aText) -> std::string
 {
@@ -109,7 +95,7 @@
 auto
 LoadSettings(const std::string& aPath) -> leaf::result<Settings>
 {
-  BOOST_LEAF_AUTO(text, ReadFile(aPath));
+  BOOST_LEAF_AUTO(text, documents::ReadFile(aPath));
   return ParseSettings(text, aPath);
 }
 
@@ -120,7 +106,7 @@
   if (path.empty()) {
     return std::string{};
   }
-  BOOST_LEAF_AUTO(text, ReadFile(path));
+  BOOST_LEAF_AUTO(text, documents::ReadFile(path));
   auto key = Trim(text);
   if (key.size() < kShortestPeerKey) {
     return leaf::new_error(
--- a/src/wire/internal/eventloop.cpp
+++ b/src/wire/internal/eventloop.cpp
@@ -11,28 +11,35 @@
 
 constexpr auto kLongestWait = Millis(1000);
 
+/// True when there was an action.
 auto
-RunPostedActions(EventLoop& aLoop) -> void
+RunPostedActions(EventLoop& aLoop) -> bool
 {
-  for (const auto& action : aLoop.mActions->TakeAll()) {
+  const auto actions = aLoop.mActions->TakeAll();
+  for (const auto& action : actions) {
     action();
   }
+  return !actions.empty();
 }
 
+/// True when a timer was due.
 auto
-RunDueTimers(EventLoop& aLoop) -> void
+RunDueTimers(EventLoop& aLoop) -> bool
 {
   const auto now = MonotonicNow();
+  auto hasRun = false;
   while (!aLoop.mTimers.empty()) {
     const auto it = aLoop.mTimers.begin();
     if (it->first.first > now) {
-      return;
+      return hasRun;
     }
+    hasRun = true;
     const auto action = std::move(it->second);
     aLoop.mDueTimes.erase(it->first.second);
     aLoop.mTimers.erase(it);
     action();
   }
+  return hasRun;
 }
 
 auto
@@ -79,9 +86,12 @@
 auto
 RunLoopOnce(EventLoop& aLoop, Millis aLongest) -> void
 {
-  RunPostedActions(aLoop);
-  RunDueTimers(aLoop);
-  const auto wait = TimeToNextTimer(aLoop, aLongest);
+  const auto hasRunAction = RunPostedActions(aLoop);
+  const auto hasRunTimer = RunDueTimers(aLoop);
+  // NOTE: h2o polls before it runs the callbacks of writes that an action
+  // began, and an action may have stopped the loop, so don't wait here.
+  const auto wait =
+    hasRunAction || hasRunTimer ? Millis(0) : TimeToNextTimer(aLoop, aLongest);
   h2o_evloop_run(aLoop.mLoop, static_cast<std::int32_t>(wait.count()));
 }
 
