--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -1,5 +1,6 @@
 #include "program/instance.h"
 
+#include "base/digest.h"
 #include "program/internal/handlers.h"
 #include "program/types/programevents.h"
 #include "settings/settings.h"
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr auto kStopCheckInterval = Millis(50);
+constexpr auto kSecretWords = 16;
 
 /// A number that grows with each start, also on instances without a disk.
 auto
@@ -118,21 +120,38 @@
   return peers;
 }
 
+/// A peer key that no other process knows, for an instance that is alone.
+auto
+MakeSecret() -> std::string
+{
+  auto source = std::random_device{};
+  auto bytes = std::string{};
+  for (auto i = 0; i < kSecretWords; ++i) {
+    bytes += std::to_string(source()) + " ";
+  }
+  return Sha256Hex(bytes);
+}
+
 auto
 MakePeerSettings(const Settings& aSettings) -> leaf::result<PeerSettings>
 {
   BOOST_LEAF_AUTO(key, LoadPeerKey(aSettings));
   auto peers = PeerSettings{};
+  peers.mPeerKey = key.empty() ? MakeSecret() : key;
   peers.mInstance = aSettings.mInstance;
   peers.mFailureDomain = aSettings.mFailureDomain;
   if (aSettings.mListen.mPeer) {
     peers.mAddress = wire::FormatAddress(*aSettings.mListen.mPeer);
   }
-  peers.mPeerKey = key;
   if (HasRole(aSettings, Role::Control)) {
     peers.mDataFolder = aSettings.mDataFolder;
   }
   peers.mControlInstances = ToPeerInstances(aSettings.mControlInstances);
+  if (peers.mControlInstances.empty() && HasRole(aSettings, Role::Control)) {
+    peers.mControlInstances = {
+      { peers.mInstance, peers.mAddress, peers.mFailureDomain }
+    };
+  }
   peers.mDomainInstances = ToPeerInstances(aSettings.mDomainInstances);
   return peers;
 }
