Give engines priorities by length, and prefixes a home

Learning how much of an engine's queue a request waits for changed nothing beyond the spread and was dropped.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
   pkg-config ninja-build cmake g++ ccache spin gnuplot-nox clang-format \
   clang-tidy
 
-.PHONY: setup build test test-sanitized run format check-format lint generate
+.PHONY: setup build test test-sanitized run format check-format lint generate \
+  bench-decisions bench-policy
 
 setup:
 	scripts/setup $(PACKAGES)
@@ -34,5 +35,11 @@
 	scripts/sources | grep '\.cpp$$' | xargs -P $$(nproc) -n 1 \
 	  scripts/lint-one $(BUILD)
 
+bench-decisions: build
+	$(BUILD)/bench/cuminslip_decision_bench
+
+bench-policy: build
+	$(BUILD)/bench/cuminslip_policy_experiments
+
 generate:
 	scripts/generate
--- /dev/null
+++ b/bench/decisioncost.cpp
@@ -0,0 +1,164 @@
+#include "policy/endpointchoice.h"
+#include "policy/prefixhashes.h"
+#include "policy/waitqueue.h"
+
+#include "base/digest.h"
+
+#include <chrono>
+#include <cstdio>
+#include <string>
+
+using namespace cuminslip;
+
+namespace {
+
+/// Keeps the compiler from dropping a result.
+volatile std::size_t sSink = 0;
+
+template<class Function>
+auto
+MeasureNanos(std::size_t aRounds, Function aFunction) -> double
+{
+  auto best = 1e300;
+  for (auto repeat = 0; repeat < 5; ++repeat) {
+    const auto begin = std::chrono::steady_clock::now();
+    for (auto i = std::size_t{ 0 }; i < aRounds; ++i) {
+      aFunction();
+    }
+    const auto time = std::chrono::steady_clock::now() - begin;
+    const auto nanos = std::chrono::duration<double, std::nano>(time).count();
+    best = std::min(best, nanos / static_cast<double>(aRounds));
+  }
+  return best;
+}
+
+auto
+BuildEndpoints(std::size_t aCount) -> std::vector<EndpointView>
+{
+  auto endpoints = std::vector<EndpointView>(aCount);
+  for (auto i = std::size_t{ 0 }; i < aCount; ++i) {
+    auto& view = endpoints[i];
+    view.mId = { "engine-" + std::to_string(i) };
+    view.mIncarnation = 1;
+    view.mFailureDomain = { "domain-" + std::to_string(i % 3) };
+    view.mRegion = { "region" };
+    view.mModels = { { { "drafter" }, { "3" } } };
+    view.mLoad = {
+      static_cast<std::int64_t>(i % 7), 0, 32, 1000, 400000, 500000, 50000, 40
+    };
+    view.mReportAge = Millis(200);
+  }
+  AssignLanes(endpoints, LaneSettings{});
+  return endpoints;
+}
+
+auto
+BuildRequest(std::int64_t aTokens) -> RequestFacts
+{
+  auto request = RequestFacts{};
+  request.mId = { "r" };
+  request.mModel = { "drafter" };
+  request.mVersion = { "3" };
+  request.mPromptTokens = aTokens;
+  request.mMaxTokens = 200;
+  request.mDeadline = TimePoint(Seconds(60));
+  for (auto i = std::int64_t{ 0 }; i < aTokens / kPrefixStepTokens; ++i) {
+    request.mPrefixes.push_back(Checksum(std::to_string(i)));
+  }
+  return request;
+}
+
+auto
+PrintChoice(std::size_t aEndpoints, std::int64_t aTokens, std::size_t aHolders)
+  -> void
+{
+  const auto endpoints = BuildEndpoints(aEndpoints);
+  const auto request = BuildRequest(aTokens);
+  auto prefixes = PrefixKnowledge{};
+  const auto now = TimePoint(Seconds(1));
+  for (auto i = std::size_t{ 0 }; i < aHolders; ++i) {
+    RecordSentPrompt(prefixes, endpoints[i].mId, 1, request.mPrefixes, now);
+  }
+  auto form = Template{};
+  form.mRegions = { { "region" } };
+  const auto place = OwnPlace{ { "domain-0" }, { "region" } };
+  auto state = ChoiceState{};
+  auto random = std::mt19937_64(1);
+  const auto settings = ChoiceSettings{};
+  const auto nanos = MeasureNanos(2000, [&] {
+    const auto input =
+      ChoiceInput{ request, form, place, endpoints, {}, &prefixes, now };
+    sSink =
+      sSink + ChooseEndpoint(input, settings, state, random).mIndex.value_or(0);
+  });
+  std::printf("| choice, %zu endpoints, %ld tokens, %zu holders | %.0f |\n",
+              aEndpoints,
+              static_cast<long>(aTokens),
+              aHolders,
+              nanos);
+}
+
+auto
+PrintQueue(std::size_t aAccounts, std::size_t aEach) -> void
+{
+  auto queue = WaitQueue{};
+  queue.mSettings.mMaxRequests = 1000000;
+  auto sequence = std::uint64_t{ 0 };
+  const auto now = TimePoint(Seconds(1));
+  const auto limits = AccountLimits{ 0, 0, 1000000, std::int64_t{ 1 } << 40 };
+  const auto add = [&] {
+    const auto number = sequence++;
+    auto entry = WaitEntry{};
+    entry.mId = { std::to_string(number) };
+    entry.mAccount = { "account-" + std::to_string(number % aAccounts) };
+    entry.mCostTokens = static_cast<std::int64_t>(1000 + number % 977);
+    entry.mPriority = Priority::Normal;
+    entry.mBytes = 4000;
+    entry.mEnqueued = now;
+    entry.mExpires = now + Seconds(60);
+    entry.mLatestStart = now + Millis(20000 + number % 1000);
+    Enqueue(queue, entry, limits, now);
+  };
+  for (auto i = std::size_t{ 0 }; i < aAccounts * aEach; ++i) {
+    add();
+  }
+  const auto nanos = MeasureNanos(200, [&] {
+    add();
+    sSink =
+      sSink +
+      (TakeNext(queue, now, [](const WaitEntry&) { return true; }) ? 1U : 0U);
+  });
+  std::printf("| enqueue and take, %zu accounts, %zu waiting each | %.0f |\n",
+              aAccounts,
+              aEach,
+              nanos);
+}
+
+auto
+PrintHashing(std::size_t aBytes) -> void
+{
+  const auto prompt = std::string(aBytes, 'x');
+  const auto nanos =
+    MeasureNanos(20, [&] { sSink = sSink + HashPrefixes(prompt).size(); });
+  std::printf("| prefix hashes of %zu bytes | %.0f |\n", aBytes, nanos);
+}
+
+} // namespace
+
+auto
+main() -> int
+{
+  std::printf("| decision | ns |\n| --- | --- |\n");
+  for (const auto endpoints : { 25U, 100U, 600U }) {
+    PrintChoice(endpoints, 2000, 0);
+    PrintChoice(endpoints, 2000, 3);
+    PrintChoice(endpoints, 2000, endpoints);
+    PrintChoice(endpoints, 200000, 3);
+  }
+  PrintQueue(10, 10);
+  PrintQueue(290, 10);
+  PrintQueue(290, 30);
+  PrintHashing(8000);
+  PrintHashing(4000000);
+  return 0;
+}
--- a/src/policy/endpointchoice.h
+++ b/src/policy/endpointchoice.h
@@ -37,6 +37,11 @@
   std::size_t mSampleCount = 8;
   /// Holders of a cached prefix looked at.
   std::size_t mHolderCount = 4;
+  /// Engines that all instances prefer for prompts of the same beginning, so
+  /// that few engines cache it.
+  std::size_t mHomeCount = 2;
+  /// Share of the reading time by which such an engine seems cheaper.
+  double mHomeDiscount = 0.5;
   /// Costs within this share of the least count as equal.
   double mTieShare = 0.1;
   /// Added to the least cost before mTieShare applies.
@@ -91,6 +96,9 @@
   CachedPrefix mCached;
   PredictedTimes mTimes;
   LaneVerdict mLane = LaneVerdict::Open;
+  /// To be given to the engine: 0 urgent, 1 normal, 2 patient.
+  int mEnginePriority = 1;
+  bool mIsHome = false;
   Micros mDistance{ 0 };
   Micros mCost{ 0 };
 
--- a/src/policy/internal/choicecandidates.cpp
+++ b/src/policy/internal/choicecandidates.cpp
@@ -7,12 +7,17 @@
 namespace {
 
 auto
-SizeOf(const RequestFacts& aRequest, const CachedPrefix& aCached) -> WorkSize
+SizeOf(const ChoiceInput& aInput,
+       const CachedPrefix& aCached,
+       const ChoiceSettings& aSettings) -> WorkSize
 {
-  return { aRequest.mPromptTokens,
-           aRequest.mMaxTokens,
-           std::min(ExpectedTokens(aCached), aRequest.mPromptTokens),
-           aRequest.mPriority };
+  const auto& request = aInput.mRequest;
+  const auto cached = std::min(ExpectedTokens(aCached), request.mPromptTokens);
+  const auto priority = EnginePriority(request.mPriority,
+                                       request.mPromptTokens - cached,
+                                       request.mDeadline - aInput.mNow,
+                                       aSettings.mLanes);
+  return { request.mPromptTokens, request.mMaxTokens, cached, priority };
 }
 
 auto
@@ -27,7 +32,7 @@
        const CachedPrefix& aCached,
        const ChoiceSettings& aSettings) -> LaneVerdict
 {
-  const auto work = SizeOf(aInput.mRequest, aCached);
+  const auto work = SizeOf(aInput, aCached, aSettings);
   const auto unread = work.mPromptTokens - work.mCachedTokens;
   if (!IsLongWork(unread, aSettings.mLanes)) {
     return LaneVerdict::Open;
@@ -114,7 +119,7 @@
   if (aEndpoint.mKind != EndpointKind::ModelEngine) {
     return penalty;
   }
-  const auto work = SizeOf(aInput.mRequest, aConsidered.mCached);
+  const auto work = SizeOf(aInput, aConsidered.mCached, aSettings);
   const auto unread = work.mPromptTokens - work.mCachedTokens;
   if (aEndpoint.mLoad.mTotalKvTokens > 0 &&
       unread + work.mMaxTokens > EstimateFreeKvTokens(aEndpoint)) {
@@ -129,6 +134,67 @@
   return penalty;
 }
 
+struct RankedIndex
+{
+  std::uint64_t mRank = 0;
+  std::size_t mIndex = 0;
+
+  auto operator<=>(const RankedIndex&) const = default;
+};
+
+auto
+MixHashes(std::uint64_t aLeft, std::uint64_t aRight) -> std::uint64_t
+{
+  constexpr auto kMultiplier = std::uint64_t{ 0x9e3779b97f4a7c15 };
+  constexpr auto kShift = 32U;
+  auto mixed = (aLeft ^ aRight) * kMultiplier;
+  mixed = (mixed ^ (mixed >> kShift)) * kMultiplier;
+  return mixed ^ (mixed >> kShift);
+}
+
+/// Moves the holders of the longest prefixes to the front; returns how many.
+auto
+MoveHoldersFirst(std::vector<std::size_t>& aIndexes,
+                 const std::vector<CachedPrefix>& aCached,
+                 const ChoiceSettings& aSettings,
+                 std::mt19937_64& aRandom) -> std::size_t
+{
+  if (aCached.empty()) {
+    return 0;
+  }
+  const auto end =
+    std::partition(aIndexes.begin(), aIndexes.end(), [&](std::size_t aIndex) {
+      return aCached[aIndex].mTokens > 0;
+    });
+  const auto holders = static_cast<std::size_t>(end - aIndexes.begin());
+  const auto count = std::min(aSettings.mHolderCount, holders);
+  // NOTE: equal holders come in random order, so that not all instances take
+  // the same ones.
+  std::shuffle(aIndexes.begin(), end, aRandom);
+  std::partial_sort(aIndexes.begin(),
+                    aIndexes.begin() + static_cast<std::ptrdiff_t>(count),
+                    end,
+                    [&](std::size_t aLeft, std::size_t aRight) {
+                      return ExpectedTokens(aCached[aLeft]) >
+                             ExpectedTokens(aCached[aRight]);
+                    });
+  return count;
+}
+
+/// Moves the homes to position aFirst; returns the position after them.
+auto
+MoveHomesNext(std::vector<std::size_t>& aIndexes,
+              const std::vector<std::size_t>& aHomes,
+              std::size_t aFirst) -> std::size_t
+{
+  const auto begin = aIndexes.begin() + static_cast<std::ptrdiff_t>(aFirst);
+  const auto end =
+    std::partition(begin, aIndexes.end(), [&](std::size_t aIndex) {
+      return std::find(aHomes.begin(), aHomes.end(), aIndex) != aHomes.end();
+    });
+  return static_cast<std::size_t>(end - aIndexes.begin());
+}
+
 } // namespace
 
 auto
@@ -148,33 +214,45 @@
   return candidates;
 }
 
+auto
+FindHomes(const ChoiceInput& aInput,
+          const std::vector<std::size_t>& aIndexes,
+          const ChoiceSettings& aSettings) -> std::vector<std::size_t>
+{
+  const auto& prefixes = aInput.mRequest.mPrefixes;
+  const auto count = std::min(aSettings.mHomeCount, aIndexes.size());
+  if (prefixes.empty() || count == 0) {
+    return {};
+  }
+  auto ranked = std::vector<RankedIndex>{};
+  ranked.reserve(aIndexes.size());
+  for (const auto index : aIndexes) {
+    const auto hash = aInput.mEndpoints[index].mIdHash;
+    ranked.push_back({ MixHashes(hash, prefixes.front()), index });
+  }
+  const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(ranked.begin(), end, ranked.end());
+  auto homes = std::vector<std::size_t>{};
+  for (auto it = ranked.begin(); it != end; ++it) {
+    homes.push_back(it->mIndex);
+  }
+  return homes;
+}
+
 auto
 SampleCandidates(std::vector<std::size_t> aIndexes,
                  const std::vector<CachedPrefix>& aCached,
+                 const std::vector<std::size_t>& aHomes,
                  const ChoiceSettings& aSettings,
                  std::mt19937_64& aRandom) -> std::vector<std::size_t>
 {
   const auto wanted = aSettings.mSampleCount;
-  if (wanted == 0 || aIndexes.size() <= wanted + aSettings.mHolderCount) {
+  const auto kept = aSettings.mHolderCount + aHomes.size();
+  if (wanted == 0 || aIndexes.size() <= wanted + kept) {
     return aIndexes;
   }
-  auto first = std::size_t{ 0 };
-  if (!aCached.empty()) {
-    const auto isHolder = [&](std::size_t aIndex) {
-      return aCached[aIndex].mTokens > 0;
-    };
-    const auto end = std::partition(aIndexes.begin(), aIndexes.end(), isHolder);
-    const auto holders = static_cast<std::size_t>(end - aIndexes.begin());
-    first = std::min(aSettings.mHolderCount, holders);
-    std::shuffle(aIndexes.begin(), end, aRandom);
-    std::partial_sort(aIndexes.begin(),
-                      aIndexes.begin() + static_cast<std::ptrdiff_t>(first),
-                      end,
-                      [&](std::size_t aLeft, std::size_t aRight) {
-                        return ExpectedTokens(aCached[aLeft]) >
-                               ExpectedTokens(aCached[aRight]);
-                      });
-  }
+  const auto holders = MoveHoldersFirst(aIndexes, aCached, aSettings, aRandom);
+  const auto first = MoveHomesNext(aIndexes, aHomes, holders);
   for (auto i = first; i < first + wanted; ++i) {
     auto draw =
       std::uniform_int_distribution<std::size_t>(i, aIndexes.size() - 1);
@@ -188,20 +266,29 @@
 ConsiderEndpoint(const ChoiceInput& aInput,
                  std::size_t aIndex,
                  const CachedPrefix& aCached,
+                 bool aIsHome,
                  const ChoiceSettings& aSettings) -> ConsideredEndpoint
 {
   const auto& endpoint = aInput.mEndpoints[aIndex];
   auto considered = ConsideredEndpoint{};
   considered.mIndex = aIndex;
   considered.mCached = aCached;
+  considered.mIsHome = aIsHome;
+  considered.mEnginePriority =
+    SizeOf(aInput, aCached, aSettings).mEnginePriority;
   considered.mDistance = DistanceOf(aInput, endpoint, aSettings);
   if (endpoint.mKind == EndpointKind::ModelEngine) {
     considered.mTimes = PredictTimes(
-      endpoint, SizeOf(aInput.mRequest, aCached), aSettings.mPrediction);
+      endpoint, SizeOf(aInput, aCached, aSettings), aSettings.mPrediction);
     considered.mLane = LaneOf(aInput, endpoint, aCached, aSettings);
   }
+  const auto discount =
+    aIsHome ? std::chrono::duration_cast<Micros>(considered.mTimes.mPrefill *
+                                                 aSettings.mHomeDiscount)
+            : Micros(0);
   considered.mCost = FirstTokenTime(considered.mTimes) + considered.mDistance +
-                     PenaltyOf(aInput, endpoint, considered, aSettings);
+                     PenaltyOf(aInput, endpoint, considered, aSettings) -
+                     discount;
   return considered;
 }
 
--- a/src/policy/internal/choicecandidates.h
+++ b/src/policy/internal/choicecandidates.h
@@ -22,10 +22,19 @@
 FindCandidates(const ChoiceInput& aInput, const ChoiceSettings& aSettings)
   -> Candidates;
 
-/// Keeps the holders of the longest cached prefixes and a random sample.
+/// The engines among aIndexes that are preferred for the prompt's first
+/// prefix, by rendezvous hashing; none when it has no prefix.
+auto
+FindHomes(const ChoiceInput& aInput,
+          const std::vector<std::size_t>& aIndexes,
+          const ChoiceSettings& aSettings) -> std::vector<std::size_t>;
+
+/// Keeps the holders of the longest cached prefixes, the homes and a random
+/// sample.
 auto
 SampleCandidates(std::vector<std::size_t> aIndexes,
                  const std::vector<CachedPrefix>& aCached,
+                 const std::vector<std::size_t>& aHomes,
                  const ChoiceSettings& aSettings,
                  std::mt19937_64& aRandom) -> std::vector<std::size_t>;
 
@@ -34,6 +43,7 @@
 ConsiderEndpoint(const ChoiceInput& aInput,
                  std::size_t aIndex,
                  const CachedPrefix& aCached,
+                 bool aIsHome,
                  const ChoiceSettings& aSettings) -> ConsideredEndpoint;
 
 } // namespace cuminslip
--- a/src/policy/internal/endpointchoice.cpp
+++ b/src/policy/internal/endpointchoice.cpp
@@ -155,16 +155,21 @@
   // NOTE: for long work the open lanes are few, and a sample could miss them.
   const auto isLong =
     IsLongWork(aInput.mRequest.mPromptTokens, aSettings.mLanes);
+  const auto homes = usesCost
+                       ? FindHomes(aInput, aCandidates.mIndexes, aSettings)
+                       : std::vector<std::size_t>{};
   const auto indexes =
     usesCost && !isLong
       ? SampleCandidates(
-          std::move(aCandidates.mIndexes), cached, aSettings, aRandom)
+          std::move(aCandidates.mIndexes), cached, homes, aSettings, aRandom)
       : std::move(aCandidates.mIndexes);
   auto considered = std::vector<ConsideredEndpoint>{};
   considered.reserve(indexes.size());
   for (const auto index : indexes) {
     const auto& prefix = cached.empty() ? CachedPrefix{} : cached[index];
-    auto item = ConsiderEndpoint(aInput, index, prefix, aSettings);
+    const auto isHome =
+      std::find(homes.begin(), homes.end(), index) != homes.end();
+    auto item = ConsiderEndpoint(aInput, index, prefix, isHome, aSettings);
     if (IsOpen(item)) {
       considered.push_back(item);
     } else {
--- a/src/policy/internal/lanes.cpp
+++ b/src/policy/internal/lanes.cpp
@@ -37,6 +37,9 @@
   if (!aSettings.mIsEnabled || aEngines < kLeastEnginesForLanes) {
     return 0;
   }
+  if (aSettings.mLongShare >= 1) {
+    return aEngines;
+  }
   const auto wanted = static_cast<double>(aEngines) * aSettings.mLongShare;
   const auto count = static_cast<std::size_t>(std::llround(wanted));
   return std::clamp<std::size_t>(count, 1, aEngines - 1);
@@ -54,7 +57,7 @@
       continue;
     }
     groups[{ endpoint.mFailureDomain, endpoint.mModels }].push_back(
-      { Checksum(endpoint.mId.mValue), i });
+      { endpoint.mIdHash, i });
   }
   return groups;
 }
@@ -95,6 +98,7 @@
 {
   for (auto& endpoint : aEndpoints) {
     endpoint.mLane = Lane::Shared;
+    endpoint.mIdHash = Checksum(endpoint.mId.mValue);
   }
   for (auto& [group, engines] : GroupEngines(aEndpoints)) {
     std::sort(engines.begin(), engines.end());
@@ -137,12 +141,18 @@
 }
 
 auto
-EnginePriority(Priority aPriority, Micros aSlack, const LaneSettings& aSettings)
-  -> int
+EnginePriority(Priority aPriority,
+               std::int64_t aUnreadTokens,
+               Micros aSlack,
+               const LaneSettings& aSettings) -> int
 {
-  const auto number = static_cast<int>(aPriority);
+  constexpr auto kLast = static_cast<int>(Priority::Patient);
+  const auto isLong =
+    aSettings.mIsEnabled && IsLongWork(aUnreadTokens, aSettings);
   const auto isLate = aSlack <= aSettings.mOverflowSlack;
-  return isLate ? std::max(0, number - 1) : number;
+  const auto number =
+    static_cast<int>(aPriority) + (isLong ? 1 : 0) - (isLate ? 1 : 0);
+  return std::clamp(number, 0, kLast);
 }
 
 } // namespace cuminslip
--- a/src/policy/internal/prediction.cpp
+++ b/src/policy/internal/prediction.cpp
@@ -82,19 +82,22 @@
   const auto slowness = std::clamp(aEndpoint.mHealth.mSlowness,
                                    aSettings.mLeastSlowness,
                                    aSettings.mGreatestSlowness);
-  const auto share =
-    aSettings.mQueueShare.at(static_cast<std::size_t>(aWork.mPriority));
-  const auto queued =
-    share * static_cast<double>(EstimateQueuedTokens(aEndpoint, aSettings));
+  const auto share = aSettings.mQueueShares.at(
+    static_cast<std::size_t>(std::clamp(aWork.mEnginePriority, 0, 2)));
+  const auto queuedSeconds =
+    static_cast<double>(EstimateQueuedTokens(aEndpoint, aSettings)) /
+    prefillRate;
   const auto answerSeconds =
     static_cast<double>(aSettings.mTypicalAnswerTokens) / decodeRate;
   const auto unread =
     std::max<std::int64_t>(0, aWork.mPromptTokens - aWork.mCachedTokens);
-  return { ToMicros(slowness * (queued / prefillRate +
-                                SlotWaitSeconds(aEndpoint, answerSeconds))),
+  const auto waitSeconds =
+    share * queuedSeconds + SlotWaitSeconds(aEndpoint, answerSeconds);
+  return { ToMicros(slowness * waitSeconds),
            ToMicros(slowness * static_cast<double>(unread) / prefillRate),
            ToMicros(slowness * static_cast<double>(aWork.mMaxTokens) /
-                    decodeRate) };
+                    decodeRate),
+           ToMicros(slowness * queuedSeconds) };
 }
 
 auto
--- a/src/policy/internal/splitplan.cpp
+++ b/src/policy/internal/splitplan.cpp
@@ -175,7 +175,8 @@
 {
   auto total = Micros(0);
   for (const auto& part : aParts) {
-    const auto work = WorkSize{ part.mTokens, 0, 0, aRequest.mPriority };
+    const auto work =
+      WorkSize{ part.mTokens, 0, 0, static_cast<int>(aRequest.mPriority) };
     total +=
       FirstTokenTime(PredictTimes(aEndpoints[part.mIndex], work, aPrediction));
   }
--- a/src/policy/lanes.h
+++ b/src/policy/lanes.h
@@ -19,9 +19,10 @@
   bool mIsEnabled = true;
   /// Prompts with more tokens to read than this count as long.
   std::int64_t mLongTokens = 16384;
-  /// Share of the engines of one failure domain and model set aside for long
-  /// prompts; rounded, and none where there are fewer than 3.
-  double mLongShare = 0.25;
+  /// Share of the engines of one failure domain and model that read long
+  /// prompts; the others are kept for short ones. Rounded; all engines are
+  /// shared where there are fewer than 3 or the share is 1.
+  double mLongShare = 0.75;
   /// Long prompts read at the same time by one engine.
   std::int64_t mMaxLongOnLongLane = 2;
   std::int64_t mMaxLongOnSharedLane = 1;
@@ -49,9 +50,9 @@
 auto
 ToText(LaneVerdict aVerdict) -> std::string_view;
 
-/// Sets mLane of each engine. The same engines give the same result on every
-/// instance, and one that comes or goes moves at most one other. Call when
-/// engines come or go. Not thread safe.
+/// Sets mLane and mIdHash of each endpoint. The same engines give the same
+/// result on every instance, and one that comes or goes moves at most one
+/// other. Call when engines come or go. Not thread safe.
 auto
 AssignLanes(std::span<EndpointView> aEndpoints, const LaneSettings& aSettings)
   -> void;
@@ -69,10 +70,13 @@
           const LaneSettings& aLanes,
           const PredictionSettings& aPrediction) -> LaneVerdict;
 
-/// The priority to give the engine: 0 urgent, 1 normal, 2 patient. Patient work
-/// whose slack is used up goes as normal, normal work as urgent. Thread safe.
+/// The priority to give the engine: 0 urgent, 1 normal, 2 patient. A long
+/// prompt goes one step after short ones of its kind; work whose slack is used
+/// up goes one step earlier. Thread safe.
 auto
-EnginePriority(Priority aPriority, Micros aSlack, const LaneSettings& aSettings)
-  -> int;
+EnginePriority(Priority aPriority,
+               std::int64_t aUnreadTokens,
+               Micros aSlack,
+               const LaneSettings& aSettings) -> int;
 
 } // namespace cuminslip
--- a/src/policy/prediction.h
+++ b/src/policy/prediction.h
@@ -2,7 +2,6 @@
 
 #include "base/clock.h"
 #include "policy/types/endpointview.h"
-#include "templates/types/template.h"
 
 #include <array>
 #include <cstdint>
@@ -10,6 +9,9 @@
 /// Predicts how long an engine would take for a request.
 namespace cuminslip {
 
+/// By engine priority: 0 urgent, 1 normal, 2 patient.
+using QueueShares = std::array<double, 3>;
+
 struct PredictionSettings
 {
   /// Used where an engine reports no rate.
@@ -17,9 +19,9 @@
   double mDefaultDecodeTokensPerSecond = 30;
   /// Length of answer assumed for streams that others sent.
   std::int64_t mTypicalAnswerTokens = 128;
-  /// Share of the queued prompt tokens that a request of each priority waits
-  /// for, as engines honour priorities.
-  std::array<double, 3> mQueueShare{ 0.25, 1.0, 1.0 };
+  /// Share of the queued prompt tokens that a request of each engine priority
+  /// waits for, as engines honour priorities.
+  QueueShares mQueueShares{ 0.25, 0.75, 1.0 };
   double mLeastSlowness = 0.25;
   double mGreatestSlowness = 20.0;
 
@@ -32,7 +34,8 @@
   std::int64_t mMaxTokens = 0;
   /// Prompt tokens that the engine is expected to have cached.
   std::int64_t mCachedTokens = 0;
-  Priority mPriority = Priority::Normal;
+  /// As given to the engine: 0 urgent, 1 normal, 2 patient.
+  int mEnginePriority = 1;
 
   auto operator==(const WorkSize&) const -> bool = default;
 };
@@ -42,6 +45,9 @@
   Micros mQueue{ 0 };
   Micros mPrefill{ 0 };
   Micros mDecode{ 0 };
+  /// Time in which the engine would read all that is queued; part of it is in
+  /// mQueue.
+  Micros mQueuedRead{ 0 };
 
   auto operator==(const PredictedTimes&) const -> bool = default;
 };
--- a/src/policy/types/endpointview.h
+++ b/src/policy/types/endpointview.h
@@ -109,7 +109,9 @@
   std::int64_t mOwnTokens = 0;
   /// Long prompts of this instance that the engine is reading now.
   std::int64_t mOwnLongPrefills = 0;
+  /// Set by AssignLanes, as is the hash of mId.
   Lane mLane = Lane::Shared;
+  std::uint64_t mIdHash = 0;
   /// Set by the health rules: gets no work for now.
   bool mIsEjected = false;
 
