--- a/fakes/service/internal/scenario.cpp
+++ b/fakes/service/internal/scenario.cpp
@@ -1,92 +1,14 @@
 #include "fakes/service/scenario.h"
 
-#include "wire/types/httpmessage.h"
-
-#include <yaml-cpp/yaml.h>
-
-#include <functional>
-#include <map>
+#include "fakes/engine/yamlread.h"
 
 namespace cuminslip::fakes {
 
 namespace {
 
-/// What reads the value of a key.
-using FieldReader = std::function<void(const YAML::Node&)>;
-using Fields = std::map<std::string, FieldReader>;
-
-struct Reading
-{
-  std::string mSource;
-  Findings mFindings;
-};
-
 auto
-Add(Reading& aReading,
-    const YAML::Node& aNode,
-    const std::string& aKey,
-    const std::string& aProblem,
-    const std::string& aExpected) -> void
-{
-  const auto mark = aNode.Mark();
-  AddFinding(aReading.mFindings,
-             { { aReading.mSource, mark.line + 1, mark.column + 1 },
-               aKey,
-               aProblem,
-               aExpected });
-}
-
-auto
-ReadMap(Reading& aReading, const YAML::Node& aNode, const Fields& aFields)
-  -> void
-{
-  if (!aNode.IsMap()) {
-    Add(aReading, aNode, "", "not a map", "a map of keys");
-    return;
-  }
-  for (const auto& entry : aNode) {
-    const auto key = entry.first.as<std::string>();
-    const auto it = aFields.find(key);
-    if (it == aFields.end()) {
-      Add(aReading, entry.first, key, "unknown key", "a key of this map");
-      continue;
-    }
-    try {
-      it->second(entry.second);
-    } catch (const YAML::Exception&) {
-      Add(aReading, entry.second, key, "wrong type", "a value of its type");
-    }
-  }
-}
-
-template<class T>
-auto
-Into(T& aTarget) -> FieldReader
-{
-  return [&aTarget](const YAML::Node& aNode) { aTarget = aNode.as<T>(); };
-}
-
-auto
-IntoMillis(Millis& aTarget) -> FieldReader
-{
-  return [&aTarget](const YAML::Node& aNode) {
-    aTarget = Millis(aNode.as<std::int64_t>());
-  };
-}
-
-auto
-IntoAddress(Reading& aReading, std::string& aTarget) -> FieldReader
-{
-  return [&aReading, &aTarget](const YAML::Node& aNode) {
-    aTarget = aNode.as<std::string>();
-    if (!wire::ParseAddress(aTarget).has_value()) {
-      Add(aReading, aNode, "address", "not an address", "IP:PORT");
-    }
-  };
-}
-
-auto
-IntoModels(Reading& aReading, std::vector<EngineModel>& aTarget) -> FieldReader
+IntoModels(YamlReading& aReading, std::vector<EngineModel>& aTarget)
+  -> FieldReader
 {
   return [&aReading, &aTarget](const YAML::Node& aNode) {
     aTarget.clear();
@@ -115,8 +37,9 @@
 }
 
 auto
-ReadEngine(Reading& aReading, const YAML::Node& aNode, EngineSettings& aEngine)
-  -> void
+ReadEngine(YamlReading& aReading,
+           const YAML::Node& aNode,
+           EngineSettings& aEngine) -> void
 {
   auto fields = Fields{
     { "name", Into(aEngine.mName) },
@@ -143,7 +66,7 @@
 }
 
 auto
-ReadService(Reading& aReading,
+ReadService(YamlReading& aReading,
             const YAML::Node& aNode,
             ServiceSettings& aService) -> void
 {
@@ -159,24 +82,24 @@
   ReadMap(aReading, aNode, fields);
 }
 
-/// Reads a list whose items begin as copies of aDefault.
+/// Reads a list of named endpoints that begin as copies of aDefault.
 template<class T, class Function>
 auto
-IntoList(Reading& aReading,
-         std::vector<T>& aTarget,
-         const T& aDefault,
-         Function aRead) -> FieldReader
+IntoEndpoints(YamlReading& aReading,
+              std::vector<T>& aTarget,
+              const T& aDefault,
+              Function aRead) -> FieldReader
 {
-  return [&aReading, &aTarget, &aDefault, aRead](const YAML::Node& aNode) {
-    for (const auto& item : aNode) {
-      auto value = aDefault;
-      aRead(aReading, item, value);
-      if (value.mName.empty() || value.mAddress.empty()) {
-        Add(aReading, item, "name", "no name or address", "both keys");
+  return IntoList(
+    aReading,
+    aTarget,
+    aDefault,
+    [aRead](YamlReading& aInner, const YAML::Node& aNode, T& aValue) {
+      aRead(aInner, aNode, aValue);
+      if (aValue.mName.empty() || aValue.mAddress.empty()) {
+        AddAt(aInner, aNode, "name", "no name or address", "both keys");
       }
-      aTarget.push_back(std::move(value));
-    }
-  };
+    });
 }
 
 } // namespace
@@ -185,7 +108,7 @@
 ReadScenario(const std::string& aText, const std::string& aSource)
   -> leaf::result<Scenario>
 {
-  auto reading = Reading{ aSource, {} };
+  auto reading = YamlReading{ aSource, {} };
   auto scenario = Scenario{};
   auto engine = EngineSettings{};
   auto service = ServiceSettings{};
@@ -195,35 +118,29 @@
   const auto readServiceDefaults = [&](const YAML::Node& aNode) {
     ReadService(reading, aNode, service);
   };
-  try {
-    const auto root = YAML::Load(aText);
+  ReadYaml(reading, aText, [&](const YAML::Node& aRoot) {
     // NOTE: defaults are read first, wherever they stand in the file.
-    auto early = Reading{ aSource, {} };
-    if (root.IsMap() && root["engine_defaults"]) {
-      ReadEngine(early, root["engine_defaults"], engine);
+    auto early = YamlReading{ aSource, {} };
+    if (aRoot.IsMap() && aRoot["engine_defaults"]) {
+      ReadEngine(early, aRoot["engine_defaults"], engine);
     }
-    if (root.IsMap() && root["service_defaults"]) {
-      ReadService(early, root["service_defaults"], service);
+    if (aRoot.IsMap() && aRoot["service_defaults"]) {
+      ReadService(early, aRoot["service_defaults"], service);
     }
     ReadMap(
       reading,
-      root,
+      aRoot,
       { { "engine_defaults", readEngineDefaults },
         { "service_defaults", readServiceDefaults },
         { "time_scale", Into(scenario.mTimeScale) },
         { "weight_store_gigabytes_per_second",
           Into(scenario.mWeightStoreGigabytesPerSecond) },
         { "control", IntoAddress(reading, scenario.mControl) },
-        { "engines", IntoList(reading, scenario.mEngines, engine, ReadEngine) },
+        { "engines",
+          IntoEndpoints(reading, scenario.mEngines, engine, ReadEngine) },
         { "services",
-          IntoList(reading, scenario.mServices, service, ReadService) } });
-  } catch (const YAML::ParserException& ex) {
-    AddFinding(reading.mFindings,
-               { { aSource, ex.mark.line + 1, ex.mark.column + 1 },
-                 "",
-                 ex.msg,
-                 "YAML" });
-  }
+          IntoEndpoints(reading, scenario.mServices, service, ReadService) } });
+  });
   if (!IsEmpty(reading.mFindings)) {
     return leaf::new_error(reading.mFindings);
   }
