--- a/src/requests/internal/admit.cpp
+++ b/src/requests/internal/admit.cpp
@@ -1,12 +1,14 @@
+#include "policy/decisionlog.h"
 #include "requests/internal/delivery.h"
 #include "requests/internal/filters.h"
 #include "requests/internal/waiting.h"
-#include "requests/types/requestsevents.h"
 
 namespace cuminslip::requests {
 
 namespace {
 
+constexpr auto kNoEndpointRetry = Millis(1000);
+
 auto
 ToRefusalType(AdmissionReason aReason) -> RefusalType
 {
@@ -31,22 +33,6 @@
   return RefusalType::CannotMeetDeadline;
 }
 
-auto
-LogAdmission(const Request& aRequest, const AdmissionDecision& aDecision)
-  -> void
-{
-  const auto& facts = aRequest.mFacts;
-  LogEvent(kRequestAdmittedEvent,
-           { { "request", facts.mId.mValue },
-             { "account", facts.mAccount.mValue },
-             { "kind", facts.mKind.mValue },
-             { "revision", aRequest.mTemplate->mRevision },
-             { "prompt_tokens", facts.mPromptTokens },
-             { "length_class", facts.mLengthClass },
-             { "allowance_us", aDecision.mAllowance.count() },
-             { "predicted_us", aDecision.mPredictedTotal.count() } });
-}
-
 } // namespace
 
 auto
@@ -54,6 +40,15 @@
 {
   const auto now = aFront.mPorts.mNow();
   const auto choice = TryChoice(aFront, aRequest);
+  if (choice.mReason == ChoiceReason::NoEndpoint) {
+    RefuseRequest(aFront,
+                  aRequest,
+                  { RefusalType::NoEndpoint,
+                    "no endpoint has announced itself here",
+                    Ran::No,
+                    kNoEndpointRetry });
+    return FilterResult::Done;
+  }
   const auto entry = MakeEntry(aFront, aRequest, choice);
   const auto& facts = aRequest.mFacts;
   const auto& limits = aRequest.mTemplate->mTemplate.mLimits;
@@ -71,6 +66,7 @@
                                         aFront.mSettings.mAdmission,
                                         aFront.mBuckets[facts.mAccount],
                                         aFront.mRandom);
+  LogAdmission(facts, decision);
   if (!IsAdmitted(decision)) {
     RefuseRequest(aFront,
                   aRequest,
@@ -82,7 +78,6 @@
     return FilterResult::Done;
   }
   ++aFront.mCounters.mAdmitted;
-  LogAdmission(aRequest, decision);
   return FilterResult::Continue;
 }
 
--- a/src/requests/internal/delivery.cpp
+++ b/src/requests/internal/delivery.cpp
@@ -120,11 +120,13 @@
 auto
 RecordAnswer(Front& aFront, Request& aRequest, RunRecord aRecord) -> void
 {
-  if (aRecord.mBody.size() > aFront.mSettings.mMaxRecordedBytes) {
+  auto text = EncodeRunRecord(aRecord);
+  if (text.size() > aFront.mSettings.mMaxRecordedBytes) {
     aRecord.mBody = {};
     aRecord.mIsWhole = false;
+    text = EncodeRunRecord(aRecord);
   }
-  RecordOutcome(aFront, aRequest, EncodeRunRecord(aRecord));
+  RecordOutcome(aFront, aRequest, std::move(text));
 }
 
 auto
@@ -190,7 +192,7 @@
   ++aFront.mCounters.mRefusals.at(static_cast<std::size_t>(aRefusal.mType));
   const auto isFailure = aRefusal.mRan != Ran::No;
   LogEvent(
-    isFailure ? kRequestFailedEvent : kRequestRefusedEvent,
+    isFailure ? kRequestFailedEvent : kRefusalSentEvent,
     { { "request", aRequest.mFacts.mId.mValue },
       { "account", aRequest.mFacts.mAccount.mValue },
       { "type", RefusalName(aRefusal.mType) },
