Share endpoints and instances within a failure domain

Cause: an endpoint announces itself to one instance, and all instances of its failure domain must know of it within two seconds on 4 KB/s.

--- a/src/endpoints/internal/registry.cpp
+++ b/src/endpoints/internal/registry.cpp
@@ -77,21 +77,33 @@
                                 "announced"));
 }
 
-/// Replaces what is known; the prefixes and own counts stay as they are.
 auto
-StoreLatest(EndpointEntry& aEntry,
-            const Announcement& aAnnouncement,
-            TimePoint aHeardAt) -> void
+StoreLoad(EndpointEntry& aEntry,
+          std::uint64_t aSequence,
+          const LoadReport& aLoad,
+          TimePoint aTakenAt) -> void
+{
+  aEntry.mLoadSequence = aSequence;
+  aEntry.mLatest.mLoad = aLoad;
+  aEntry.mLoadTakenAt = aTakenAt;
+  DropSentBefore(aEntry, aTakenAt);
+}
+
+/// Replaces all but load and holdings; prefixes and own counts stay as well.
+auto
+StoreIdentity(EndpointEntry& aEntry,
+              const Announcement& aAnnouncement,
+              TimePoint aHeardAt) -> void
 {
   if (aEntry.mLatest.mAddress != aAnnouncement.mAddress) {
     aEntry.mIsDisplaced = false;
   }
   auto latest = aAnnouncement;
   latest.mCacheEvents = {};
+  latest.mLoad = aEntry.mLatest.mLoad;
+  latest.mHoldings = std::move(aEntry.mLatest.mHoldings);
   aEntry.mLatest = std::move(latest);
   aEntry.mHeardAt = std::max(aEntry.mHeardAt, aHeardAt);
-  aEntry.mLoadTakenAt = aHeardAt - aAnnouncement.mLoadAge;
-  DropSentBefore(aEntry, aEntry.mLoadTakenAt);
 }
 
 auto
@@ -127,7 +139,14 @@
   TakeOverAddress(aRegistry, aAnnouncement, aOutcome.mChanges);
   entry.mFirstHeardAt = aHeardAt;
   entry.mHeardAt = aHeardAt;
+  entry.mLatest.mHoldings.clear();
+  entry.mLatest.mLoad = {};
+  entry.mLatest.mIsLeaving = false;
+  entry.mLoadSequence = 0;
+  entry.mLoadTakenAt = aHeardAt;
+  entry.mHoldingsHeardAt.reset();
   entry.mIsDrained = false;
+  entry.mDrainVersion = 0;
   entry.mIsDisplaced = false;
   entry.mSent.clear();
   entry.mCalls = {};
@@ -218,58 +237,116 @@
   return it == aRegistry.mEntries.end() ? nullptr : &it->second;
 }
 
-} // namespace
-
+/// Orders an announcement against what is known and, if it is news, stores its
+/// identity. Returns the entry then.
 auto
-ApplyAnnouncement(Registry& aRegistry,
-                  const Announcement& aAnnouncement,
-                  TimePoint aNow,
-                  Millis aAge) -> ApplyOutcome
+TakeIdentity(Registry& aRegistry,
+             const Announcement& aAnnouncement,
+             TimePoint aNow,
+             Millis aAge,
+             ApplyOutcome& aOutcome) -> EndpointEntry*
 {
-  auto outcome = ApplyOutcome{};
   const auto heardAt = aNow - aAge;
   auto* entry = FindEntry(aRegistry, aAnnouncement.mEndpoint);
   if (entry != nullptr &&
       aAnnouncement.mIncarnation < entry->mLatest.mIncarnation) {
-    outcome.mAnswer.mAccepted = false;
-    return outcome;
+    aOutcome.mAnswer.mAccepted = false;
+    return nullptr;
   }
   const auto isNewIncarnation =
     entry == nullptr ||
     aAnnouncement.mIncarnation > entry->mLatest.mIncarnation;
   if (!isNewIncarnation && !IsOlder(entry->mLatest, aAnnouncement)) {
-    return outcome;
+    return nullptr;
   }
-  if (entry == nullptr && !MakeRoom(aRegistry, aNow, outcome.mChanges)) {
-    outcome.mAnswer.mAccepted = false;
-    outcome.mChanges.push_back(MakeChange(EndpointChangeKind::Refused,
-                                          aAnnouncement,
-                                          "too many endpoints are known"));
-    return outcome;
+  if (entry == nullptr && !MakeRoom(aRegistry, aNow, aOutcome.mChanges)) {
+    aOutcome.mAnswer.mAccepted = false;
+    aOutcome.mChanges.push_back(MakeChange(EndpointChangeKind::Refused,
+                                           aAnnouncement,
+                                           "too many endpoints are known"));
+    return nullptr;
   }
   if (isNewIncarnation) {
-    entry = &StartIncarnation(aRegistry, aAnnouncement, heardAt, outcome);
-    entry->mLatest.mIsLeaving = false;
+    entry = &StartIncarnation(aRegistry, aAnnouncement, heardAt, aOutcome);
+  }
+  NoteStateChange(*entry, aAnnouncement, aOutcome.mChanges);
+  StoreIdentity(*entry, aAnnouncement, heardAt);
+  aOutcome.mIsNews = true;
+  return entry;
+}
+
+} // namespace
+
+auto
+ApplyAnnouncement(Registry& aRegistry,
+                  const Announcement& aAnnouncement,
+                  TimePoint aNow,
+                  Millis aAge) -> ApplyOutcome
+{
+  auto outcome = ApplyOutcome{};
+  auto* entry = TakeIdentity(aRegistry, aAnnouncement, aNow, aAge, outcome);
+  if (entry == nullptr) {
+    return outcome;
+  }
+  if (aAnnouncement.mSequence >= entry->mLoadSequence) {
+    StoreLoad(*entry,
+              aAnnouncement.mSequence,
+              aAnnouncement.mLoad,
+              aNow - aAge - aAnnouncement.mLoadAge);
   }
-  NoteStateChange(*entry, aAnnouncement, outcome.mChanges);
-  StoreLatest(*entry, aAnnouncement, heardAt);
+  entry->mLatest.mHoldings = aAnnouncement.mHoldings;
+  entry->mHoldingsHeardAt = aNow - aAge;
   ApplyEvents(aRegistry, *entry, aAnnouncement.mCacheEvents, outcome);
-  outcome.mIsNews = true;
   return outcome;
 }
 
 auto
-NoteAlive(Registry& aRegistry,
-          const EndpointId& aEndpoint,
-          Incarnation aIncarnation,
-          TimePoint aNow,
-          Millis aAge) -> void
+LearnEndpoint(Registry& aRegistry,
+              const Announcement& aAnnouncement,
+              TimePoint aNow,
+              Millis aAge) -> ApplyOutcome
+{
+  auto outcome = ApplyOutcome{};
+  auto* entry = TakeIdentity(aRegistry, aAnnouncement, aNow, aAge, outcome);
+  if (entry != nullptr) {
+    entry->mLatest.mLoad.mTotalKvTokens = aAnnouncement.mLoad.mTotalKvTokens;
+    entry->mLatest.mLoad.mBatchSlots = aAnnouncement.mLoad.mBatchSlots;
+  }
+  return outcome;
+}
+
+auto
+LearnLoad(Registry& aRegistry, const LearnedLoad& aLoad, TimePoint aNow) -> bool
+{
+  auto* entry = FindEntry(aRegistry, aLoad.mEndpoint);
+  if (entry == nullptr || entry->mLatest.mIncarnation != aLoad.mIncarnation ||
+      aLoad.mSequence <= entry->mLoadSequence) {
+    return false;
+  }
+  entry->mHeardAt = std::max(entry->mHeardAt, aNow - aLoad.mAge);
+  auto load = aLoad.mLoad;
+  load.mTotalKvTokens = entry->mLatest.mLoad.mTotalKvTokens;
+  load.mBatchSlots = entry->mLatest.mLoad.mBatchSlots;
+  StoreLoad(*entry, aLoad.mSequence, load, aNow - aLoad.mLoadAge);
+  return true;
+}
+
+auto
+LearnDrain(Registry& aRegistry,
+           const EndpointId& aEndpoint,
+           std::uint32_t aVersion,
+           bool aIsDrained) -> std::vector<EndpointChange>
 {
   auto* entry = FindEntry(aRegistry, aEndpoint);
-  if (entry == nullptr || entry->mLatest.mIncarnation != aIncarnation) {
-    return;
+  const auto isNews =
+    entry != nullptr && std::pair(aVersion, aIsDrained) >
+                          std::pair(entry->mDrainVersion, entry->mIsDrained);
+  if (!isNews) {
+    return {};
   }
-  entry->mHeardAt = std::max(entry->mHeardAt, aNow - aAge);
+  auto changes = SetDrained(aRegistry, aEndpoint, aIsDrained);
+  entry->mDrainVersion = aVersion;
+  return changes;
 }
 
 auto
@@ -366,6 +443,7 @@
     return {};
   }
   entry->mIsDrained = aIsDrained;
+  ++entry->mDrainVersion;
   return { MakeChange(aIsDrained ? EndpointChangeKind::DrainStarted
                                  : EndpointChangeKind::DrainEnded,
                       entry->mLatest,
--- a/src/endpoints/internal/suspicion.cpp
+++ b/src/endpoints/internal/suspicion.cpp
@@ -36,7 +36,7 @@
 auto
 LagSigns(const RegistrySettings& aSettings, Millis aReportAge) -> std::int64_t
 {
-  return aReportAge >= aSettings.mLaggingReport ? 1 : 0;
+  return aReportAge >= aSettings.mLaggingReport + aSettings.mShareDelay ? 1 : 0;
 }
 
 } // namespace
@@ -100,11 +100,12 @@
   const auto silence = SilenceAt(aEntry, aNow);
   const auto interval = aEntry.mLatest.mInterval;
   const auto limit =
-    std::max(aSettings.mSilenceLimit, aSettings.mSilentIntervals * interval);
+    std::max(aSettings.mSilenceLimit,
+             aSettings.mShareDelay + aSettings.mSilentIntervals * interval);
   if (silence >= limit) {
     return "silent for " + std::to_string(silence.count()) + " ms";
   }
-  const auto missed = MissedSigns(silence, interval);
+  const auto missed = MissedSigns(silence - aSettings.mShareDelay, interval);
   const auto failed = FailureSigns(aSettings, aEntry.mCalls, aNow);
   const auto lagging = LagSigns(aSettings, ReportAgeAt(aEntry, aNow));
   if (missed + failed + lagging < aSettings.mSuspicionLimit) {
--- a/src/endpoints/registry.h
+++ b/src/endpoints/registry.h
@@ -34,15 +34,21 @@
   std::optional<TimePoint> mTrialSentAt;
 };
 
-/// One endpoint. mLatest is its newest announcement, without cache events.
+/// One endpoint. mLatest is its newest announcement, without cache events; its
+/// load may be newer than the rest and has a sequence of its own.
 struct EndpointEntry
 {
   Announcement mLatest;
+  std::uint64_t mLoadSequence = 0;
   TimePoint mHeardAt;
   TimePoint mLoadTakenAt;
+  /// When the holdings were last reported here; peers don't share them.
+  std::optional<TimePoint> mHoldingsHeardAt;
   /// When this incarnation was first heard of.
   TimePoint mFirstHeardAt;
   bool mIsDrained = false;
+  /// Counts the starts and ends of drains of this incarnation.
+  std::uint32_t mDrainVersion = 0;
   bool mIsDisplaced = false;
   bool mWasSuspect = false;
   std::deque<SentSpan> mSent;
@@ -88,14 +94,41 @@
                   TimePoint aNow,
                   Millis aAge = Millis(0)) -> ApplyOutcome;
 
-/// Learns that the endpoint still announced itself aAge before aNow, with
-/// nothing new to say. Ignored for other incarnations.
+/// Takes in what a peer knows of an endpoint: all but load, cache events and
+/// holdings, which stay as they are.
 auto
-NoteAlive(Registry& aRegistry,
-          const EndpointId& aEndpoint,
-          Incarnation aIncarnation,
-          TimePoint aNow,
-          Millis aAge) -> void;
+LearnEndpoint(Registry& aRegistry,
+              const Announcement& aAnnouncement,
+              TimePoint aNow,
+              Millis aAge) -> ApplyOutcome;
+
+/// A load report that came through a peer.
+struct LearnedLoad
+{
+  EndpointId mEndpoint;
+  Incarnation mIncarnation = 0;
+  std::uint64_t mSequence = 0;
+  LoadReport mLoad;
+  /// Since the endpoint announced it.
+  Millis mAge{ 0 };
+  /// Since the endpoint took its figures.
+  Millis mLoadAge{ 0 };
+
+  auto operator==(const LearnedLoad&) const -> bool = default;
+};
+
+/// Takes in a load report, which also shows that the endpoint lives. Returns
+/// false if it is not news, or of another incarnation.
+auto
+LearnLoad(Registry& aRegistry, const LearnedLoad& aLoad, TimePoint aNow)
+  -> bool;
+
+/// Takes in a peer's word on a drain. Returns the change, if it is one.
+auto
+LearnDrain(Registry& aRegistry,
+           const EndpointId& aEndpoint,
+           std::uint32_t aVersion,
+           bool aIsDrained) -> std::vector<EndpointChange>;
 
 /// What can be seen of all endpoints at aNow, in the order of their ids.
 auto
--- a/src/endpoints/types/endpointsevents.h
+++ b/src/endpoints/types/endpointsevents.h
@@ -30,4 +30,17 @@
 inline constexpr auto kEndpointRefusedEvent =
   Event{ 1512, "endpoint_refused", Severity::Warning };
 
+inline constexpr auto kInstanceJoinedEvent =
+  Event{ 1521, "instance_joined", Severity::Info };
+inline constexpr auto kInstanceRestartedEvent =
+  Event{ 1522, "instance_restarted", Severity::Info };
+inline constexpr auto kInstanceSilentEvent =
+  Event{ 1523, "instance_silent", Severity::Warning };
+inline constexpr auto kInstanceReturnedEvent =
+  Event{ 1524, "instance_returned", Severity::Info };
+inline constexpr auto kInstanceStoppedEvent =
+  Event{ 1525, "instance_stopped", Severity::Info };
+inline constexpr auto kInstanceForgottenEvent =
+  Event{ 1526, "instance_forgotten", Severity::Info };
+
 } // namespace cuminslip::endpoints
--- a/src/endpoints/types/registrysettings.h
+++ b/src/endpoints/types/registrysettings.h
@@ -10,10 +10,13 @@
 
 struct RegistrySettings
 {
-  /// An endpoint that is silent for this long gets no work. For endpoints that
-  /// announce rarely it is mSilentIntervals of their intervals, if longer.
+  /// An endpoint that is silent for this long gets no work, or for
+  /// mSilentIntervals of its own interval and mShareDelay, if that is longer.
   Millis mSilenceLimit{ 3000 };
   std::int64_t mSilentIntervals = 3;
+  /// Time that news of an endpoint may take through other instances; set by
+  /// the membership from the number of instances.
+  Millis mShareDelay{ 0 };
   /// Signs of trouble that together make an endpoint suspect.
   std::int64_t mSuspicionLimit = 3;
   /// Age of a load report that counts as one sign of trouble.
