--- a/src/client/internal/client.cpp
+++ b/src/client/internal/client.cpp
@@ -117,6 +117,7 @@
                                  (else CUMINSLIP_KEY_FILE)
   -j, --json                     output for scripts
   -t, --timeout-ms N             longest time for one attempt
+  -d, --retry-delay-ms N         delay before the second attempt; it doubles
   -e, --expected-revision N      publish only over revision N (0: none yet)
   -r, --request-id ID            publish: makes a resend harmless
   -n, --dry-run                  publish: only tell what would change
--- a/src/client/internal/options.cpp
+++ b/src/client/internal/options.cpp
@@ -25,70 +25,33 @@
   ExpectedRevisionOption,
   RequestIdOption,
   TimeoutOption,
+  RetryDelayOption,
   HelpOption
 };
 
-constexpr auto kTakesText = POPT_ARG_STRING;
-constexpr auto kTakesNothing = POPT_ARG_NONE;
+constexpr auto
+TextOption(const char* aName, char aShort, OptionValue aValue) -> poptOption
+{
+  return { aName, aShort, POPT_ARG_STRING, nullptr, aValue, nullptr, nullptr };
+}
+
+constexpr auto
+Flag(const char* aName, char aShort, OptionValue aValue) -> poptOption
+{
+  return { aName, aShort, POPT_ARG_NONE, nullptr, aValue, nullptr, nullptr };
+}
 
-const auto kOptionTable = std::array{
-  poptOption{ "instance",
-              'i',
-              kTakesText,
-              nullptr,
-              InstanceOption,
-              nullptr,
-              nullptr },
-  poptOption{ "key-file",
-              'k',
-              kTakesText,
-              nullptr,
-              KeyFileOption,
-              nullptr,
-              nullptr },
-  poptOption{ "json",
-              'j',
-              kTakesNothing,
-              nullptr,
-              JsonOption,
-              nullptr,
-              nullptr },
-  poptOption{ "dry-run",
-              'n',
-              kTakesNothing,
-              nullptr,
-              DryRunOption,
-              nullptr,
-              nullptr },
-  poptOption{ "expected-revision",
-              'e',
-              kTakesText,
-              nullptr,
-              ExpectedRevisionOption,
-              nullptr,
-              nullptr },
-  poptOption{ "request-id",
-              'r',
-              kTakesText,
-              nullptr,
-              RequestIdOption,
-              nullptr,
-              nullptr },
-  poptOption{ "timeout-ms",
-              't',
-              kTakesText,
-              nullptr,
-              TimeoutOption,
-              nullptr,
-              nullptr },
-  poptOption{ "help",
-              'h',
-              kTakesNothing,
-              nullptr,
-              HelpOption,
-              nullptr,
-              nullptr },
-  poptOption{ nullptr, 0, 0, nullptr, 0, nullptr, nullptr },
+constexpr auto kOptionTable = std::array{
+  TextOption("instance", 'i', InstanceOption),
+  TextOption("key-file", 'k', KeyFileOption),
+  Flag("json", 'j', JsonOption),
+  Flag("dry-run", 'n', DryRunOption),
+  TextOption("expected-revision", 'e', ExpectedRevisionOption),
+  TextOption("request-id", 'r', RequestIdOption),
+  TextOption("timeout-ms", 't', TimeoutOption),
+  TextOption("retry-delay-ms", 'd', RetryDelayOption),
+  Flag("help", 'h', HelpOption),
+  poptOption{},
 };
 
 struct ContextDeleter
@@ -171,6 +134,10 @@
       aOptions.mRetry.mAttemptTimeout =
         Millis(ParseCount("--timeout-ms", aText, aFindings));
       return;
+    case RetryDelayOption:
+      aOptions.mRetry.mFirstDelay =
+        Millis(ParseCount("--retry-delay-ms", aText, aFindings));
+      return;
     default:
       aOptions.mWantsHelp = true;
   }
--- a/src/client/tests/client_tests.cpp
+++ b/src/client/tests/client_tests.cpp
@@ -55,7 +55,8 @@
 {
   const auto key = WriteText("client-test.key", "operator-key\n");
   const auto access =
-    std::vector<std::string>{ "--instance", aInstances, "--key-file", key };
+    std::vector<std::string>{ "--instance", aInstances,         "--key-file",
+                              key,          "--retry-delay-ms", "1" };
   aArguments.insert(aArguments.end(), access.begin(), access.end());
   auto out = std::ostringstream{};
   auto err = std::ostringstream{};
