--- a/src/peers/types/peersevents.h
+++ b/src/peers/types/peersevents.h
@@ -22,6 +22,6 @@
 inline constexpr auto kInstanceRejoinedEvent =
   Event{ 1407, "instance_rejoined", Severity::Info };
 inline constexpr auto kInstanceReadyEvent =
-  Event{ 1408, "instance_ready", Severity::Info };
+  Event{ 1408, "instance_caught_up", Severity::Info };
 
 } // namespace cuminslip
