Share endpoints between the instances of a failure domain

Cause: an endpoint announces itself to one instance; the others must know. Change: the front task runs the membership step function over one-way messages of the peer task; announcements, drains and leaving are passed on.

--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -49,6 +49,12 @@
   front.mInstance = settings.mInstance;
   front.mIncarnation = aInstance.mIncarnation;
   front.mPlace = { settings.mFailureDomain, settings.mRegion };
+  if (settings.mListen.mPeer) {
+    front.mPeerAddress = wire::FormatAddress(*settings.mListen.mPeer);
+  }
+  for (const auto& peer : settings.mDomainInstances) {
+    front.mDomainPeers.push_back(wire::FormatAddress(peer.mAddress));
+  }
   front.mMaxWaitingRequests = settings.mLimits.mMaxWaitingRequests;
   front.mMaxWaitingBytes = settings.mLimits.mMaxWaitingBytes;
   front.mIsFirstComeFirstServed =
@@ -85,6 +91,10 @@
   auto ports = requests::FrontPorts{};
   ports.mNow = MonotonicNow;
   ports.mControl = MakeControlPort(aInstance);
+  ports.mPeers.mSend = [&aInstance](const std::string& aAddress,
+                                    const std::string& aBytes) {
+    aInstance.mPeers->SendToPeer(aAddress, aBytes);
+  };
   ports.mEndpoints.mStart = [&aInstance](wire::HttpCall aCall,
                                          wire::CallHandlers aHandlers) {
     return wire::StartCall(
@@ -186,7 +196,12 @@
                        requests::ApplyTemplates(*aInstance.mFront, items);
                      });
   };
-  callbacks.mOnPeerMessage = [](const InstanceId&, const std::string&) {};
+  callbacks.mOnPeerMessage = [&aInstance](const InstanceId&,
+                                          const std::string& aBytes) {
+    wire::PostToLoop(*aInstance.mLoop, [&aInstance, bytes = aBytes] {
+      requests::HandlePeerMessage(*aInstance.mFront, bytes);
+    });
+  };
   return callbacks;
 }
 
@@ -259,6 +274,7 @@
   const auto isLate = MonotonicNow() >= aLimit;
   if (requests::IsIdle(*aInstance.mFront) || isLate) {
     requests::AbandonRequests(*aInstance.mFront);
+    requests::LeaveDomain(*aInstance.mFront);
     wire::StopLoop(*aInstance.mLoop);
     return;
   }
@@ -299,7 +315,7 @@
 {
   ScheduleTick(aInstance);
   wire::RunLoop(*aInstance.mLoop);
-  LogEvent(kInstanceStoppedEvent, {});
+  LogEvent(kStopEndedEvent, {});
 }
 
 auto
--- a/src/program/types/programevents.h
+++ b/src/program/types/programevents.h
@@ -11,8 +11,8 @@
   Event{ 1001, "instance_ready", Severity::Info };
 inline constexpr auto kStopBeganEvent =
   Event{ 1002, "stop_began", Severity::Info };
-inline constexpr auto kInstanceStoppedEvent =
-  Event{ 1003, "instance_stopped", Severity::Info };
+inline constexpr auto kStopEndedEvent =
+  Event{ 1003, "stop_ended", Severity::Info };
 inline constexpr auto kOperatorActionEvent =
   Event{ 1004, "operator_action", Severity::Info };
 inline constexpr auto kKeyRefusedEvent =
--- a/src/requests/front.h
+++ b/src/requests/front.h
@@ -29,6 +29,7 @@
   NowFunction mNow;
   EndpointPort mEndpoints;
   ControlPort mControl;
+  PeerPort mPeers;
   TimerPort mTimers;
   /// The client account of a caller key; none when the key is unknown.
   std::function<std::optional<AccountId>(std::string_view aKey)> mIdentify;
@@ -50,6 +51,14 @@
 auto
 HandleAnnouncement(Front& aFront, std::string_view aBody) -> wire::HttpResponse;
 
+/// Takes a message that another instance sent through its PeerPort.
+auto
+HandlePeerMessage(Front& aFront, std::string_view aBytes) -> void;
+
+/// Tells the other instances that this one has ended: the last step.
+auto
+LeaveDomain(Front& aFront) -> void;
+
 /// Puts templates in force. One with a lower revision than is held for its
 /// account is ignored.
 auto
--- a/src/requests/internal/dispatch.cpp
+++ b/src/requests/internal/dispatch.cpp
@@ -46,8 +46,11 @@
   stream.mPrompt = aRequest.mCompletion->mPrompt;
   stream.mMaxTokens = facts.mMaxTokens;
   const auto slack = facts.mDeadline - aFront.mPorts.mNow();
-  stream.mPriority = static_cast<Priority>(
-    EnginePriority(facts.mPriority, slack, aFront.mSettings.mChoice.mLanes));
+  stream.mPriority =
+    static_cast<Priority>(EnginePriority(facts.mPriority,
+                                         aAttempt.mUnreadTokens,
+                                         slack,
+                                         aFront.mSettings.mChoice.mLanes));
   stream.mAllowance = AllowanceLeft(aFront, aRequest);
   stream.mLease = aFront.mSettings.mLease;
   stream.mSkipPieces = aRequest.mSequencer.mNext;
@@ -218,10 +221,13 @@
   attempt.mIncarnation = view.mIncarnation;
   attempt.mAddress =
     wire::ParseAddress(view.mAddress).value_or(wire::SocketAddress{});
+  attempt.mUnreadTokens = aRequest.mFacts.mPromptTokens;
   attempt.mStarted = now;
   attempt.mLastSign = now;
   if (!aChoice.mConsidered.empty()) {
-    attempt.mPredicted = aChoice.mConsidered.front().mTimes;
+    const auto& chosen = aChoice.mConsidered.front();
+    attempt.mPredicted = chosen.mTimes;
+    attempt.mUnreadTokens -= ExpectedTokens(chosen.mCached);
   }
   aRequest.mStage = Stage::Running;
   aRequest.mAttempt = std::move(attempt);
--- a/src/requests/internal/front.cpp
+++ b/src/requests/internal/front.cpp
@@ -8,6 +8,7 @@
 #include "requests/internal/dispatch.h"
 #include "requests/internal/filters.h"
 #include "requests/internal/holdings.h"
+#include "requests/internal/sharing.h"
 #include "requests/types/requestsevents.h"
 
 #include <array>
@@ -116,6 +117,7 @@
     endpoints::LogEndpointChange(change);
   }
   if (outcome.mIsNews) {
+    ShareNews(aFront, aAnnouncement.mEndpoint);
     const auto events = ToPolicyEvents(aAnnouncement.mCacheEvents);
     ApplyCacheEvents(aFront.mPrefixes,
                      aAnnouncement.mEndpoint,
@@ -145,6 +147,7 @@
   front->mSettings = std::move(aSettings);
   front->mPorts = std::move(aPorts);
   front->mRandom.seed(aSeed);
+  StartSharing(*front);
   front->mQueue.mSettings.mMaxRequests = front->mSettings.mMaxWaitingRequests;
   front->mQueue.mSettings.mMaxBytes = front->mSettings.mMaxWaitingBytes;
   return front;
@@ -245,6 +248,7 @@
        endpoints::TickRegistry(aFront.mFleet.mRegistry, now)) {
     endpoints::LogEndpointChange(change);
   }
+  TickSharing(aFront);
   MarkStale(aFront.mFleet);
   RefreshViews(aFront.mFleet, aFront.mSettings.mChoice.mLanes, now);
   UpdateFleetHealth(
@@ -305,6 +309,7 @@
   for (const auto& change : changes) {
     endpoints::LogEndpointChange(change);
   }
+  ShareNews(aFront, aEndpoint);
   MarkStale(aFront.mFleet);
   return true;
 }
--- a/src/requests/internal/frontstate.h
+++ b/src/requests/internal/frontstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "endpoints/membership.h"
 #include "policy/prefixknowledge.h"
 #include "policy/tokenbucket.h"
 #include "policy/waitqueue.h"
@@ -35,6 +36,7 @@
   std::map<AccountId, std::shared_ptr<const TemplateInForce>> mTemplates;
   std::map<AccountId, TokenBucket> mBuckets;
   Fleet mFleet;
+  endpoints::Membership mMembership;
   PrefixKnowledge mPrefixes;
   ChoiceState mChoice;
   WaitQueue mQueue;
--- a/src/requests/tests/fakes.cpp
+++ b/src/requests/tests/fakes.cpp
@@ -75,6 +75,9 @@
       aReply(result);
     };
   ports.mControl.mStanding = [&] { return aFixture.mStanding; };
+  ports.mPeers.mSend = [&](const std::string&, const std::string& aBytes) {
+    aFixture.mPeerMessages.push_back(aBytes);
+  };
   ports.mIdentify = [](std::string_view aKey) -> std::optional<AccountId> {
     return aKey == "key" ? std::optional(AccountId{ "acme" }) : std::nullopt;
   };
--- a/src/requests/tests/fakes.h
+++ b/src/requests/tests/fakes.h
@@ -53,6 +53,7 @@
   ControlStanding mStanding{ true, false, Millis(0) };
   std::map<std::string, std::shared_ptr<FakeCaller>> mCallers;
   std::uint64_t mSequence = 0;
+  std::vector<std::string> mPeerMessages;
   FrontPtr mFront;
 
   FrontFixture();
--- a/src/requests/types/frontsettings.h
+++ b/src/requests/types/frontsettings.h
@@ -9,6 +9,9 @@
 #include "policy/retries.h"
 #include "policy/types/requestfacts.h"
 
+#include <string>
+#include <vector>
+
 namespace cuminslip::requests {
 
 /// Time between two calls of TickFront.
@@ -19,6 +22,9 @@
   InstanceId mInstance;
   Incarnation mIncarnation = 0;
   OwnPlace mPlace;
+  /// Where other instances reach this one, and where it reaches them.
+  std::string mPeerAddress;
+  std::vector<std::string> mDomainPeers;
   /// Key shown to endpoints; may be empty.
   std::string mEndpointKey;
   std::int64_t mMaxWaitingRequests = 2000;
--- a/src/requests/types/ports.h
+++ b/src/requests/types/ports.h
@@ -51,6 +51,13 @@
   std::function<ControlStanding()> mStanding;
 };
 
+/// Messages to other instances: one way, may be lost.
+struct PeerPort
+{
+  std::function<void(const std::string& aAddress, const std::string& aBytes)>
+    mSend;
+};
+
 /// Timers of the front task; the contract is that of wire/eventloop.h.
 struct TimerPort
 {
--- a/src/requests/types/request.h
+++ b/src/requests/types/request.h
@@ -46,6 +46,8 @@
   TimePoint mLastSign;
   std::optional<TimePoint> mFirstPiece;
   PredictedTimes mPredicted;
+  /// Prompt tokens that the engine is not believed to have cached.
+  std::int64_t mUnreadTokens = 0;
   /// The call that shows whether an ejected endpoint works again.
   bool mIsTrial = false;
   endpoints::EventStreamParser mParser;
