Keep patient waits from counting as overload

Cause: reading the request chain showed that patient work, which may wait for hours, would raise the overload level when nothing else starts, up to where normal and urgent work is refused. Change: OldestWait leaves out patient entries until they are due, and the level rises only where both it and the shortest wait of the interval are above the target.

--- a/src/policy/internal/overload.cpp
+++ b/src/policy/internal/overload.cpp
@@ -60,7 +60,8 @@
   if (aNow - aState.mIntervalStart < aSettings.mInterval) {
     return false;
   }
-  const auto wait = aState.mHasWait ? aState.mLeastWait : aOldestWait;
+  const auto wait =
+    aState.mHasWait ? std::min(aState.mLeastWait, aOldestWait) : aOldestWait;
   const auto before = aState.mLevel;
   const auto next = wait > aSettings.mTargetWait
                       ? before + aSettings.mRise
--- a/src/policy/internal/waitqueue.cpp
+++ b/src/policy/internal/waitqueue.cpp
@@ -292,7 +292,11 @@
 OldestWait(const WaitQueue& aQueue, TimePoint aNow) -> Micros
 {
   auto oldest = Micros(0);
+  constexpr auto kPatientRank = static_cast<int>(Priority::Patient);
   for (const auto& [id, stored] : aQueue.mEntries) {
+    if (stored.mOrder.mRank >= kPatientRank) {
+      continue;
+    }
     oldest = std::max(oldest, aNow - stored.mEntry.mEnqueued);
   }
   return oldest;
--- a/src/policy/overload.h
+++ b/src/policy/overload.h
@@ -10,7 +10,8 @@
 
 struct OverloadSettings
 {
-  /// The level rises while even the shortest wait of an interval is above this.
+  /// The level rises while the oldest wait and even the shortest wait of the
+  /// interval are above this.
   Millis mTargetWait{ 500 };
   Millis mInterval{ 1000 };
   double mRise = 0.1;
@@ -38,9 +39,9 @@
 auto
 RecordWait(OverloadState& aState, Micros aWait) -> void;
 
-/// Call once an interval or oftener; aOldestWait is the wait so far of the
-/// oldest request that could have started, 0 when none waits. True when the
-/// level changed. Not thread safe.
+/// Call once an interval or oftener; aOldestWait as from OldestWait. The level
+/// rises when requests wait too long now and none of the interval started
+/// sooner. True when the level changed. Not thread safe.
 auto
 UpdateOverload(OverloadState& aState,
                const OverloadSettings& aSettings,
--- a/src/policy/waitqueue.h
+++ b/src/policy/waitqueue.h
@@ -193,7 +193,8 @@
 auto
 PredictWait(const WaitQueue& aQueue, const WaitEntry& aEntry) -> Micros;
 
-/// Wait so far of the oldest entry; 0 when none waits.
+/// Wait so far of the oldest entry that is not patient, or is so no longer as
+/// its latest start is near; 0 when there is none.
 auto
 OldestWait(const WaitQueue& aQueue, TimePoint aNow) -> Micros;
 
