Add make bench

Cause of a wrong first figure: runs of one plan found each other's prompts in the engines' caches (slowdown 0.22); prompts are now salted by the run's label.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
   pkg-config ninja-build cmake g++ ccache spin gnuplot-nox clang-format \
   clang-tidy
 
-.PHONY: setup build test test-sanitized run format check-format lint generate
+.PHONY: setup build test test-sanitized run bench format check-format lint generate
 
 setup:
 	scripts/setup $(PACKAGES)
@@ -24,6 +24,9 @@
 run: build
 	scripts/run-demo $(BUILD)
 
+bench: build
+	scripts/bench --build $(BUILD) $(BENCH_FLAGS)
+
 format:
 	scripts/sources | xargs clang-format -i
 
--- a/fakes/load/internal/loadreport.cpp
+++ b/fakes/load/internal/loadreport.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 #include <tuple>
 
 namespace cuminslip::fakes {
@@ -27,9 +26,18 @@
 constexpr auto kLongestClass = ">400k";
 
 using Records = std::vector<const RequestRecord*>;
-using RequestId = std::pair<std::uint64_t, std::int64_t>;
+/// Seed, index, length and planned time: the same in runs of the same plan.
+using RequestId = std::tuple<std::uint64_t, std::int64_t, std::int64_t, double>;
 using Baseline = std::map<RequestId, double>;
 
+auto
+IdOf(const RequestRecord& aRecord) -> RequestId
+{
+  return {
+    aRecord.mSeed, aRecord.mIndex, aRecord.mPromptTokens, aRecord.mAtMs
+  };
+}
+
 auto
 Quantile(std::vector<double> aValues, double aShare) -> double
 {
@@ -137,7 +145,7 @@
     aValues.insert(aValues.end(), gaps.begin(), gaps.end());
   };
   const auto takeSlowdown = [&](const RequestRecord& aRecord, auto& aValues) {
-    const auto it = aBaseline.find({ aRecord.mSeed, aRecord.mIndex });
+    const auto it = aBaseline.find(IdOf(aRecord));
     if (it != aBaseline.end() && aRecord.mFirstTokenMs >= 0) {
       aValues.push_back(aRecord.mFirstTokenMs / it->second);
     }
@@ -252,7 +260,7 @@
     }
     records.push_back(&record);
     if (record.mLabel == aBaseline && record.mFirstTokenMs > 0) {
-      baseline[{ record.mSeed, record.mIndex }] = record.mFirstTokenMs;
+      baseline[IdOf(record)] = record.mFirstTokenMs;
     }
   }
   auto report = std::vector<LabelFigures>{};
--- a/fakes/load/internal/loadrun.cpp
+++ b/fakes/load/internal/loadrun.cpp
@@ -1,5 +1,6 @@
 #include "fakes/load/loadrun.h"
 
+#include "base/digest.h"
 #include "fakes/engine/answertext.h"
 #include "fakes/load/internal/flight.h"
 #include "fakes/load/loadplan.h"
@@ -161,6 +162,12 @@
   run.mSettings = &aSettings;
   run.mLabel = aLabel;
   run.mPlan = MakePlan(aSettings);
+  // NOTE: runs of one plan must not find each other's prompts in the caches.
+  const auto salt = Checksum(aLabel, aSettings.mSeed);
+  for (auto& planned : run.mPlan) {
+    planned.mTextSeed ^= salt;
+    planned.mPrefixSeed ^= salt;
+  }
   if (aSettings.mIsDirect) {
     std::erase_if(run.mPlan, [](const auto& aIt) { return aIt.mIsService; });
   }
--- a/fakes/program/load.cpp
+++ b/fakes/program/load.cpp
@@ -6,11 +6,9 @@
 
 #include <popt.h>
 
-#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <iterator>
-#include <set>
 
 namespace {
 
