--- a/src/endpoints/types/endpointsevents.h
+++ b/src/endpoints/types/endpointsevents.h
@@ -42,5 +42,9 @@
   Event{ 1525, "instance_stopped", Severity::Info };
 inline constexpr auto kInstanceForgottenEvent =
   Event{ 1526, "instance_forgotten", Severity::Info };
+inline constexpr auto kHoldingReleasedEvent =
+  Event{ 1531, "holding_released", Severity::Debug };
+inline constexpr auto kOrphanReleasedEvent =
+  Event{ 1532, "orphan_released", Severity::Warning };
 
 } // namespace cuminslip::endpoints
