List endpoints and templates with chosen columns

Cause: the operator answers nest load figures and whole documents, which made unreadable tables. Change: tables take a list of column paths; counts print as name=value.

--- a/src/client/internal/client.cpp
+++ b/src/client/internal/client.cpp
@@ -29,21 +29,47 @@
 auto
 Get(const Options& aOptions, const Output& aOutput) -> ExitCode
 {
-  return client::RunFetch(aOptions, "GET", kPath, aOutput);
+  return client::RunFetch(aOptions, "GET", kPath, {}, aOutput);
 }
 
-constexpr char kTemplatesPath[] = "/operator/v1/templates";
+constexpr auto kTemplatesPath = "/operator/v1/templates";
 constexpr char kRevisionsPath[] = "/operator/v1/revisions";
-constexpr char kEndpointsPath[] = "/operator/v1/endpoints";
+constexpr auto kEndpointsPath = "/operator/v1/endpoints";
 constexpr char kPlanPath[] = "/operator/v1/placement/plan";
 constexpr char kStatusPath[] = "/operator/v1/status";
 
+auto
+RunTemplateList(const Options& aOptions, const Output& aOutput) -> ExitCode
+{
+  return client::RunFetch(
+    aOptions, "GET", kTemplatesPath, { "account", "revision" }, aOutput);
+}
+
+auto
+RunEndpointList(const Options& aOptions, const Output& aOutput) -> ExitCode
+{
+  const auto columns = std::vector<std::string>{ "endpoint",
+                                                 "kind",
+                                                 "failure_domain",
+                                                 "state",
+                                                 "role",
+                                                 "lane",
+                                                 "ejected",
+                                                 "models",
+                                                 "load.running_streams",
+                                                 "load.waiting_streams",
+                                                 "load.free_kv_tokens",
+                                                 "report_age_ms" };
+  return client::RunFetch(aOptions, "GET", kEndpointsPath, columns, aOutput);
+}
+
 auto
 RunHistory(const Options& aOptions, const Output& aOutput) -> ExitCode
 {
   const auto path =
     std::string(kTemplatesPath) + "/" + aOptions.mWords.at(2) + "/history";
-  return client::RunFetch(aOptions, "GET", path, aOutput);
+  return client::RunFetch(
+    aOptions, "GET", path, { "account", "revision" }, aOutput);
 }
 
 auto
@@ -51,7 +77,7 @@
 {
   const auto path =
     std::string(kEndpointsPath) + "/" + aOptions.mWords.at(2) + "/drain";
-  return client::RunFetch(aOptions, "POST", path, aOutput);
+  return client::RunFetch(aOptions, "POST", path, {}, aOutput);
 }
 
 constexpr auto kCommands = std::array{
@@ -79,7 +105,7 @@
            "",
            "lists templates with their revisions",
            true,
-           Get<kTemplatesPath> },
+           RunTemplateList },
   Command{ "template history",
            "ACCOUNT",
            "lists earlier revisions",
@@ -95,7 +121,7 @@
            "compares a file with the template in force",
            true,
            client::RunTemplateDiff },
-  Command{ "endpoint list", "", "lists endpoints", true, Get<kEndpointsPath> },
+  Command{ "endpoint list", "", "lists endpoints", true, RunEndpointList },
   Command{ "endpoint drain",
            "ENDPOINT",
            "gives an endpoint no new work",
@@ -177,6 +203,7 @@
 RunFetch(const Options& aOptions,
          const std::string& aMethod,
          const std::string& aPath,
+         const std::vector<std::string>& aColumns,
          const Output& aOutput) -> ExitCode
 {
   const auto answer = CallOperator(aOptions, aMethod, aPath, "");
@@ -186,7 +213,7 @@
   if (aOptions.mIsJson) {
     *aOutput.mOut << answer.mResponse.mBody << "\n";
   } else {
-    *aOutput.mOut << FormatForPeople(ParseBody(answer.mResponse));
+    *aOutput.mOut << FormatForPeople(ParseBody(answer.mResponse), aColumns);
   }
   return ExitCode::Ok;
 }
--- a/src/client/internal/commands.h
+++ b/src/client/internal/commands.h
@@ -31,11 +31,12 @@
 auto
 RunTemplateDiff(const Options& aOptions, const Output& aOutput) -> ExitCode;
 
-/// Fetches aPath and prints the answer.
+/// Calls aPath and prints the answer; tables have aColumns, or all.
 auto
 RunFetch(const Options& aOptions,
          const std::string& aMethod,
          const std::string& aPath,
+         const std::vector<std::string>& aColumns,
          const Output& aOutput) -> ExitCode;
 
 } // namespace cuminslip::client
--- a/src/client/internal/formatjson.cpp
+++ b/src/client/internal/formatjson.cpp
@@ -13,27 +13,50 @@
 
 using Row = std::vector<std::string>;
 
+auto
+FormatCell(const json::value& aValue) -> std::string;
+
+auto
+IsAllNumbers(const json::object& aObject) -> bool
+{
+  return std::all_of(aObject.begin(), aObject.end(), [](const auto& aMember) {
+    return aMember.value().is_number();
+  });
+}
+
+/// Counts as "a=1 b=2", anything else as "x/y".
+auto
+FormatObject(const json::object& aObject) -> std::string
+{
+  const auto hasNames = IsAllNumbers(aObject);
+  auto joined = std::string{};
+  for (const auto& member : aObject) {
+    if (!joined.empty()) {
+      joined += hasNames ? " " : "/";
+    }
+    if (hasNames) {
+      joined += std::string(member.key()) + "=";
+    }
+    joined += FormatCell(member.value());
+  }
+  return joined;
+}
+
 auto
 FormatCell(const json::value& aValue) -> std::string
 {
   if (const auto* text = aValue.if_string()) {
     return { text->c_str(), text->size() };
   }
-  auto joined = std::string{};
-  const auto append = [&](const json::value& aPart, const char* aSeparator) {
-    joined += (joined.empty() ? "" : aSeparator) + FormatCell(aPart);
-  };
   if (const auto* items = aValue.if_array()) {
+    auto joined = std::string{};
     for (const auto& item : *items) {
-      append(item, ",");
+      joined += (joined.empty() ? "" : ",") + FormatCell(item);
     }
     return joined;
   }
   if (const auto* object = aValue.if_object()) {
-    for (const auto& member : *object) {
-      append(member.value(), "/");
-    }
-    return joined;
+    return FormatObject(*object);
   }
   return aValue.is_null() ? "-" : json::serialize(aValue);
 }
@@ -63,14 +86,35 @@
   return columns;
 }
 
+/// The value at a path of keys, as "load.running_streams"; null without one.
+auto
+FindPath(const json::value& aValue, const std::string& aPath)
+  -> const json::value*
+{
+  const auto* object = aValue.if_object();
+  if (object == nullptr) {
+    return nullptr;
+  }
+  const auto dot = aPath.find('.');
+  const auto* member = object->if_contains(aPath.substr(0, dot));
+  if (member == nullptr || dot == std::string::npos) {
+    return member;
+  }
+  return FindPath(*member, aPath.substr(dot + 1));
+}
+
 auto
 ListRows(const json::array& aItems, const Row& aColumns) -> std::vector<Row>
 {
-  auto rows = std::vector<Row>{ aColumns };
+  auto titles = Row{};
+  for (const auto& column : aColumns) {
+    titles.push_back(column.substr(column.rfind('.') + 1));
+  }
+  auto rows = std::vector<Row>{ titles };
   for (const auto& item : aItems) {
     auto row = Row{};
     for (const auto& column : aColumns) {
-      const auto* cell = item.get_object().if_contains(column);
+      const auto* cell = FindPath(item, column);
       row.push_back(cell == nullptr ? "-" : FormatCell(*cell));
     }
     rows.push_back(std::move(row));
@@ -79,9 +123,9 @@
 }
 
 auto
-FormatTable(const json::array& aItems) -> std::string
+FormatTable(const json::array& aItems, const Row& aColumns) -> std::string
 {
-  const auto columns = ListColumns(aItems);
+  const auto columns = aColumns.empty() ? ListColumns(aItems) : aColumns;
   const auto rows = ListRows(aItems, columns);
   auto widths = std::vector<std::size_t>(columns.size(), 0);
   for (const auto& row : rows) {
@@ -104,7 +148,8 @@
 } // namespace
 
 auto
-FormatForPeople(const json::value& aValue) -> std::string
+FormatForPeople(const json::value& aValue,
+                const std::vector<std::string>& aColumns) -> std::string
 {
   const auto* object = aValue.if_object();
   if (object == nullptr) {
@@ -115,7 +160,8 @@
   for (const auto& member : *object) {
     const auto key = std::string(member.key());
     if (IsTable(member.value())) {
-      tables += "\n" + key + ":\n" + FormatTable(member.value().get_array());
+      tables +=
+        "\n" + key + ":\n" + FormatTable(member.value().get_array(), aColumns);
       continue;
     }
     const auto cell = FormatCell(member.value());
--- a/src/client/tests/client_tests.cpp
+++ b/src/client/tests/client_tests.cpp
@@ -294,4 +294,23 @@
                                                "long  -  2,3\n");
 }
 
+BOOST_AUTO_TEST_CASE(ListsEndpointsWithTheirLoad)
+{
+  auto instance = FakeOperator([](const HttpRequest&) {
+    return JsonResponse(
+      200,
+      R"({"endpoints":[{"endpoint":"e1","state":"active","load":)"
+      R"({"running_streams":3},"models":[{"model":"m","version":"2"}]}]})");
+  });
+
+  const auto result = Run({ "endpoint", "list" }, instance.Address());
+
+  BOOST_TEST(Contains(result.mOut, "running_streams"));
+  BOOST_TEST(Contains(result.mOut, "active"));
+  BOOST_TEST(Contains(result.mOut, "m/2"));
+  BOOST_TEST(client::FormatForPeople(
+               json::parse(R"({"endpoints":{"active":2,"leaving":0}})")) ==
+             "endpoints: active=2 leaving=0\n");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
