--- a/src/client/internal/formatjson.cpp
+++ b/src/client/internal/formatjson.cpp
@@ -3,6 +3,8 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
 #include <vector>
 
 namespace cuminslip::client {
@@ -13,6 +15,16 @@
 
 using Row = std::vector<std::string>;
 
+constexpr auto kNumberDigits = 4;
+
+auto
+FormatNumber(double aNumber) -> std::string
+{
+  auto text = std::ostringstream{};
+  text << std::setprecision(kNumberDigits) << aNumber;
+  return text.str();
+}
+
 auto
 FormatCell(const json::value& aValue) -> std::string;
 
@@ -58,6 +70,9 @@
   if (const auto* object = aValue.if_object()) {
     return FormatObject(*object);
   }
+  if (const auto* number = aValue.if_double()) {
+    return FormatNumber(*number);
+  }
   return aValue.is_null() ? "-" : json::serialize(aValue);
 }
 
@@ -115,7 +130,8 @@
     auto row = Row{};
     for (const auto& column : aColumns) {
       const auto* cell = FindPath(item, column);
-      row.push_back(cell == nullptr ? "-" : FormatCell(*cell));
+      const auto text = cell == nullptr ? std::string{} : FormatCell(*cell);
+      row.push_back(text.empty() ? "-" : text);
     }
     rows.push_back(std::move(row));
   }
--- a/src/client/tests/client_tests.cpp
+++ b/src/client/tests/client_tests.cpp
@@ -283,9 +283,10 @@
 BOOST_AUTO_TEST_CASE(LaysOutTables)
 {
   const auto value = json::parse(
-    R"({"leader":"i1","none":[],"rows":[{"a":"x","b":1},{"a":"long","c":[2,3]}]})");
+    R"({"leader":"i1","level":0.25,"none":[],"rows":[{"a":"x","b":1},{"a":"long","c":[2,3]}]})");
 
   BOOST_TEST(client::FormatForPeople(value) == "leader: i1\n"
+                                               "level: 0.25\n"
                                                "none: none\n"
                                                "\n"
                                                "rows:\n"
--- a/src/documentation/tests/pages_tests.cpp
+++ b/src/documentation/tests/pages_tests.cpp
@@ -1,3 +1,4 @@
+#include "client/client.h"
 #include "documentation/tests/sources.h"
 
 #include <boost/test/unit_test.hpp>
@@ -165,6 +166,19 @@
   BOOST_TEST(!names.empty());
 }
 
+BOOST_AUTO_TEST_CASE(ManPageNamesEachCommandAndOption)
+{
+  auto page = ReadPage("man/cuminslip.1");
+  page.erase(std::remove(page.begin(), page.end(), '\\'), page.end());
+  const auto usage = cuminslip::ClientUsage();
+  for (const auto& option : FindAll(usage, "(--[a-z-]+)")) {
+    BOOST_TEST(page.find(option) != std::string::npos, option);
+  }
+  for (const auto& command : FindAll(usage, "\n  ([a-z]+(?:[ -][a-z]+)*)")) {
+    BOOST_TEST(page.find(command) != std::string::npos, command);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(LinksBetweenPagesHold)
 {
   auto pages = std::vector<std::filesystem::path>{ "README.md" };
