--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -55,14 +55,15 @@
 };
 
 /// Reads the folder, which must exist, and counts this start in the vote
-/// record. An empty folder becomes a new member named aNewMember. Fails with
+/// record. aRandom makes the start unlike any other, and is the identity of
+/// the new member that an empty folder becomes. Fails with
 /// Findings when something that was synced is damaged or missing; nothing is
 /// changed then.
 auto
 OpenStore(FileSystem aFiles,
           std::string aFolder,
           StoreOptions aOptions,
-          MemberId aNewMember) -> leaf::result<OpenedStore>;
+          std::uint64_t aRandom) -> leaf::result<OpenedStore>;
 
 /// Makes aWrites durable, in as few syncs as possible, and records that
 /// entries up to aFloor are committed. When the result is Full nothing was
--- a/src/control/internal/applytemplates.cpp
+++ b/src/control/internal/applytemplates.cpp
@@ -23,10 +23,10 @@
   if (history == aState.mHistory.end()) {
     return {};
   }
-  const auto it =
-    std::find_if(history->second.begin(),
-                 history->second.end(),
-                 [&](const auto& t) { return t.mRevision == aRevision; });
+  const auto it = std::find_if(
+    history->second.begin(), history->second.end(), [&](const auto& aTemplate) {
+      return aTemplate.mRevision == aRevision;
+    });
   return it == history->second.end() ? std::string{} : it->mDocument;
 }
 
@@ -83,8 +83,8 @@
 AreNamesValid(const ControlBounds& aBounds,
               std::initializer_list<std::string_view> aNames) -> bool
 {
-  return std::all_of(aNames.begin(), aNames.end(), [&](auto name) {
-    return !name.empty() && name.size() <= aBounds.mMaxNameBytes;
+  return std::all_of(aNames.begin(), aNames.end(), [&](auto aName) {
+    return !aName.empty() && aName.size() <= aBounds.mMaxNameBytes;
   });
 }
 
@@ -119,7 +119,7 @@
   }
   PutInForce(
     aState, aBounds, { aCommand.mAccount, aIndex, aCommand.mDocument });
-  const auto result = CommandResult{ CommandStatus::Accepted, aIndex };
+  auto result = CommandResult{ CommandStatus::Accepted, aIndex };
   KeepAnswer(aState, aBounds, aCommand, result);
   return result;
 }
--- a/src/control/internal/corestep.cpp
+++ b/src/control/internal/corestep.cpp
@@ -217,9 +217,9 @@
   auto output = CoreOutput{};
   auto context = StepContext{ state, output, aNow, {}, {}, false };
   AppendEntries(context, std::move(aDisk.mEntries));
-  std::erase_if(state.mMemberships, [&](const auto& it) {
-    return &it != &state.mMemberships.front() &&
-           it.mIndex <= state.mSnapshot.mIndex;
+  std::erase_if(state.mMemberships, [&](const auto& aItem) {
+    return &aItem != &state.mMemberships.front() &&
+           aItem.mIndex <= state.mSnapshot.mIndex;
   });
   state.mDurable = LastIndex(state.mLog);
   state.mApplied = state.mSnapshot.mIndex;
--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -30,8 +30,8 @@
 {
   const auto& membership = CurrentMembership(aState);
   const auto votes =
-    std::count_if(aState.mVotes.begin(), aState.mVotes.end(), [&](auto id) {
-      return IsVoter(membership, id);
+    std::count_if(aState.mVotes.begin(), aState.mVotes.end(), [&](auto aId) {
+      return IsVoter(membership, aId);
     });
   const auto quorum = QuorumSize(membership);
   return quorum > 0 && static_cast<std::size_t>(votes) >= quorum;
--- a/src/control/internal/memberchange.cpp
+++ b/src/control/internal/memberchange.cpp
@@ -34,12 +34,13 @@
 HasLiveQuorum(const StepContext& aContext, const Membership& aMembership)
   -> bool
 {
-  const auto live = std::count_if(aMembership.mMembers.begin(),
-                                  aMembership.mMembers.end(),
-                                  [&](const auto& it) {
-                                    return it.mRole == MemberRole::Voter &&
-                                           HasAnsweredLately(aContext, it.mId);
-                                  });
+  const auto live =
+    std::count_if(aMembership.mMembers.begin(),
+                  aMembership.mMembers.end(),
+                  [&](const auto& aItem) {
+                    return aItem.mRole == MemberRole::Voter &&
+                           HasAnsweredLately(aContext, aItem.mId);
+                  });
   const auto quorum = QuorumSize(aMembership);
   return quorum > 0 && static_cast<std::size_t>(live) >= quorum;
 }
@@ -66,7 +67,7 @@
 
 auto
 ProposeMembership(StepContext& aContext,
-                  Membership aMembership,
+                  const Membership& aMembership,
                   MemberId aConcerned,
                   const char* aReason) -> void
 {
@@ -85,7 +86,7 @@
 WithoutMember(Membership aMembership, MemberId aId) -> Membership
 {
   std::erase_if(aMembership.mMembers,
-                [&](const auto& it) { return it.mId == aId; });
+                [&](const auto& aItem) { return aItem.mId == aId; });
   return aMembership;
 }
 
@@ -113,24 +114,20 @@
 }
 
 auto
-AdvanceLearner(StepContext& aContext, const Member& aLearner) -> void
+AdvanceLearner(StepContext& aContext, MemberId aLearner) -> void
 {
   const auto& membership = CurrentMembership(aContext.mState);
-  if (aLearner.mReplaces != 0 &&
-      FindMember(membership, aLearner.mReplaces) != nullptr) {
-    auto next = WithoutMember(membership, aLearner.mReplaces);
+  const auto replaced = FindMember(membership, aLearner)->mReplaces;
+  if (replaced != 0 && FindMember(membership, replaced) != nullptr) {
+    const auto next = WithoutMember(membership, replaced);
     if (HasLiveQuorum(aContext, next)) {
-      ProposeMembership(aContext,
-                        std::move(next),
-                        aLearner.mReplaces,
-                        "replaced member removed");
+      ProposeMembership(aContext, next, replaced, "replaced member removed");
     }
     return;
   }
-  auto next = WithVoter(membership, aLearner.mId);
+  const auto next = WithVoter(membership, aLearner);
   if (HasLiveQuorum(aContext, next)) {
-    ProposeMembership(
-      aContext, std::move(next), aLearner.mId, "learner became voter");
+    ProposeMembership(aContext, next, aLearner, "learner became voter");
   }
 }
 
@@ -194,8 +191,7 @@
   next.mMembers.push_back(aInput.mMember);
   next.mMembers.back().mRole = MemberRole::Learner;
   next.mMembers.back().mReplaces = 0;
-  ProposeMembership(
-    aContext, std::move(next), aInput.mMember.mId, "learner added");
+  ProposeMembership(aContext, next, aInput.mMember.mId, "learner added");
 }
 
 auto
@@ -230,8 +226,7 @@
   next.mMembers.push_back(aInput.mMember);
   next.mMembers.back().mRole = MemberRole::Learner;
   next.mMembers.back().mReplaces = replaced;
-  ProposeMembership(
-    aContext, std::move(next), aInput.mMember.mId, "replacement begun");
+  ProposeMembership(aContext, next, aInput.mMember.mId, "replacement begun");
 }
 
 auto
@@ -254,7 +249,7 @@
     Refuse(aContext, "the members that are left and answer make no quorum");
     return;
   }
-  ProposeMembership(aContext, std::move(next), id, "member removed");
+  ProposeMembership(aContext, next, id, "member removed");
 }
 
 auto
@@ -267,9 +262,7 @@
   }
   for (const auto& it : CurrentMembership(state).mMembers) {
     if (it.mRole == MemberRole::Learner && IsCaughtUp(aContext, it)) {
-      // NOTE: a copy, as the membership is replaced meanwhile.
-      const auto learner = it;
-      AdvanceLearner(aContext, learner);
+      AdvanceLearner(aContext, it.mId);
       return;
     }
   }
--- a/src/control/internal/membertrust.cpp
+++ b/src/control/internal/membertrust.cpp
@@ -16,7 +16,7 @@
            CoreEventKind::MemberUntrusted,
            aMessage.mFrom,
            aRejection.mReason == RejectionReason::OldDisk
-             ? "a later boot was seen"
+             ? "another start of its disk was seen, not an earlier one"
              : "acknowledged entries are gone");
   auto message = MakeMessage(aContext, aMessage.mFrom, aRejection);
   aContext.mOutput.mMessages.push_back(
@@ -55,14 +55,14 @@
   auto& boots = aContext.mState.mVote.mPeerBoots;
   const auto it = boots.find(aMessage.mFrom);
   const auto known = it == boots.end() ? 0 : it->second;
-  if (aMessage.mBoot < known) {
+  if (IsOlderBoot(aMessage.mBoot, known)) {
     RejectSender(aContext, aMessage, { RejectionReason::OldDisk, known });
     return false;
   }
-  if (aMessage.mBoot > known) {
+  if (aMessage.mBoot != known) {
     if (boots.size() >= kMaxRememberedBoots) {
-      std::erase_if(boots, [&](const auto& entry) {
-        return !FindMember(CurrentMembership(aContext.mState), entry.first);
+      std::erase_if(boots, [&](const auto& aEntry) {
+        return !FindMember(CurrentMembership(aContext.mState), aEntry.first);
       });
     }
     boots[aMessage.mFrom] = aMessage.mBoot;
@@ -76,7 +76,7 @@
 {
   auto& state = aContext.mState;
   const auto isOld = aRejection.mReason == RejectionReason::OldDisk &&
-                     aRejection.mBoot > state.mVote.mBoot;
+                     IsOlderBoot(state.mVote.mBoot, aRejection.mBoot);
   const auto isLost = aRejection.mReason == RejectionReason::LostEntries &&
                       aRejection.mBoot == state.mVote.mBoot;
   if (!isOld && !isLost) {
--- a/src/control/internal/messagecodec.cpp
+++ b/src/control/internal/messagecodec.cpp
@@ -200,12 +200,12 @@
 DecodeControlMessage(std::string_view aBytes) -> leaf::result<ControlMessage>
 {
   return ReadMessage<schema::ControlMessage, ControlMessage>(
-    aBytes, [](schema::ControlMessage::Reader it) {
-      return ControlMessage{ it.getCluster(), it.getFrom(),
-                             it.getTo(),      TextOf(it.getFromAddress()),
-                             it.getBoot(),    it.getTerm(),
-                             it.getDurable(), it.getDiskFull(),
-                             ReadBody(it) };
+    aBytes, [](schema::ControlMessage::Reader aItem) {
+      return ControlMessage{ aItem.getCluster(), aItem.getFrom(),
+                             aItem.getTo(),      TextOf(aItem.getFromAddress()),
+                             aItem.getBoot(),    aItem.getTerm(),
+                             aItem.getDurable(), aItem.getDiskFull(),
+                             ReadBody(aItem) };
     });
 }
 
--- a/src/control/internal/recordcodec.cpp
+++ b/src/control/internal/recordcodec.cpp
@@ -191,13 +191,13 @@
 DecodeSnapshot(std::string_view aBytes) -> leaf::result<Snapshot>
 {
   return ReadMessage<schema::Snapshot, Snapshot>(
-    aBytes, [](schema::Snapshot::Reader it) {
-      return Snapshot{ it.getIndex(),
-                       it.getTerm(),
-                       it.getClock(),
-                       ReadMembership(it.getMembership()),
+    aBytes, [](schema::Snapshot::Reader aItem) {
+      return Snapshot{ aItem.getIndex(),
+                       aItem.getTerm(),
+                       aItem.getClock(),
+                       ReadMembership(aItem.getMembership()),
                        std::make_shared<const std::string>(
-                         BytesOf(it.getState())) };
+                         BytesOf(aItem.getState())) };
     });
 }
 
--- a/src/control/internal/replication.cpp
+++ b/src/control/internal/replication.cpp
@@ -134,10 +134,10 @@
     return ProposalFate::NotLeader;
   }
   const auto& membership = CurrentMembership(aState);
-  const auto voters =
-    std::count_if(membership.mMembers.begin(),
-                  membership.mMembers.end(),
-                  [](const auto& it) { return it.mRole == MemberRole::Voter; });
+  const auto voters = std::count_if(
+    membership.mMembers.begin(),
+    membership.mMembers.end(),
+    [](const auto& aItem) { return aItem.mRole == MemberRole::Voter; });
   const auto usable = static_cast<std::size_t>(voters) - CountDiskFull(aState);
   if (aState.mIsDiskFull || usable < QuorumSize(membership)) {
     return ProposalFate::DiskFull;
@@ -165,7 +165,7 @@
 QuorumAckTime(const CoreState& aState, TimePoint aNow) -> TimePoint
 {
   return QuorumValue(
-    aState, aNow, [](const Progress& it) { return it.mAckedSend; });
+    aState, aNow, [](const Progress& aItem) { return aItem.mAckedSend; });
 }
 
 auto
@@ -293,7 +293,7 @@
     return;
   }
   const auto index = QuorumValue(
-    state, state.mDurable, [](const Progress& it) { return it.mMatch; });
+    state, state.mDurable, [](const Progress& aItem) { return aItem.mMatch; });
   // NOTE: only entries of the own term are committed by counting.
   if (index < state.mTermStart || index <= state.mCommit) {
     return;
--- a/src/control/internal/snapshottransfer.cpp
+++ b/src/control/internal/snapshottransfer.cpp
@@ -12,9 +12,10 @@
 auto
 MembershipUpTo(const CoreState& aState, Revision aIndex) -> const Membership&
 {
-  auto it = std::find_if(aState.mMemberships.rbegin(),
-                         aState.mMemberships.rend(),
-                         [&](const auto& m) { return m.mIndex <= aIndex; });
+  auto it =
+    std::find_if(aState.mMemberships.rbegin(),
+                 aState.mMemberships.rend(),
+                 [&](const auto& aMember) { return aMember.mIndex <= aIndex; });
   return it == aState.mMemberships.rend()
            ? aState.mMemberships.front().mMembership
            : it->mMembership;
@@ -59,10 +60,12 @@
     }
     aContext.mWrite.mIsLogReplaced = true;
   }
-  const auto after = std::find_if(
-    state.mMemberships.begin(), state.mMemberships.end(), [&](const auto& it) {
-      return it.mIndex > piece.mIndex && !aContext.mWrite.mIsLogReplaced;
-    });
+  const auto after = std::find_if(state.mMemberships.begin(),
+                                  state.mMemberships.end(),
+                                  [&](const auto& aItem) {
+                                    return aItem.mIndex > piece.mIndex &&
+                                           !aContext.mWrite.mIsLogReplaced;
+                                  });
   state.mMemberships.erase(state.mMemberships.begin(), after);
   state.mMemberships.insert(state.mMemberships.begin(),
                             MembershipAt{ piece.mIndex, piece.mMembership });
--- a/src/control/internal/statecodec.cpp
+++ b/src/control/internal/statecodec.cpp
@@ -206,13 +206,13 @@
 DecodeControlState(std::string_view aBytes) -> leaf::result<ControlState>
 {
   return ReadMessage<schema::ControlState, ControlState>(
-    aBytes, [](schema::ControlState::Reader it) {
+    aBytes, [](schema::ControlState::Reader aItem) {
       auto state = ControlState{};
-      state.mApplied = it.getApplied();
-      state.mClock = it.getClock();
-      ReadTemplates(it, state);
-      ReadRuns(it, state);
-      ReadWorks(it, state);
+      state.mApplied = aItem.getApplied();
+      state.mClock = aItem.getClock();
+      ReadTemplates(aItem, state);
+      ReadRuns(aItem, state);
+      ReadWorks(aItem, state);
       return state;
     });
 }
--- a/src/control/internal/storeopen.cpp
+++ b/src/control/internal/storeopen.cpp
@@ -321,7 +321,7 @@
 OpenStore(FileSystem aFiles,
           std::string aFolder,
           StoreOptions aOptions,
-          MemberId aNewMember) -> leaf::result<OpenedStore>
+          std::uint64_t aRandom) -> leaf::result<OpenedStore>
 {
   auto opened = OpenedStore{};
   auto& store = opened.mStore;
@@ -336,7 +336,7 @@
   }
   const auto content = ListContent(*names);
   auto vote = StoredVote{};
-  vote.mVote.mMember = aNewMember;
+  vote.mVote.mMember = aRandom;
   if (content.mHasVote || !content.mSegments.empty() ||
       !content.mSnapshots.empty()) {
     vote = ReadVoteFile(recovery, content);
@@ -347,7 +347,7 @@
     DropCovered(opened.mDisk);
   }
   store.mVote = vote.mVote;
-  store.mVote.mBoot += 1;
+  store.mVote.mBoot = NextBoot(store.mVote.mBoot, aRandom);
   store.mVoteSequence = vote.mSequence;
   store.mFloor = opened.mDisk.mCommitFloor;
   opened.mDisk.mVote = store.mVote;
--- a/src/control/internal/storewrite.cpp
+++ b/src/control/internal/storewrite.cpp
@@ -124,8 +124,9 @@
 StoreVote(ControlStore& aStore, const std::vector<DiskWrite>& aWrites)
   -> IoStatus
 {
-  const auto it = std::find_if(
-    aWrites.rbegin(), aWrites.rend(), [](const auto& w) { return w.mVote; });
+  const auto it = std::find_if(aWrites.rbegin(),
+                               aWrites.rend(),
+                               [](const auto& aWrite) { return aWrite.mVote; });
   if (it == aWrites.rend()) {
     return IoStatus::Done;
   }
--- /dev/null
+++ b/src/control/tests/controlcore_tests.cpp
@@ -0,0 +1,371 @@
+#include "control/tests/testcluster.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <bit>
+
+using namespace cuminslip;
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+auto
+Others(const TestCluster& aCluster, std::size_t aNumber)
+  -> std::vector<std::size_t>
+{
+  auto others = std::vector<std::size_t>{};
+  for (auto n = std::size_t{ 0 }; n < aCluster.mMembers.size(); ++n) {
+    if (n != aNumber) {
+      others.push_back(n);
+    }
+  }
+  return others;
+}
+
+auto
+IsAccepted(const TestCluster& aCluster, std::uint64_t aToken) -> bool
+{
+  const auto result = aCluster.ResultOf(aToken);
+  return result && result->mStatus == CommandStatus::Accepted;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ControlCoreTests)
+
+BOOST_DATA_TEST_CASE(MembersBecomeVotersOneAtATime, data::make({ 1, 3, 5, 7 }))
+{
+  auto cluster = TestCluster(static_cast<std::size_t>(sample));
+
+  const auto leader = cluster.Leader();
+  BOOST_REQUIRE(leader < cluster.mMembers.size());
+  const auto token = cluster.Propose(leader, PublishOf("ana", 0, "r1"));
+  cluster.Run(Millis(100));
+
+  BOOST_TEST(cluster.Voters(leader) == cluster.mMembers.size());
+  BOOST_TEST(IsAccepted(cluster, token));
+  for (const auto& it : cluster.mMembers) {
+    BOOST_TEST(TemplateRevision(it.mState) > 0U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnIsolatedLeaderAcceptsNothingAndStepsDown)
+{
+  auto cluster = TestCluster(3);
+  const auto old = cluster.Leader();
+  cluster.Isolate(old);
+  const auto lost = cluster.Propose(old, PublishOf("ana", 0, "r1", "lost"));
+  cluster.Run(Seconds(10));
+
+  BOOST_TEST((cluster.mMembers[old].mCore.mRole != CoreRole::Leader));
+  BOOST_TEST(!HasLeaderLease(cluster.mMembers[old].mCore, cluster.mNow));
+  const auto leader = cluster.Leader();
+  BOOST_REQUIRE(leader != old);
+  const auto kept = cluster.Propose(leader, PublishOf("ana", 0, "r2", "kept"));
+  cluster.Run(Seconds(60));
+  const auto term = cluster.mMembers[leader].mCore.mVote.mTerm;
+  cluster.mCuts.clear();
+  cluster.Run(Seconds(10));
+
+  BOOST_TEST(!IsAccepted(cluster, lost));
+  BOOST_TEST(IsAccepted(cluster, kept));
+  BOOST_TEST(cluster.mMembers[leader].mCore.mVote.mTerm == term);
+  BOOST_TEST(cluster.mMembers[old].mState.mTemplates.at({ "ana" }).mDocument ==
+             "kept");
+}
+
+BOOST_AUTO_TEST_CASE(AReturningFollowerDoesNotDisturbTheOthers)
+{
+  auto cluster = TestCluster(3);
+  const auto leader = cluster.Leader();
+  const auto term = cluster.mMembers[leader].mCore.mVote.mTerm;
+  const auto follower = Others(cluster, leader).front();
+  cluster.Isolate(follower);
+  cluster.Run(Seconds(600));
+  cluster.mCuts.clear();
+  cluster.Run(Seconds(10));
+
+  BOOST_TEST(cluster.Leader() == leader);
+  for (const auto& it : cluster.mMembers) {
+    BOOST_TEST(it.mCore.mVote.mTerm == term);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LinksThatFailOneWayOnly)
+{
+  for (const auto isDeafLeader : { true, false }) {
+    auto cluster = TestCluster(3);
+    const auto leader = cluster.Leader();
+    const auto others = Others(cluster, leader);
+    if (isDeafLeader) {
+      cluster.Cut(others[0], leader);
+      cluster.Cut(others[1], leader);
+    } else {
+      cluster.Cut(leader, others[0]);
+    }
+    const auto token =
+      cluster.Propose(leader, PublishOf("ana", 0, "r1", "first"));
+    cluster.Run(Seconds(30));
+
+    const auto present = cluster.Leader();
+    BOOST_REQUIRE(present < 3U);
+    BOOST_TEST((present != leader) == isDeafLeader);
+    const auto after =
+      cluster.Propose(present, PublishOf("bea", 0, "r2", "second"));
+    cluster.Run(Seconds(1));
+    BOOST_TEST(IsAccepted(cluster, after));
+    BOOST_TEST((isDeafLeader || IsAccepted(cluster, token)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(MessagesOfALongPastLeaderChangeNothing)
+{
+  auto cluster = TestCluster(3);
+  const auto old = cluster.Leader();
+  cluster.Propose(old, PublishOf("ana", 0, "r1", "old"));
+  auto late = std::exchange(cluster.mNetwork, {});
+  cluster.Isolate(old);
+  cluster.Run(Seconds(10));
+  const auto leader = cluster.Leader();
+  cluster.Propose(leader, PublishOf("ana", 0, "r2", "new"));
+  cluster.Run(Seconds(1));
+  cluster.mNetwork = std::move(late);
+  cluster.Run(Seconds(5));
+
+  for (const auto it : Others(cluster, old)) {
+    BOOST_TEST(cluster.mMembers[it].mState.mTemplates.at({ "ana" }).mDocument ==
+               "new");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsAcceptedBeforeAQuorumHasSynced)
+{
+  auto cluster = TestCluster(3);
+  const auto leader = cluster.Leader();
+  cluster.mHoldsWrites = true;
+  const auto token = cluster.Propose(leader, PublishOf("ana", 0, "r1"));
+  cluster.Run(Millis(100));
+  BOOST_TEST(!IsAccepted(cluster, token));
+  cluster.Sync(leader);
+  cluster.Run(Millis(100));
+  BOOST_TEST(!IsAccepted(cluster, token));
+  cluster.Sync(Others(cluster, leader).front());
+  cluster.Run(Millis(100));
+
+  BOOST_TEST(IsAccepted(cluster, token));
+}
+
+BOOST_DATA_TEST_CASE(CrashesBeforeAndAfterEachSync,
+                     data::make({ 0, 1, 2, 3, 4, 5, 6, 7 }))
+{
+  auto cluster = TestCluster(3);
+  const auto leader = cluster.Leader();
+  const auto others = Others(cluster, leader);
+  cluster.mHoldsWrites = true;
+  const auto token = cluster.Propose(leader, PublishOf("ana", 0, "r1"));
+  cluster.Run(Millis(20));
+  // Each bit says whether that member's sync comes before the crash of all.
+  const auto numbers = std::vector{ leader, others[0], others[1] };
+  for (auto n = 0U; n < 3; ++n) {
+    if ((static_cast<unsigned>(sample) >> n) & 1U) {
+      cluster.Sync(numbers[n]);
+    }
+  }
+  cluster.Run(Millis(20));
+  const auto wasAccepted = IsAccepted(cluster, token);
+  BOOST_TEST(wasAccepted == (std::popcount(static_cast<unsigned>(sample)) > 1));
+  for (const auto it : numbers) {
+    cluster.Crash(it);
+  }
+  cluster.mNetwork.clear();
+  cluster.mHoldsWrites = false;
+  for (const auto it : numbers) {
+    cluster.Start(it);
+  }
+  cluster.Run(Seconds(15));
+
+  BOOST_REQUIRE(cluster.Leader() < 3U);
+  BOOST_TEST((!wasAccepted || IsAccepted(cluster, token)));
+  const auto resent =
+    cluster.Propose(cluster.Leader(), PublishOf("ana", 0, "r1"));
+  cluster.Run(Seconds(1));
+  BOOST_TEST(IsAccepted(cluster, resent));
+}
+
+BOOST_AUTO_TEST_CASE(AWipedMemberCountsForNothingUntilReplaced)
+{
+  auto cluster = TestCluster(3);
+  const auto leader = cluster.Leader();
+  const auto others = Others(cluster, leader);
+  cluster.Wipe(others[0]);
+  cluster.Start(others[0]);
+  cluster.Crash(others[1]);
+  cluster.Run(Seconds(10));
+  BOOST_TEST(cluster.Leader() == 3U);
+  cluster.Start(others[1]);
+  cluster.Run(Seconds(10));
+  const auto present = cluster.Leader();
+  BOOST_REQUIRE(present < 3U);
+  BOOST_TEST(cluster.mMembers[others[0]].mCore.mVote.mCluster == 0U);
+
+  const auto replaced =
+    cluster.Feed(present, ReplaceMemberInput{ cluster.MemberOf(others[0]) });
+  BOOST_TEST(replaced.mMembershipProblem == "");
+  cluster.Run(Seconds(10));
+  BOOST_TEST(cluster.Voters(present) == 3U);
+
+  // A second loss right after the repair.
+  cluster.Crash(others[1]);
+  cluster.Run(Seconds(10));
+  const auto last = cluster.Leader();
+  BOOST_REQUIRE(last < 3U);
+  const auto token = cluster.Propose(last, PublishOf("ana", 0, "r1"));
+  cluster.Run(Seconds(1));
+  BOOST_TEST(IsAccepted(cluster, token));
+}
+
+BOOST_AUTO_TEST_CASE(AMemberWithAnOldDiskIsHalted)
+{
+  auto cluster = TestCluster(3);
+  const auto leader = cluster.Leader();
+  const auto other = Others(cluster, leader).front();
+  const auto image = cluster.mMembers[other].mDisk;
+  cluster.Crash(other);
+  cluster.Start(other);
+  cluster.Run(Seconds(2));
+  cluster.Propose(leader, PublishOf("ana", 0, "r1"));
+  cluster.Run(Seconds(2));
+  cluster.Crash(other);
+  cluster.mMembers[other].mDisk = image;
+  cluster.mMembers[other].mInForce = 0;
+  cluster.Start(other);
+  cluster.Run(Seconds(10));
+
+  BOOST_TEST((cluster.mMembers[other].mCore.mRole == CoreRole::Halted));
+  BOOST_TEST(cluster.Leader() == leader);
+}
+
+BOOST_AUTO_TEST_CASE(AMemberThatLostAcknowledgedEntriesIsHalted)
+{
+  auto cluster = TestCluster(3);
+  const auto leader = cluster.Leader();
+  const auto other = Others(cluster, leader).front();
+  const auto image = cluster.mMembers[other].mDisk;
+  cluster.Propose(leader, PublishOf("ana", 0, "r1"));
+  cluster.Run(Seconds(1));
+  cluster.Crash(other);
+  cluster.mMembers[other].mDisk = image;
+  cluster.Start(other);
+  cluster.Run(Seconds(5));
+
+  BOOST_TEST((cluster.mMembers[other].mCore.mRole == CoreRole::Halted));
+}
+
+BOOST_AUTO_TEST_CASE(AChangeThatWouldLoseTheQuorumIsRefused)
+{
+  auto cluster = TestCluster(3);
+  const auto leader = cluster.Leader();
+  const auto others = Others(cluster, leader);
+  cluster.Crash(others[0]);
+  cluster.Run(Seconds(3));
+
+  const auto removal = cluster.Feed(
+    leader, RemoveMemberInput{ TestCluster::InstanceOf(others[1]) });
+  BOOST_TEST(!removal.mMembershipProblem.empty());
+  const auto unknown = cluster.Feed(leader, RemoveMemberInput{ { "nobody" } });
+  BOOST_TEST(!unknown.mMembershipProblem.empty());
+  const auto first = cluster.Feed(
+    leader, RemoveMemberInput{ TestCluster::InstanceOf(others[0]) });
+  BOOST_TEST(first.mMembershipProblem == "");
+  const auto second = cluster.Feed(
+    leader, RemoveMemberInput{ TestCluster::InstanceOf(others[1]) });
+  BOOST_TEST(second.mMembershipProblem ==
+             "another membership change is under way");
+}
+
+BOOST_AUTO_TEST_CASE(OfTwoChangesWithEqualNumbersOneWins)
+{
+  auto cluster = TestCluster(3);
+  const auto leader = cluster.Leader();
+  const auto one = cluster.Propose(leader, PublishOf("ana", 0, "r1", "one"));
+  const auto two = cluster.Propose(leader, PublishOf("ana", 0, "r2", "two"));
+  cluster.Run(Seconds(1));
+
+  BOOST_TEST(IsAccepted(cluster, one));
+  const auto told = cluster.ResultOf(two);
+  BOOST_REQUIRE(told.has_value());
+  BOOST_TEST((told->mStatus == CommandStatus::RevisionConflict));
+  BOOST_TEST(told->mBytes == "one");
+}
+
+BOOST_AUTO_TEST_CASE(AResendGetsTheFirstAnswerAfterASnapshotAndALeaderChange)
+{
+  auto cluster = TestCluster(3);
+  const auto leader = cluster.Leader();
+  const auto first = cluster.Propose(leader, PublishOf("ana", 0, "r1"));
+  cluster.Run(Seconds(1));
+  for (auto n = std::size_t{ 0 }; n < 3; ++n) {
+    cluster.TakeSnapshot(n);
+  }
+  for (auto n = std::size_t{ 0 }; n < 3; ++n) {
+    cluster.Crash(n);
+    cluster.Start(n);
+  }
+  cluster.Crash(leader);
+  cluster.Run(Seconds(15));
+  const auto present = cluster.Leader();
+  BOOST_REQUIRE((present < 3U && present != leader));
+  const auto again = cluster.Propose(present, PublishOf("ana", 0, "r1"));
+  cluster.Run(Seconds(1));
+
+  BOOST_TEST((cluster.ResultOf(again) == cluster.ResultOf(first)));
+}
+
+BOOST_AUTO_TEST_CASE(AFollowerFarBehindIsGivenTheSnapshotInPieces)
+{
+  auto cluster = TestCluster(3);
+  const auto leader = cluster.Leader();
+  const auto other = Others(cluster, leader).front();
+  cluster.Crash(other);
+  const auto text = std::string(200000, 'x');
+  for (auto n = 0; n < 600; ++n) {
+    const auto name = std::to_string(n);
+    cluster.Propose(
+      leader, PublishOf("a" + std::to_string(n % 4), 0, "r" + name, text));
+  }
+  cluster.Run(Seconds(3));
+  cluster.TakeSnapshot(leader);
+  cluster.Start(other);
+  cluster.Run(Seconds(5));
+
+  BOOST_TEST(
+    (cluster.mMembers[other].mState == cluster.mMembers[leader].mState));
+}
+
+BOOST_AUTO_TEST_CASE(AJumpOfTheClockEndsTheLease)
+{
+  auto cluster = TestCluster(3);
+  const auto leader = cluster.Leader();
+  BOOST_TEST(HasLeaderLease(cluster.mMembers[leader].mCore, cluster.mNow));
+  cluster.mNow += Seconds(3600);
+
+  BOOST_TEST(!HasLeaderLease(cluster.mMembers[leader].mCore, cluster.mNow));
+}
+
+BOOST_AUTO_TEST_CASE(AFullDiskRefusesNewChanges)
+{
+  auto cluster = TestCluster(3);
+  const auto leader = cluster.Leader();
+  cluster.Feed(leader, DiskSpaceInput{ true });
+  const auto refused = cluster.Propose(leader, PublishOf("ana", 0, "r1"));
+  BOOST_TEST((cluster.mPlaces.at(refused).mFate == ProposalFate::DiskFull));
+  cluster.Feed(leader, DiskSpaceInput{ false });
+  const auto taken = cluster.Propose(leader, PublishOf("ana", 0, "r1"));
+  cluster.Run(Seconds(1));
+
+  BOOST_TEST(IsAccepted(cluster, taken));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/control/tests/testcluster.h
@@ -0,0 +1,386 @@
+#pragma once
+
+#include "control/controlcodec.h"
+#include "control/controlcore.h"
+#include "control/statemachine.h"
+
+#include <random>
+#include <stdexcept>
+
+namespace cuminslip {
+
+/// What a member's disk holds after a power loss.
+struct DiskImage
+{
+  VoteRecord mVote;
+  Snapshot mSnapshot;
+  std::vector<LogEntry> mEntries;
+  Revision mFloor = 0;
+
+  auto Apply(const DiskWrite& aWrite, Revision aFloor) -> void
+  {
+    if (aWrite.mVote) {
+      mVote = *aWrite.mVote;
+    }
+    if (aWrite.mSnapshot) {
+      mSnapshot = *aWrite.mSnapshot;
+    }
+    const auto from = aWrite.mIsLogReplaced ? 1 : aWrite.mTruncateFrom;
+    std::erase_if(mEntries, [&](const auto& aEntry) {
+      return (from != 0 && aEntry.mIndex >= from) ||
+             aEntry.mIndex <= mSnapshot.mIndex;
+    });
+    for (const auto& it : aWrite.mEntries) {
+      if (it.mIndex > mSnapshot.mIndex) {
+        mEntries.push_back(it);
+      }
+    }
+    mFloor = std::max(mFloor, aFloor);
+  }
+};
+
+struct TestMember
+{
+  bool mIsUp = false;
+  bool mIsWiped = false;
+  CoreState mCore;
+  ControlState mState;
+  DiskImage mDisk;
+  std::vector<std::pair<DiskWrite, Revision>> mUnsynced;
+  Revision mInForce = 0;
+};
+
+struct TestMessage
+{
+  TimePoint mAt{};
+  std::size_t mFrom = 0;
+  OutgoingMessage mMessage;
+};
+
+/// A few control cores with disks and links that fail on demand, moved by a
+/// manual clock. Throws when a member contradicts another.
+struct TestCluster
+{
+  std::vector<TestMember> mMembers;
+  std::vector<TestMessage> mNetwork;
+  std::set<std::pair<std::size_t, std::size_t>> mCuts;
+  TimePoint mNow{ Seconds(1000) };
+  std::mt19937_64 mRandom;
+  Millis mDelay{ 1 };
+  Millis mExtraDelay{ 0 };
+  int mDropPercent = 0;
+  int mDuplicatePercent = 0;
+  /// Writes stay unsynced until Sync is called.
+  bool mHoldsWrites = false;
+  MemberId mNextMember = 100;
+  std::uint64_t mNextToken = 1;
+
+  std::map<Term, MemberId> mLeaders;
+  std::map<Revision, LogEntry> mCommitted;
+  std::map<Revision, CommandResult> mResults;
+  /// Place and result of proposals by token; the result once applied.
+  std::map<std::uint64_t, ProposalPlace> mPlaces;
+
+  explicit TestCluster(std::size_t aSize, std::uint64_t aSeed = 1)
+    : mMembers(aSize)
+    , mRandom(aSeed)
+  {
+    for (auto n = std::size_t{ 0 }; n < aSize; ++n) {
+      mMembers[n].mDisk.mVote.mMember = mNextMember++;
+      Start(n);
+    }
+    auto found = FoundInput{ 77, { "d0" }, {} };
+    for (auto n = std::size_t{ 1 }; n < aSize; ++n) {
+      found.mExpected.push_back(InstanceOf(n));
+    }
+    Feed(0, found);
+    Run(Seconds(2));
+    for (auto n = std::size_t{ 1 }; n < aSize; ++n) {
+      Feed(0, AddMemberInput{ MemberOf(n), false });
+      Run(Seconds(3));
+    }
+  }
+
+  static auto InstanceOf(std::size_t aNumber) -> InstanceId
+  {
+    return { "i" + std::to_string(aNumber) };
+  }
+
+  auto MemberOf(std::size_t aNumber) const -> Member
+  {
+    return { mMembers[aNumber].mDisk.mVote.mMember,
+             InstanceOf(aNumber),
+             std::to_string(aNumber),
+             { "d" + std::to_string(aNumber) },
+             MemberRole::Learner,
+             0 };
+  }
+
+  auto Start(std::size_t aNumber) -> void
+  {
+    auto& it = mMembers[aNumber];
+    it.mDisk.mVote.mBoot = NextBoot(it.mDisk.mVote.mBoot, mRandom());
+    auto state =
+      DecodeOrThrow<ControlState>([&] { return StateOf(it.mDisk.mSnapshot); });
+    it.mState = std::move(state);
+    it.mCore = StartCore({},
+                         InstanceOf(aNumber),
+                         std::to_string(aNumber),
+                         { it.mDisk.mVote,
+                           it.mDisk.mSnapshot,
+                           it.mDisk.mEntries,
+                           it.mDisk.mSnapshot.mIndex,
+                           it.mDisk.mSnapshot.mTerm,
+                           it.mDisk.mFloor },
+                         mRandom(),
+                         mNow);
+    it.mUnsynced.clear();
+    it.mIsUp = true;
+    Feed(aNumber, TickInput{});
+  }
+
+  /// Power loss: the first aKept unsynced writes happen to be kept.
+  auto Crash(std::size_t aNumber, std::size_t aKept = 0) -> void
+  {
+    auto& it = mMembers[aNumber];
+    for (auto n = std::size_t{ 0 }; n < aKept && n < it.mUnsynced.size(); ++n) {
+      it.mDisk.Apply(it.mUnsynced[n].first, it.mUnsynced[n].second);
+    }
+    it.mUnsynced.clear();
+    it.mIsUp = false;
+  }
+
+  auto Wipe(std::size_t aNumber) -> void
+  {
+    Crash(aNumber);
+    mMembers[aNumber].mDisk = {};
+    mMembers[aNumber].mDisk.mVote.mMember = mNextMember++;
+    mMembers[aNumber].mIsWiped = true;
+    mMembers[aNumber].mInForce = 0;
+  }
+
+  template<class Value, class Function>
+  static auto DecodeOrThrow(Function aDecode) -> Value
+  {
+    auto outcome = CollectOutcome<Value>(aDecode);
+    if (!outcome.mValue) {
+      throw std::logic_error(FormatFindings(outcome.mFindings));
+    }
+    return std::move(*outcome.mValue);
+  }
+
+  static auto StateOf(const Snapshot& aSnapshot) -> leaf::result<ControlState>
+  {
+    return aSnapshot.mIndex == 0 ? leaf::result<ControlState>(ControlState{})
+                                 : DecodeControlState(*aSnapshot.mState);
+  }
+
+  auto Feed(std::size_t aNumber, const CoreInput& aInput) -> CoreOutput
+  {
+    auto& it = mMembers[aNumber];
+    auto result = Step(std::move(it.mCore), aInput, mNow);
+    it.mCore = std::move(result.mState);
+    auto& output = result.mOutput;
+    for (const auto& message : output.mMessages) {
+      Send(aNumber, message);
+    }
+    if (it.mCore.mRole == CoreRole::Leader) {
+      CheckLeader(it.mCore);
+    }
+    for (const auto& place : output.mPlaces) {
+      mPlaces[place.mToken] = place;
+    }
+    if (output.mRestore) {
+      it.mState =
+        DecodeOrThrow<ControlState>([&] { return StateOf(*output.mRestore); });
+    }
+    for (const auto& entry : output.mCommitted) {
+      ApplyChecked(it, entry);
+    }
+    for (const auto& write : output.mWrites) {
+      it.mUnsynced.emplace_back(write, TemplateRevision(it.mState));
+    }
+    if (!mHoldsWrites) {
+      Sync(aNumber);
+    }
+    return std::move(output);
+  }
+
+  auto Sync(std::size_t aNumber) -> void
+  {
+    auto& it = mMembers[aNumber];
+    auto done = std::exchange(it.mUnsynced, {});
+    for (const auto& [write, floor] : done) {
+      it.mDisk.Apply(write, floor);
+    }
+    // NOTE: what is in force is served only when the floor is on the disk.
+    it.mDisk.mFloor = std::max(it.mDisk.mFloor, TemplateRevision(it.mState));
+    CheckInForce(it);
+    if (!done.empty()) {
+      Feed(aNumber, DiskDoneInput{ done.back().first.mId });
+    }
+  }
+
+  auto CheckInForce(TestMember& aMember) -> void
+  {
+    const auto revision = TemplateRevision(aMember.mState);
+    if (revision < aMember.mInForce &&
+        aMember.mCore.mApplied >= aMember.mInForce) {
+      throw std::logic_error("a revision in force was reverted");
+    }
+    aMember.mInForce = std::max(revision, aMember.mInForce);
+  }
+
+  auto CheckLeader(const CoreState& aCore) -> void
+  {
+    const auto [it, isNew] =
+      mLeaders.try_emplace(aCore.mVote.mTerm, aCore.mVote.mMember);
+    if (it->second != aCore.mVote.mMember) {
+      throw std::logic_error("two leaders in one term");
+    }
+  }
+
+  auto ApplyChecked(TestMember& aMember, const LogEntry& aEntry) -> void
+  {
+    const auto [known, isNew] = mCommitted.try_emplace(aEntry.mIndex, aEntry);
+    if (!(known->second == aEntry)) {
+      throw std::logic_error("a committed entry was changed");
+    }
+    const auto result = ApplyEntry(aMember.mState, {}, aEntry);
+    const auto [first, isFirst] = mResults.try_emplace(aEntry.mIndex, result);
+    if (!(first->second == result)) {
+      throw std::logic_error("two members came to different results");
+    }
+  }
+
+  auto Chance(int aPercent) -> bool
+  {
+    return static_cast<int>(mRandom() % 100) < aPercent;
+  }
+
+  auto Send(std::size_t aFrom, const OutgoingMessage& aMessage) -> void
+  {
+    const auto to = std::stoul(aMessage.mAddress);
+    if (mCuts.contains({ aFrom, to }) || Chance(mDropPercent)) {
+      return;
+    }
+    for (auto n = Chance(mDuplicatePercent) ? 2 : 1; n > 0; --n) {
+      auto delay = Micros(mDelay);
+      if (mExtraDelay.count() > 0) {
+        delay += Micros(mRandom() % Micros(mExtraDelay).count());
+      }
+      mNetwork.push_back({ mNow + delay, aFrom, aMessage });
+    }
+  }
+
+  auto Cut(std::size_t aFrom, std::size_t aTo) -> void
+  {
+    mCuts.insert({ aFrom, aTo });
+  }
+
+  auto Isolate(std::size_t aNumber) -> void
+  {
+    for (auto n = std::size_t{ 0 }; n < mMembers.size(); ++n) {
+      Cut(n, aNumber);
+      Cut(aNumber, n);
+    }
+  }
+
+  /// Lets aTime pass in steps of 10 ms.
+  auto Run(Millis aTime) -> void
+  {
+    const auto end = mNow + aTime;
+    while (mNow < end) {
+      mNow += Millis(10);
+      auto due = std::vector<TestMessage>{};
+      std::erase_if(mNetwork, [&](auto& aMessage) {
+        if (aMessage.mAt <= mNow) {
+          due.push_back(std::move(aMessage));
+          return true;
+        }
+        return false;
+      });
+      for (const auto& it : due) {
+        const auto to = std::stoul(it.mMessage.mAddress);
+        if (mMembers[to].mIsUp) {
+          Feed(to, MessageInput{ it.mMessage.mMessage });
+        }
+      }
+      for (auto n = std::size_t{ 0 }; n < mMembers.size(); ++n) {
+        if (mMembers[n].mIsUp) {
+          Feed(n, TickInput{});
+        }
+      }
+    }
+  }
+
+  /// The leader with the highest term, or the size when there is none.
+  auto Leader() const -> std::size_t
+  {
+    auto best = mMembers.size();
+    for (auto n = std::size_t{ 0 }; n < mMembers.size(); ++n) {
+      const auto& core = mMembers[n].mCore;
+      const auto isLeader = mMembers[n].mIsUp && core.mRole == CoreRole::Leader;
+      if (isLeader && (best == mMembers.size() ||
+                       core.mVote.mTerm > mMembers[best].mCore.mVote.mTerm)) {
+        best = n;
+      }
+    }
+    return best;
+  }
+
+  auto Propose(std::size_t aNumber, const Command& aCommand) -> std::uint64_t
+  {
+    const auto token = mNextToken++;
+    Feed(aNumber, ProposeInput{ { { token, EncodeCommand(aCommand) } } });
+    return token;
+  }
+
+  /// The result, once the entry is committed with the term it was given.
+  auto ResultOf(std::uint64_t aToken) const -> std::optional<CommandResult>
+  {
+    const auto place = mPlaces.find(aToken);
+    if (place == mPlaces.end() ||
+        place->second.mFate != ProposalFate::Appended) {
+      return std::nullopt;
+    }
+    const auto entry = mCommitted.find(place->second.mIndex);
+    if (entry == mCommitted.end() ||
+        entry->second.mTerm != place->second.mTerm) {
+      return std::nullopt;
+    }
+    return mResults.at(place->second.mIndex);
+  }
+
+  auto Voters(std::size_t aNumber) const -> std::size_t
+  {
+    auto count = std::size_t{ 0 };
+    for (const auto& it : CurrentMembership(mMembers[aNumber].mCore).mMembers) {
+      count += it.mRole == MemberRole::Voter ? 1 : 0;
+    }
+    return count;
+  }
+
+  auto TakeSnapshot(std::size_t aNumber) -> void
+  {
+    const auto& it = mMembers[aNumber];
+    Feed(aNumber,
+         SnapshotInput{ it.mCore.mApplied,
+                        std::make_shared<const std::string>(
+                          EncodeControlState(it.mState)) });
+  }
+};
+
+inline auto
+PublishOf(std::string aAccount,
+          Revision aExpected,
+          std::string aRequest,
+          std::string aText = "text") -> Command
+{
+  return PublishCommand{ { std::move(aAccount) },
+                         aExpected,
+                         { std::move(aRequest) },
+                         std::move(aText) };
+}
+
+} // namespace cuminslip
--- a/src/control/types/controlmessage.h
+++ b/src/control/types/controlmessage.h
@@ -95,7 +95,8 @@
 
 enum class RejectionReason : std::uint8_t
 {
-  /// A later boot of the same member was seen: its disk went back in time.
+  /// A start of the same member was seen that is no earlier: its disk went
+  /// back in time or was copied.
   OldDisk,
   /// Entries that the member had acknowledged are gone from its disk.
   LostEntries
@@ -128,7 +129,7 @@
   MemberId mFrom = 0;
   MemberId mTo = 0;
   std::string mFromAddress;
-  /// Number of this start of the sender's disk.
+  /// Identity of this start of the sender's disk.
   std::uint64_t mBoot = 0;
   Term mTerm = 0;
   /// Last index that the sender's disk holds.
--- a/src/control/types/membership.cpp
+++ b/src/control/types/membership.cpp
@@ -7,19 +7,20 @@
 auto
 QuorumSize(const Membership& aMembership) -> std::size_t
 {
-  const auto voters =
-    std::count_if(aMembership.mMembers.begin(),
-                  aMembership.mMembers.end(),
-                  [](const auto& it) { return it.mRole == MemberRole::Voter; });
+  const auto voters = std::count_if(
+    aMembership.mMembers.begin(),
+    aMembership.mMembers.end(),
+    [](const auto& aItem) { return aItem.mRole == MemberRole::Voter; });
   return voters == 0 ? 0 : static_cast<std::size_t>(voters) / 2 + 1;
 }
 
 auto
 FindMember(const Membership& aMembership, MemberId aId) -> const Member*
 {
-  const auto it = std::find_if(aMembership.mMembers.begin(),
-                               aMembership.mMembers.end(),
-                               [&](const auto& m) { return m.mId == aId; });
+  const auto it =
+    std::find_if(aMembership.mMembers.begin(),
+                 aMembership.mMembers.end(),
+                 [&](const auto& aMember) { return aMember.mId == aId; });
   return it == aMembership.mMembers.end() ? nullptr : &*it;
 }
 
--- a/src/peers/internal/controlnode.cpp
+++ b/src/peers/internal/controlnode.cpp
@@ -300,7 +300,7 @@
   }
   auto templates = TemplatesAfter(mState, mAnnounced);
   std::erase_if(templates,
-                [&](const auto& it) { return it.mRevision > limit; });
+                [&](const auto& aItem) { return aItem.mRevision > limit; });
   mAnnounced = limit;
   if (!templates.empty()) {
     mHooks.mOnTemplates(std::move(templates));
--- a/src/peers/internal/joining.cpp
+++ b/src/peers/internal/joining.cpp
@@ -36,7 +36,7 @@
 }
 
 auto
-AskControls(PeerContext& aContext, std::shared_ptr<JoinSurvey> aSurvey)
+AskControls(PeerContext& aContext, const std::shared_ptr<JoinSurvey>& aSurvey)
   -> kj::Promise<void>
 {
   auto calls = kj::Vector<kj::Promise<void>>();
@@ -61,8 +61,8 @@
 {
   const auto& controls = aContext.mSettings.mControlInstances;
   return std::all_of(
-    controls.begin(), controls.end(), [&](const PeerInstance& it) {
-      return aContext.mSettings.mInstance <= it.mInstance;
+    controls.begin(), controls.end(), [&](const PeerInstance& aItem) {
+      return aContext.mSettings.mInstance <= aItem.mInstance;
     });
 }
 
@@ -126,7 +126,7 @@
 auto
 DescribeAndChange(PeerContext& aContext,
                   const MembershipRequest& aRequest,
-                  OnceReplyPointer<MembershipReply> aReply,
+                  const OnceReplyPointer<MembershipReply>& aReply,
                   int aTriesLeft) -> void
 {
   const auto address = aRequest.mInstance.mAddress;
@@ -189,10 +189,10 @@
 auto
 ChangeMembershipHere(PeerContext& aContext,
                      const MembershipRequest& aRequest,
-                     OnceReplyPointer<MembershipReply> aReply) -> void
+                     const OnceReplyPointer<MembershipReply>& aReply) -> void
 {
   if (aRequest.mAction != MembershipAction::Remove) {
-    DescribeAndChange(aContext, aRequest, std::move(aReply), kDescribeRetries);
+    DescribeAndChange(aContext, aRequest, aReply, kDescribeRetries);
     return;
   }
   aReply->Send({ aContext.mControl->ChangeMembership(
@@ -202,10 +202,11 @@
 auto
 ChangeMembershipAtLeader(PeerContext& aContext,
                          const MembershipRequest& aRequest,
-                         OnceReplyPointer<MembershipReply> aReply) -> void
+                         const OnceReplyPointer<MembershipReply>& aReply)
+  -> void
 {
   if (aContext.mControl && aContext.mControl->IsLeader()) {
-    ChangeMembershipHere(aContext, aRequest, std::move(aReply));
+    ChangeMembershipHere(aContext, aRequest, aReply);
     return;
   }
   auto address = aContext.mControl ? aContext.mControl->LeaderAddress()
--- a/src/peers/internal/joining.h
+++ b/src/peers/internal/joining.h
@@ -18,12 +18,13 @@
 auto
 ChangeMembershipAtLeader(PeerContext& aContext,
                          const MembershipRequest& aRequest,
-                         OnceReplyPointer<MembershipReply> aReply) -> void;
+                         const OnceReplyPointer<MembershipReply>& aReply)
+  -> void;
 
 /// Carries out an operator's change; this instance is the leader.
 auto
 ChangeMembershipHere(PeerContext& aContext,
                      const MembershipRequest& aRequest,
-                     OnceReplyPointer<MembershipReply> aReply) -> void;
+                     const OnceReplyPointer<MembershipReply>& aReply) -> void;
 
 } // namespace cuminslip
--- a/src/peers/internal/peertask.cpp
+++ b/src/peers/internal/peertask.cpp
@@ -54,10 +54,11 @@
 
   auto Propose(Command aCommand, CommandReply aReply) -> void override
   {
-    mThread.Post([command = EncodeCommand(aCommand),
-                  reply = NoQuorumReply(std::move(aReply))](PeerContext& it) {
-      ProposeCommand(it, command, reply);
-    });
+    mThread.Post(
+      [command = EncodeCommand(aCommand),
+       reply = NoQuorumReply(std::move(aReply))](PeerContext& aItem) {
+        ProposeCommand(aItem, command, reply);
+      });
   }
 
   auto AcquireLease(LeaseCommand aLease,
@@ -79,7 +80,7 @@
   {
     mThread.Post(
       [reply = MakeOnceReply<TemplateReading>(std::move(aReply), {})](
-        PeerContext& it) { ReadCurrentTemplates(it, reply); });
+        PeerContext& aItem) { ReadCurrentTemplates(aItem, reply); });
   }
 
   auto ReadHistory(AccountId aAccount,
@@ -89,40 +90,42 @@
     mThread.Post(
       [account = std::move(aAccount),
        reply = MakeOnceReply<TemplateReading>(std::move(aReply), {})](
-        PeerContext& it) { ReadAccountHistory(it, account, reply); });
+        PeerContext& aItem) { ReadAccountHistory(aItem, account, reply); });
   }
 
   auto FetchWork(AccountId aAccount, std::string aWork, CommandReply aReply)
     -> void override
   {
     mThread.Post([key = AccountKey{ std::move(aAccount), std::move(aWork) },
-                  reply = NoQuorumReply(std::move(aReply))](PeerContext& it) {
-      FetchFromLeader(it, key, reply);
-    });
+                  reply = NoQuorumReply(std::move(aReply))](
+                   PeerContext& aItem) { FetchFromLeader(aItem, key, reply); });
   }
 
   auto ChangeMembership(MembershipRequest aRequest,
                         std::function<void(const MembershipReply&)> aReply)
     -> void override
   {
-    mThread.Post(
-      [request = std::move(aRequest),
-       reply = MakeOnceReply<MembershipReply>(
-         std::move(aReply), { "the change was not carried out" })](
-        PeerContext& it) { ChangeMembershipAtLeader(it, request, reply); });
+    mThread.Post([request = std::move(aRequest),
+                  reply = MakeOnceReply<MembershipReply>(
+                    std::move(aReply), { "the change was not carried out" })](
+                   PeerContext& aItem) {
+      ChangeMembershipAtLeader(aItem, request, reply);
+    });
   }
 
   auto ReportRevisions(std::function<void(const RevisionReport&)> aReply)
     -> void override
   {
     mThread.Post([reply = MakeOnceReply<RevisionReport>(std::move(aReply), {})](
-                   PeerContext& it) { CollectReports(it, reply); });
+                   PeerContext& aItem) { CollectReports(aItem, reply); });
   }
 
   auto SendToPeer(std::string aAddress, std::string aBytes) -> void override
   {
-    mThread.Post([address = std::move(aAddress), bytes = std::move(aBytes)](
-                   PeerContext& it) { it.mLinks.SendBytes(address, bytes); });
+    mThread.Post([address = std::move(aAddress),
+                  bytes = std::move(aBytes)](PeerContext& aItem) {
+      aItem.mLinks.SendBytes(address, bytes);
+    });
   }
 
   auto Status() const -> PeerStatus override { return mThread.Status(); }
--- a/src/peers/internal/proposer.cpp
+++ b/src/peers/internal/proposer.cpp
@@ -13,19 +13,20 @@
 constexpr auto kReadPoll = Millis(20);
 
 auto
-TryAttempt(PeerContext& aContext, std::shared_ptr<Attempt> aAttempt) -> void;
+TryAttempt(PeerContext& aContext, const std::shared_ptr<Attempt>& aAttempt)
+  -> void;
 
 auto
-RetryLater(PeerContext& aContext, std::shared_ptr<Attempt> aAttempt) -> void
+RetryLater(PeerContext& aContext, const std::shared_ptr<Attempt>& aAttempt)
+  -> void
 {
   if (aContext.mIsStopping) {
     return;
   }
   aContext.mTasks.add(
     aContext.mTimer.afterDelay(kRetryDelay.count() * kj::MILLISECONDS)
-      .then([&aContext, attempt = std::move(aAttempt)] {
-        TryAttempt(aContext, attempt);
-      }));
+      .then(
+        [&aContext, attempt = aAttempt] { TryAttempt(aContext, attempt); }));
 }
 
 auto
@@ -59,7 +60,7 @@
 
 auto
 CallLeader(PeerContext& aContext,
-           std::shared_ptr<Attempt> aAttempt,
+           const std::shared_ptr<Attempt>& aAttempt,
            const std::string& aAddress) -> void
 {
   auto request = aContext.mLinks.SessionAt(aAddress).proposeRequest();
@@ -87,7 +88,8 @@
 }
 
 auto
-TryAttempt(PeerContext& aContext, std::shared_ptr<Attempt> aAttempt) -> void
+TryAttempt(PeerContext& aContext, const std::shared_ptr<Attempt>& aAttempt)
+  -> void
 {
   if (aAttempt->mReply->IsSent()) {
     return;
@@ -106,10 +108,10 @@
   }
   const auto address = NextAddress(aContext, *aAttempt);
   if (address.empty() || address == aContext.mSettings.mAddress) {
-    RetryLater(aContext, std::move(aAttempt));
+    RetryLater(aContext, aAttempt);
     return;
   }
-  CallLeader(aContext, std::move(aAttempt), address);
+  CallLeader(aContext, aAttempt, address);
 }
 
 /// Replies at the deadline, whatever a call does.
@@ -135,7 +137,7 @@
 WaitForRevision(PeerContext& aContext,
                 Revision aRevision,
                 TimePoint aDeadline,
-                OnceReplyPointer<TemplateReading> aReply) -> void
+                const OnceReplyPointer<TemplateReading>& aReply) -> void
 {
   const auto isCurrent = aContext.mCache.mRevision >= aRevision;
   if (isCurrent || aContext.mNow() >= aDeadline) {
@@ -148,7 +150,7 @@
   }
   aContext.mTasks.add(
     aContext.mTimer.afterDelay(kReadPoll.count() * kj::MILLISECONDS)
-      .then([&aContext, aRevision, aDeadline, reply = std::move(aReply)] {
+      .then([&aContext, aRevision, aDeadline, reply = aReply] {
         WaitForRevision(aContext, aRevision, aDeadline, reply);
       }));
 }
@@ -167,8 +169,8 @@
 auto
 AskHistory(PeerContext& aContext,
            std::vector<std::string> aAddresses,
-           AccountId aAccount,
-           OnceReplyPointer<TemplateReading> aReply) -> void
+           const AccountId& aAccount,
+           const OnceReplyPointer<TemplateReading>& aReply) -> void
 {
   if (aAddresses.empty()) {
     aReply->Send({});
@@ -201,19 +203,19 @@
 auto
 ProposeCommand(PeerContext& aContext,
                std::string aCommand,
-               OnceReplyPointer<CommandResult> aReply) -> void
+               const OnceReplyPointer<CommandResult>& aReply) -> void
 {
   const auto limit = aContext.mSettings.mProposalTime;
   LimitReply(aContext, limit, aReply, CommandResult{ CommandStatus::NoQuorum });
-  auto attempt = std::make_shared<Attempt>(Attempt{
-    std::move(aCommand), aContext.mNow() + limit, std::move(aReply), 0 });
+  auto attempt = std::make_shared<Attempt>(
+    Attempt{ std::move(aCommand), aContext.mNow() + limit, aReply, 0 });
   TryAttempt(aContext, std::move(attempt));
 }
 
 auto
 FetchFromLeader(PeerContext& aContext,
                 const AccountKey& aWork,
-                OnceReplyPointer<CommandResult> aReply) -> void
+                const OnceReplyPointer<CommandResult>& aReply) -> void
 {
   if (aContext.mControl && aContext.mControl->HasLease()) {
     aReply->Send(FetchWorkResult(aContext.mControl->State(), aWork));
@@ -254,14 +256,12 @@
 
 auto
 ReadCurrentTemplates(PeerContext& aContext,
-                     OnceReplyPointer<TemplateReading> aReply) -> void
+                     const OnceReplyPointer<TemplateReading>& aReply) -> void
 {
   const auto deadline = aContext.mNow() + kReadLimit;
   if (aContext.mControl && aContext.mControl->HasLease()) {
-    WaitForRevision(aContext,
-                    TemplateRevision(aContext.mControl->State()),
-                    deadline,
-                    std::move(aReply));
+    WaitForRevision(
+      aContext, TemplateRevision(aContext.mControl->State()), deadline, aReply);
     return;
   }
   auto attempt = Attempt{};
@@ -293,14 +293,14 @@
 auto
 ReadAccountHistory(PeerContext& aContext,
                    const AccountId& aAccount,
-                   OnceReplyPointer<TemplateReading> aReply) -> void
+                   const OnceReplyPointer<TemplateReading>& aReply) -> void
 {
   if (aContext.mControl && aContext.mControl->Core().mVote.mCluster != 0) {
     aReply->Send({ HistoryOf(aContext.mControl->State(), aAccount),
                    aContext.mControl->HasLease() });
     return;
   }
-  AskHistory(aContext, OtherControls(aContext), aAccount, std::move(aReply));
+  AskHistory(aContext, OtherControls(aContext), aAccount, aReply);
 }
 
 } // namespace cuminslip
--- a/src/peers/internal/proposer.h
+++ b/src/peers/internal/proposer.h
@@ -19,24 +19,24 @@
 auto
 ProposeCommand(PeerContext& aContext,
                std::string aCommand,
-               OnceReplyPointer<CommandResult> aReply) -> void;
+               const OnceReplyPointer<CommandResult>& aReply) -> void;
 
 /// Asks the leader for the result of submitted work.
 auto
 FetchFromLeader(PeerContext& aContext,
                 const AccountKey& aWork,
-                OnceReplyPointer<CommandResult> aReply) -> void;
+                const OnceReplyPointer<CommandResult>& aReply) -> void;
 
 /// Answers with the templates in force; they count as current when they are
 /// no older than what the leader has accepted since the call began.
 auto
 ReadCurrentTemplates(PeerContext& aContext,
-                     OnceReplyPointer<TemplateReading> aReply) -> void;
+                     const OnceReplyPointer<TemplateReading>& aReply) -> void;
 
 /// Asks the control instances in turn.
 auto
 ReadAccountHistory(PeerContext& aContext,
                    const AccountId& aAccount,
-                   OnceReplyPointer<TemplateReading> aReply) -> void;
+                   const OnceReplyPointer<TemplateReading>& aReply) -> void;
 
 } // namespace cuminslip
--- a/src/peers/internal/revisionreports.cpp
+++ b/src/peers/internal/revisionreports.cpp
@@ -22,10 +22,11 @@
 MergeInstance(RevisionReport& aReport, const InstanceRevision& aInstance)
   -> void
 {
-  const auto it = std::find_if(
-    aReport.mInstances.begin(),
-    aReport.mInstances.end(),
-    [&](const auto& known) { return known.mInstance == aInstance.mInstance; });
+  const auto it = std::find_if(aReport.mInstances.begin(),
+                               aReport.mInstances.end(),
+                               [&](const auto& aKnown) {
+                                 return aKnown.mInstance == aInstance.mInstance;
+                               });
   if (it == aReport.mInstances.end()) {
     aReport.mInstances.push_back(aInstance);
     return;
@@ -68,18 +69,20 @@
 {
   const auto age =
     std::max(MillisBetween(aContext.mStarted, aContext.mNow()), kReachableAge);
-  const auto add = [&](const PeerInstance& it) {
-    MergeInstance(aReport, { it.mInstance, it.mFailureDomain, 0, false, age });
+  const auto add = [&](const PeerInstance& aItem) {
+    MergeInstance(aReport,
+                  { aItem.mInstance, aItem.mFailureDomain, 0, false, age });
   };
   const auto& settings = aContext.mSettings;
   std::for_each(
     settings.mControlInstances.begin(), settings.mControlInstances.end(), add);
   std::for_each(
     settings.mDomainInstances.begin(), settings.mDomainInstances.end(), add);
-  std::sort(
-    aReport.mInstances.begin(),
-    aReport.mInstances.end(),
-    [](const auto& l, const auto& r) { return l.mInstance < r.mInstance; });
+  std::sort(aReport.mInstances.begin(),
+            aReport.mInstances.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return aLeft.mInstance < aRight.mInstance;
+            });
 }
 
 } // namespace
@@ -93,8 +96,9 @@
   const auto now = aContext.mNow();
   if (!aContext.mSubscribers.contains(aInstance) &&
       aContext.mSubscribers.size() >= kMaxSubscribers) {
-    std::erase_if(aContext.mSubscribers, [&](const auto& it) {
-      return it.second.mPulls == 0 && it.second.mHeard + kForgetAfter < now;
+    std::erase_if(aContext.mSubscribers, [&](const auto& aItem) {
+      return aItem.second.mPulls == 0 &&
+             aItem.second.mHeard + kForgetAfter < now;
     });
     if (aContext.mSubscribers.size() >= kMaxSubscribers) {
       return;
@@ -133,8 +137,8 @@
 }
 
 auto
-CollectReports(PeerContext& aContext, OnceReplyPointer<RevisionReport> aReply)
-  -> void
+CollectReports(PeerContext& aContext,
+               const OnceReplyPointer<RevisionReport>& aReply) -> void
 {
   auto report = std::make_shared<RevisionReport>(OwnReport(aContext));
   auto calls = kj::Vector<kj::Promise<void>>();
--- a/src/peers/internal/revisionreports.h
+++ b/src/peers/internal/revisionreports.h
@@ -13,8 +13,8 @@
 /// Asks all control instances and puts their reports together. Instances of
 /// the settings that nobody heard of are listed as not reachable.
 auto
-CollectReports(PeerContext& aContext, OnceReplyPointer<RevisionReport> aReply)
-  -> void;
+CollectReports(PeerContext& aContext,
+               const OnceReplyPointer<RevisionReport>& aReply) -> void;
 
 /// Notes that an instance pulled, and forgets those long gone.
 auto
--- a/src/peers/internal/sessionserver.cpp
+++ b/src/peers/internal/sessionserver.cpp
@@ -145,12 +145,13 @@
                              [fulfiller](const ProposalResult& aResult) {
                                (*fulfiller)->fulfill(ProposalResult(aResult));
                              });
-  return pair.promise.then([this, aCall](ProposalResult aResult) mutable {
-    auto results = aCall.getResults();
-    SetLeader(results, aResult.mOutcome == LeaderOutcome::Done);
-    results.setOutcome(ToSchema(aResult.mOutcome));
-    results.setResult(ToData(EncodeCommandResult(aResult.mResult)));
-  });
+  return pair.promise.then(
+    [this, aCall](const ProposalResult& aResult) mutable {
+      auto results = aCall.getResults();
+      SetLeader(results, aResult.mOutcome == LeaderOutcome::Done);
+      results.setOutcome(ToSchema(aResult.mOutcome));
+      results.setResult(ToData(EncodeCommandResult(aResult.mResult)));
+    });
 }
 
 auto
@@ -180,7 +181,7 @@
     AnswerPull(aCall);
     return kj::READY_NOW;
   }
-  mContext.mWaiting.remove_if([](auto& it) { return !it->isWaiting(); });
+  mContext.mWaiting.remove_if([](auto& aItem) { return !aItem->isWaiting(); });
   auto pair = kj::newPromiseAndFulfiller<void>();
   mContext.mWaiting.push_back(kj::mv(pair.fulfiller));
   return mContext.mTimer.afterDelay(wait * kj::MILLISECONDS)
@@ -213,7 +214,7 @@
                        { static_cast<MembershipAction>(params.getAction()),
                          ReadJoiner(params.getJoiner()).mInstance },
                        std::move(reply));
-  return pair.promise.then([aCall](std::string aProblem) mutable {
+  return pair.promise.then([aCall](const std::string& aProblem) mutable {
     aCall.getResults().setProblem(ToText(aProblem));
   });
 }
--- a/src/peers/internal/templatecache.cpp
+++ b/src/peers/internal/templatecache.cpp
@@ -32,9 +32,10 @@
       newer.push_back(&it);
     }
   }
-  std::sort(newer.begin(), newer.end(), [](const auto* l, const auto* r) {
-    return l->mRevision < r->mRevision;
-  });
+  std::sort(
+    newer.begin(), newer.end(), [](const auto* aLeft, const auto* aRight) {
+      return aLeft->mRevision < aRight->mRevision;
+    });
   auto page = TemplatePage{};
   auto bytes = std::size_t{ 0 };
   for (const auto* it : newer) {
