--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
   pkg-config ninja-build cmake g++ ccache spin gnuplot-nox clang-format \
   clang-tidy
 
-.PHONY: setup build test test-sanitized run format check-format lint generate
+.PHONY: setup build test test-sanitized run format check-format lint generate \
+  check-model
 
 setup:
 	scripts/setup $(PACKAGES)
@@ -36,3 +37,6 @@
 
 generate:
 	scripts/generate
+
+check-model:
+	scripts/check-model
--- a/src/control/tests/controlstore_tests.cpp
+++ b/src/control/tests/controlstore_tests.cpp
@@ -310,8 +310,8 @@
   auto disk = FilledDisk(10);
   for (auto& [name, file] : disk->mNames) {
     for (auto n = random() % 4; n > 0 && !file->mBytes.empty(); --n) {
-      file->mBytes[random() % file->mBytes.size()] ^=
-        static_cast<char>(1 + random() % 255);
+      auto& byte = file->mBytes[random() % file->mBytes.size()];
+      byte = static_cast<char>(byte ^ static_cast<char>(1 + random() % 255));
     }
     if (random() % 4 == 0) {
       file->mBytes.resize(random() % (file->mBytes.size() + 1));
--- a/src/peers/internal/proposer.cpp
+++ b/src/peers/internal/proposer.cpp
@@ -207,9 +207,9 @@
 {
   const auto limit = aContext.mSettings.mProposalTime;
   LimitReply(aContext, limit, aReply, CommandResult{ CommandStatus::NoQuorum });
-  auto attempt = std::make_shared<Attempt>(
+  const auto attempt = std::make_shared<Attempt>(
     Attempt{ std::move(aCommand), aContext.mNow() + limit, aReply, 0 });
-  TryAttempt(aContext, std::move(attempt));
+  TryAttempt(aContext, attempt);
 }
 
 auto
--- a/src/peers/internal/sessionserver.cpp
+++ b/src/peers/internal/sessionserver.cpp
@@ -205,7 +205,7 @@
   auto pair = kj::newPromiseAndFulfiller<std::string>();
   auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<std::string>>>(
     kj::mv(pair.fulfiller));
-  auto reply = MakeOnceReply<MembershipReply>(
+  const auto reply = MakeOnceReply<MembershipReply>(
     [fulfiller](const MembershipReply& aReply) {
       (*fulfiller)->fulfill(std::string(aReply.mProblem));
     },
@@ -213,7 +213,7 @@
   ChangeMembershipHere(mContext,
                        { static_cast<MembershipAction>(params.getAction()),
                          ReadJoiner(params.getJoiner()).mInstance },
-                       std::move(reply));
+                       reply);
   return pair.promise.then([aCall](const std::string& aProblem) mutable {
     aCall.getResults().setProblem(ToText(aProblem));
   });
--- a/src/peers/tests/testinstance.h
+++ b/src/peers/tests/testinstance.h
@@ -85,7 +85,9 @@
       address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
       const auto socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
       auto length = socklen_t{ sizeof(address) };
-      ::bind(socket, reinterpret_cast<sockaddr*>(&address), length);
+      if (::bind(socket, reinterpret_cast<sockaddr*>(&address), length) != 0) {
+        continue;
+      }
       ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
       ports.push_back(ntohs(address.sin_port));
       sockets.push_back(socket);
