Accept no change before the founding of the control log is complete

Cause: real processes showed it: the founder was the only voter for some 100 ms and accepted changes alone; killed and emptied then, it took them along, and two instances that had joined late never had a quorum again. Ruled out: the election (a kill 600 ms after the start passes). Change: proposals are refused (and tried again by the peer task) until every instance named at the founding is a voter; an operator can give one up by removing it.

--- a/src/control/internal/proposals.cpp
+++ b/src/control/internal/proposals.cpp
@@ -31,6 +31,11 @@
     return ProposalFate::NotLeader;
   }
   const auto& membership = CurrentMembership(aState);
+  // NOTE: before that, a change would be lost with fewer disks than the
+  // operator has planned to lose.
+  if (!membership.mExpected.empty()) {
+    return ProposalFate::Founding;
+  }
   const auto voters = std::count_if(
     membership.mMembers.begin(),
     membership.mMembers.end(),
--- a/src/control/tests/controlcore_tests.cpp
+++ b/src/control/tests/controlcore_tests.cpp
@@ -354,6 +354,45 @@
   BOOST_TEST(!HasLeaderLease(cluster.mMembers[leader].mCore, cluster.mNow));
 }
 
+BOOST_AUTO_TEST_CASE(AcceptsNothingBeforeAllNamedInstancesJoined)
+{
+  struct Row
+  {
+    std::size_t mNamed;
+    std::size_t mJoined;
+    bool mIsAccepted;
+  };
+  for (const auto& row : { Row{ 3, 1, false },
+                           Row{ 3, 2, false },
+                           Row{ 5, 1, false },
+                           Row{ 5, 2, false },
+                           Row{ 5, 3, false },
+                           Row{ 5, 4, false },
+                           Row{ 3, 3, true },
+                           Row{ 5, 5, true },
+                           Row{ 1, 1, true } }) {
+    auto cluster = TestCluster(row.mNamed, 1, row.mJoined);
+    const auto token = cluster.Propose(0, PublishOf("ana", 0, "r1"));
+    cluster.Run(Seconds(1));
+    BOOST_TEST_CONTEXT(row.mJoined << " of " << row.mNamed)
+    {
+      const auto fate = cluster.mPlaces.at(token).mFate;
+      BOOST_TEST((fate == ProposalFate::Appended) == row.mIsAccepted);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnOperatorGivesUpAnInstanceThatNeverJoined)
+{
+  auto cluster = TestCluster(3, 1, 2);
+  cluster.Feed(0, RemoveMemberInput{ TestCluster::InstanceOf(2) });
+  cluster.Run(Seconds(1));
+  const auto token = cluster.Propose(0, PublishOf("ana", 0, "r1"));
+  cluster.Run(Seconds(1));
+
+  BOOST_TEST(IsAccepted(cluster, token));
+}
+
 BOOST_AUTO_TEST_CASE(AFullDiskRefusesNewChanges)
 {
   auto cluster = TestCluster(3);
--- a/src/control/tests/testcluster.h
+++ b/src/control/tests/testcluster.h
@@ -81,7 +81,9 @@
   /// Place and result of proposals by token; the result once applied.
   std::map<std::uint64_t, ProposalPlace> mPlaces;
 
-  explicit TestCluster(std::size_t aSize, std::uint64_t aSeed = 1)
+  explicit TestCluster(std::size_t aSize,
+                       std::uint64_t aSeed = 1,
+                       std::size_t aJoined = SIZE_MAX)
     : mMembers(aSize)
     , mRandom(aSeed)
   {
@@ -95,7 +97,13 @@
     }
     Feed(0, found);
     Run(Seconds(2));
-    for (auto n = std::size_t{ 1 }; n < aSize; ++n) {
+    Join(1, aJoined);
+  }
+
+  /// Lets the members from aFirst up to aEnd join, one after another.
+  auto Join(std::size_t aFirst, std::size_t aEnd) -> void
+  {
+    for (auto n = aFirst; n < std::min(aEnd, mMembers.size()); ++n) {
       Feed(0, AddMemberInput{ MemberOf(n), false });
       Run(Seconds(3));
     }
--- a/src/control/types/coreio.h
+++ b/src/control/types/coreio.h
@@ -103,7 +103,9 @@
   NotLeader,
   DiskFull,
   /// Too much waits to be committed.
-  Overloaded
+  Overloaded,
+  /// Not all control instances named at the founding are voters yet.
+  Founding
 };
 
 struct ProposalPlace
--- a/src/control/types/membership.cpp
+++ b/src/control/types/membership.cpp
@@ -4,14 +4,25 @@
 
 namespace cuminslip {
 
+namespace {
+
 auto
-QuorumSize(const Membership& aMembership) -> std::size_t
+CountVoters(const Membership& aMembership) -> std::size_t
 {
   const auto voters = std::count_if(
     aMembership.mMembers.begin(),
     aMembership.mMembers.end(),
     [](const auto& aItem) { return aItem.mRole == MemberRole::Voter; });
-  return voters == 0 ? 0 : static_cast<std::size_t>(voters) / 2 + 1;
+  return static_cast<std::size_t>(voters);
+}
+
+} // namespace
+
+auto
+QuorumSize(const Membership& aMembership) -> std::size_t
+{
+  const auto voters = CountVoters(aMembership);
+  return voters == 0 ? 0 : voters / 2 + 1;
 }
 
 auto
--- a/src/control/types/membership.h
+++ b/src/control/types/membership.h
@@ -33,7 +33,7 @@
 struct Membership
 {
   std::vector<Member> mMembers;
-  /// Instances named when the log was founded that have not joined yet.
+  /// Instances named when the log was founded that are not voters yet.
   std::vector<InstanceId> mExpected;
 
   auto operator==(const Membership&) const -> bool = default;
--- a/src/peers/internal/controlnode.cpp
+++ b/src/peers/internal/controlnode.cpp
@@ -22,6 +22,7 @@
     case ProposalFate::DiskFull:
       return LeaderOutcome::DiskFull;
     case ProposalFate::Overloaded:
+    case ProposalFate::Founding:
       return LeaderOutcome::Overloaded;
     default:
       return LeaderOutcome::NotLeader;
