--- a/bench/experiments.cpp
+++ b/bench/experiments.cpp
@@ -1,4 +1,5 @@
 #include "bench/fleetreport.h"
+#include "bench/healthexperiment.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -182,9 +183,10 @@
 main(int aCount, char** aArguments) -> int
 {
   const auto experiments = std::map<std::string, std::function<void()>>{
-    { "herding", RunHerding }, { "samples", RunSamples },
-    { "lanes", RunLanes },     { "large", RunLarge },
-    { "slow", RunSlow },       { "prefixes", RunPrefixes },
+    { "herding", RunHerding },   { "samples", RunSamples },
+    { "lanes", RunLanes },       { "large", RunLarge },
+    { "slow", RunSlow },         { "health", RunHealth },
+    { "prefixes", RunPrefixes },
   };
   if (aCount == 1) {
     for (const auto& [name, run] : experiments) {
--- a/src/policy/endpointhealth.h
+++ b/src/policy/endpointhealth.h
@@ -16,10 +16,10 @@
 struct HealthSettings
 {
   /// Failures in a row after which an endpoint is ejected.
-  std::int64_t mFailuresInRow = 3;
-  /// Smoothed share of failures above which it is ejected, when that is also
-  /// above the median endpoint's by mShareAboveMedian.
-  double mFailureShare = 0.5;
+  std::int64_t mFailuresInRow = 2;
+  /// Smoothed share of failures from which it is ejected.
+  double mFailureShare = 0.4;
+  /// Either counts only where its share is above the median one's by this.
   double mShareAboveMedian = 0.3;
   /// Calls before the share counts.
   std::int64_t mLeastCalls = 5;
--- a/src/policy/internal/endpointhealth.cpp
+++ b/src/policy/internal/endpointhealth.cpp
@@ -32,13 +32,15 @@
           double aMedian,
           const HealthSettings& aSettings) -> bool
 {
-  if (aHealth.mCalls.mConsecutiveFailures >= aSettings.mFailuresInRow) {
-    return true;
-  }
+  // NOTE: where the others fail as well, the cause lies elsewhere, and fewer
+  // endpoints would only make it worse.
   const auto share = aHealth.mCalls.mFailureShare;
-  return aHealth.mCallCount >= aSettings.mLeastCalls &&
-         share >= aSettings.mFailureShare &&
-         share >= aMedian + aSettings.mShareAboveMedian;
+  if (share < aMedian + aSettings.mShareAboveMedian) {
+    return false;
+  }
+  return aHealth.mCalls.mConsecutiveFailures >= aSettings.mFailuresInRow ||
+         (aHealth.mCallCount >= aSettings.mLeastCalls &&
+          share >= aSettings.mFailureShare);
 }
 
 auto
