Look at recovered endpoints again

Cause: past failures and learned slowness raise an endpoint's cost, and an endpoint that is never called never loses them. Change: 2 in 100 looks of prompts up to 8192 tokens overlook both. Conclusion: kept for short prompts; a test shows that both kinds of endpoint are called again, and seldom.

--- a/src/policy/endpointchoice.h
+++ b/src/policy/endpointchoice.h
@@ -54,6 +54,11 @@
   Micros mNoMemoryCost{ 2000000 };
   /// Cost of reading a long prompt on a shared engine.
   Micros mOverflowCost{ 250000 };
+  /// Share of the looks at an endpoint that overlook its past failures and
+  /// slowness, so that one that has recovered is found out.
+  double mExploreShare = 0.02;
+  /// Only requests with at most so many prompt tokens are used for that.
+  std::int64_t mExploreTokens = 8192;
   PredictionSettings mPrediction;
   LaneSettings mLanes;
 
@@ -99,6 +104,7 @@
   /// To be given to the engine: 0 urgent, 1 normal, 2 patient.
   int mEnginePriority = 1;
   bool mIsHome = false;
+  bool mIsExplored = false;
   Micros mDistance{ 0 };
   Micros mCost{ 0 };
 
--- a/src/policy/internal/choicecandidates.cpp
+++ b/src/policy/internal/choicecandidates.cpp
@@ -134,6 +134,23 @@
   return penalty;
 }
 
+/// The cost without what past failures and slowness add.
+auto
+OverlookHealth(const ConsideredEndpoint& aConsidered,
+               const EndpointView& aEndpoint,
+               const ChoiceSettings& aSettings) -> Micros
+{
+  const auto slowness = std::clamp(aEndpoint.mHealth.mSlowness,
+                                   aSettings.mPrediction.mLeastSlowness,
+                                   aSettings.mPrediction.mGreatestSlowness);
+  const auto failures = std::chrono::duration_cast<Micros>(
+    aSettings.mFailureCost * aEndpoint.mHealth.mFailureShare);
+  const auto time = FirstTokenTime(aConsidered.mTimes);
+  const auto usual =
+    slowness > 1.0 ? std::chrono::duration_cast<Micros>(time / slowness) : time;
+  return aConsidered.mCost - failures - time + usual;
+}
+
 struct RankedIndex
 {
   std::uint64_t mRank = 0;
@@ -264,31 +281,32 @@
 
 auto
 ConsiderEndpoint(const ChoiceInput& aInput,
-                 std::size_t aIndex,
-                 const CachedPrefix& aCached,
-                 bool aIsHome,
+                 const Look& aLook,
                  const ChoiceSettings& aSettings) -> ConsideredEndpoint
 {
-  const auto& endpoint = aInput.mEndpoints[aIndex];
+  const auto& endpoint = aInput.mEndpoints[aLook.mIndex];
   auto considered = ConsideredEndpoint{};
-  considered.mIndex = aIndex;
-  considered.mCached = aCached;
-  considered.mIsHome = aIsHome;
-  considered.mEnginePriority =
-    SizeOf(aInput, aCached, aSettings).mEnginePriority;
+  considered.mIndex = aLook.mIndex;
+  considered.mCached = aLook.mCached;
+  considered.mIsHome = aLook.mIsHome;
+  considered.mIsExplored = aLook.mIsExplored;
   considered.mDistance = DistanceOf(aInput, endpoint, aSettings);
   if (endpoint.mKind == EndpointKind::ModelEngine) {
-    considered.mTimes = PredictTimes(
-      endpoint, SizeOf(aInput, aCached, aSettings), aSettings.mPrediction);
-    considered.mLane = LaneOf(aInput, endpoint, aCached, aSettings);
+    const auto work = SizeOf(aInput, aLook.mCached, aSettings);
+    considered.mEnginePriority = work.mEnginePriority;
+    considered.mTimes = PredictTimes(endpoint, work, aSettings.mPrediction);
+    considered.mLane = LaneOf(aInput, endpoint, aLook.mCached, aSettings);
   }
   const auto discount =
-    aIsHome ? std::chrono::duration_cast<Micros>(considered.mTimes.mPrefill *
-                                                 aSettings.mHomeDiscount)
-            : Micros(0);
+    aLook.mIsHome ? std::chrono::duration_cast<Micros>(
+                      considered.mTimes.mPrefill * aSettings.mHomeDiscount)
+                  : Micros(0);
   considered.mCost = FirstTokenTime(considered.mTimes) + considered.mDistance +
                      PenaltyOf(aInput, endpoint, considered, aSettings) -
                      discount;
+  if (aLook.mIsExplored) {
+    considered.mCost = OverlookHealth(considered, endpoint, aSettings);
+  }
   return considered;
 }
 
--- a/src/policy/internal/choicecandidates.h
+++ b/src/policy/internal/choicecandidates.h
@@ -38,12 +38,20 @@
                  const ChoiceSettings& aSettings,
                  std::mt19937_64& aRandom) -> std::vector<std::size_t>;
 
+/// What is known of one endpoint before it is compared.
+struct Look
+{
+  std::size_t mIndex = 0;
+  CachedPrefix mCached;
+  bool mIsHome = false;
+  /// Overlooks past failures and slowness.
+  bool mIsExplored = false;
+};
+
 /// Predicts the times of one endpoint and their cost.
 auto
 ConsiderEndpoint(const ChoiceInput& aInput,
-                 std::size_t aIndex,
-                 const CachedPrefix& aCached,
-                 bool aIsHome,
+                 const Look& aLook,
                  const ChoiceSettings& aSettings) -> ConsideredEndpoint;
 
 } // namespace cuminslip
--- a/src/policy/internal/endpointchoice.cpp
+++ b/src/policy/internal/endpointchoice.cpp
@@ -165,11 +165,18 @@
       : std::move(aCandidates.mIndexes);
   auto considered = std::vector<ConsideredEndpoint>{};
   considered.reserve(indexes.size());
+  const auto exploreShare =
+    aInput.mRequest.mPromptTokens <= aSettings.mExploreTokens
+      ? aSettings.mExploreShare
+      : 0.0;
+  auto unit = std::uniform_real_distribution<double>(0.0, 1.0);
   for (const auto index : indexes) {
-    const auto& prefix = cached.empty() ? CachedPrefix{} : cached[index];
-    const auto isHome =
-      std::find(homes.begin(), homes.end(), index) != homes.end();
-    auto item = ConsiderEndpoint(aInput, index, prefix, isHome, aSettings);
+    auto look = Look{};
+    look.mIndex = index;
+    look.mCached = cached.empty() ? CachedPrefix{} : cached[index];
+    look.mIsHome = std::find(homes.begin(), homes.end(), index) != homes.end();
+    look.mIsExplored = unit(aRandom) < exploreShare;
+    auto item = ConsiderEndpoint(aInput, look, aSettings);
     if (IsOpen(item)) {
       considered.push_back(item);
     } else {
--- a/src/policy/tests/endpointchoice_tests.cpp
+++ b/src/policy/tests/endpointchoice_tests.cpp
@@ -120,6 +120,7 @@
 {
   auto choosing = Choosing{};
   choosing.mViews.resize(2);
+  choosing.mSettings.mExploreShare = 0;
   choosing.mViews[0].mSent = { 2, 50000 };
   for (auto i = 0; i < 20; ++i) {
     BOOST_REQUIRE(choosing.ChooseId() == "engine-1");
@@ -154,6 +155,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(FindsOutThatAnEndpointHasRecovered)
+{
+  auto choosing = Choosing{};
+  choosing.mViews[2].mHealth = { 0, 0.3, 1.0 };
+  choosing.mViews[4].mHealth = { 0, 0.0, 8.0 };
+  auto counts = std::map<std::string, int>{};
+  for (auto i = 0; i < 3000; ++i) {
+    ++counts[choosing.ChooseId()];
+  }
+  for (const auto* id : { "engine-2", "engine-4" }) {
+    BOOST_TEST(counts[id] > 0);
+    BOOST_TEST(counts[id] < 100);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(StaysInItsFailureDomainWhenLoadIsEqual)
 {
   auto choosing = Choosing{};
