--- a/bench/decisioncost.cpp
+++ b/bench/decisioncost.cpp
@@ -98,6 +98,15 @@
               nanos);
 }
 
+auto
+PrintLanes(std::size_t aEndpoints) -> void
+{
+  auto endpoints = BuildEndpoints(aEndpoints);
+  const auto nanos =
+    MeasureNanos(200, [&] { AssignLanes(endpoints, LaneSettings{}); });
+  std::printf("| lanes of %zu endpoints | %.0f |\n", aEndpoints, nanos);
+}
+
 auto
 PrintQueue(std::size_t aAccounts, std::size_t aEach) -> void
 {
@@ -154,6 +163,7 @@
     PrintChoice(endpoints, 2000, 3);
     PrintChoice(endpoints, 2000, endpoints);
     PrintChoice(endpoints, 200000, 3);
+    PrintLanes(endpoints);
   }
   PrintQueue(10, 10);
   PrintQueue(290, 10);
--- a/bench/experiments.cpp
+++ b/bench/experiments.cpp
@@ -1,5 +1,6 @@
 #include "bench/fleetreport.h"
 #include "bench/healthexperiment.h"
+#include "bench/queueexperiment.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -186,6 +187,7 @@
     { "herding", RunHerding },   { "samples", RunSamples },
     { "lanes", RunLanes },       { "large", RunLarge },
     { "slow", RunSlow },         { "health", RunHealth },
+    { "fairness", RunFairness }, { "burst", RunBurst },
     { "prefixes", RunPrefixes },
   };
   if (aCount == 1) {
