Check liveness five times a second instead of at each tick

Cause: a tick each 20 ms looked at every instance and endpoint. Change: silence, suspicion and forgetting are checked each 200 ms; rounds and greetings stay on the tick.

--- a/src/endpoints/internal/membership.cpp
+++ b/src/endpoints/internal/membership.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kFirstHellos = 3;
+constexpr auto kCheckInterval = Millis(200);
 
 /// The pause of this process is not held against its peers.
 auto
@@ -95,6 +96,22 @@
   }
 }
 
+/// Notes who went silent or came back, instances and endpoints alike.
+auto
+CheckLiveness(Membership& aMembership,
+              Registry& aRegistry,
+              TimePoint aNow,
+              MembershipOutput& aOutput) -> void
+{
+  NoteSilence(aMembership, aNow, aOutput);
+  const auto alive = AliveInstances(aMembership, aNow).size();
+  aRegistry.mSettings.mShareDelay = ShareDelay(aMembership.mSettings, alive);
+  aOutput.mEndpointChanges = TickRegistry(aRegistry, aNow);
+  std::erase_if(aMembership.mSpreads, [&](const auto& aItem) {
+    return !aRegistry.mEntries.contains(aItem.first);
+  });
+}
+
 /// Begins to pass on a load. Every instance takes the same ones of an
 /// endpoint's announcements, by their numbers, or one that is overdue.
 auto
@@ -194,6 +211,7 @@
   membership.mSettings = std::move(aSettings);
   membership.mNextRoundAt = aNow;
   membership.mNextHelloAt = aNow;
+  membership.mNextCheckAt = aNow;
   membership.mNextSyncAt = aNow;
   membership.mLastTick = aNow;
   return membership;
@@ -205,13 +223,10 @@
 {
   auto output = MembershipOutput{};
   CreditOwnPause(aMembership, aNow);
-  NoteSilence(aMembership, aNow, output);
-  const auto alive = AliveInstances(aMembership, aNow).size();
-  aRegistry.mSettings.mShareDelay = ShareDelay(aMembership.mSettings, alive);
-  output.mEndpointChanges = TickRegistry(aRegistry, aNow);
-  std::erase_if(aMembership.mSpreads, [&](const auto& aItem) {
-    return !aRegistry.mEntries.contains(aItem.first);
-  });
+  if (aNow >= aMembership.mNextCheckAt) {
+    aMembership.mNextCheckAt = aNow + kCheckInterval;
+    CheckLiveness(aMembership, aRegistry, aNow, output);
+  }
   GreetPeers(aMembership, aRegistry, aNow, output);
   RunRound(aMembership, aRegistry, aNow, output);
   return output;
--- a/src/endpoints/membership.h
+++ b/src/endpoints/membership.h
@@ -80,6 +80,7 @@
   std::uint64_t mRound = 0;
   TimePoint mNextRoundAt;
   TimePoint mNextHelloAt;
+  TimePoint mNextCheckAt;
   TimePoint mNextSyncAt;
   TimePoint mLastTick;
   std::size_t mNextPeer = 0;
