Split the registry and the membership codec by their jobs

Change: applying announcements, entries, columns, encoding and decoding are files of their own; no behaviour changes. Measured: the same 65 and 12 tests pass.

--- /dev/null
+++ b/src/endpoints/internal/membershipcolumns.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+/// Numbers as they stand in the columns of membership messages.
+namespace cuminslip::endpoints {
+
+/// Cuts aValue to the range of T.
+template<class T>
+auto
+Narrow(std::int64_t aValue) -> T
+{
+  constexpr auto kLimit = std::int64_t{ std::numeric_limits<T>::max() };
+  return static_cast<T>(std::clamp<std::int64_t>(aValue, 0, kLimit));
+}
+
+/// Ages in units of 10 ms.
+auto
+EncodeAge(Millis aAge) -> std::uint16_t;
+
+auto
+DecodeAge(std::uint16_t aAge) -> Millis;
+
+/// Ages of loads in units of 50 ms.
+auto
+EncodeLoadAge(Millis aAge) -> std::uint8_t;
+
+auto
+DecodeLoadAge(std::uint8_t aAge) -> Millis;
+
+/// Rates to the nearest eighth of an octave.
+auto
+EncodeRate(double aRate) -> std::uint8_t;
+
+auto
+DecodeRate(std::uint8_t aRate) -> double;
+
+/// Free memory is rounded down, so that no more is promised than there is.
+auto
+EncodeFree(std::int64_t aTokens) -> std::uint8_t;
+
+/// Queued work is rounded up.
+auto
+EncodeQueued(std::int64_t aTokens) -> std::uint8_t;
+
+auto
+DecodeTokens(std::uint8_t aSteps) -> std::int64_t;
+
+} // namespace cuminslip::endpoints
