--- a/src/settings/internal/settings.cpp
+++ b/src/settings/internal/settings.cpp
@@ -47,6 +47,7 @@
   settings.mDataFolder = documents::ReadText(aRoot, "data_folder").value_or("");
   settings.mLimits = settings::ReadLimits(aRoot);
   settings.mKeys = settings::ReadKeys(aRoot);
+  settings.mTls = settings::ReadTls(aRoot);
   settings.mFencing = settings::ReadFencing(aRoot);
   settings.mWeightStore = settings::ReadWeightStore(aRoot);
   settings.mPolicy = settings::ReadPolicy(aRoot);
--- a/src/settings/internal/settingssections.cpp
+++ b/src/settings/internal/settingssections.cpp
@@ -180,8 +180,6 @@
     section, "connections", base.mMaxConnections, counts);
   limits.mRequestTimeout =
     documents::ReadDuration(section, "request_timeout", base.mRequestTimeout);
-  limits.mIdleTimeout =
-    documents::ReadDuration(section, "idle_timeout", base.mIdleTimeout);
   limits.mMaxWaitingRequests = documents::ReadInteger(
     section, "waiting_requests", base.mMaxWaitingRequests, counts);
   limits.mMaxWaitingBytes =
@@ -212,6 +210,27 @@
   return keys;
 }
 
+auto
+ReadTls(Section& aRoot) -> TlsSettings
+{
+  auto section = OpenSection(aRoot, "tls");
+  auto tls = TlsSettings{};
+  tls.mCertificateFile =
+    documents::ReadText(section, "certificate").value_or("");
+  tls.mKeyFile = documents::ReadText(section, "key").value_or("");
+  tls.mEndpointTrustFile =
+    documents::ReadText(section, "endpoint_trust").value_or("");
+  const auto isHalf = tls.mCertificateFile.empty() != tls.mKeyFile.empty();
+  if (isHalf) {
+    AddProblem(section,
+               tls.mKeyFile.empty() ? "key" : "certificate",
+               "missing",
+               "both certificate and key, or neither");
+  }
+  CloseSection(section);
+  return tls;
+}
+
 auto
 ReadFencing(Section& aRoot) -> FencingSettings
 {
--- a/src/settings/internal/settingssections.h
+++ b/src/settings/internal/settingssections.h
@@ -22,6 +22,9 @@
 auto
 ReadKeys(documents::Section& aRoot) -> KeySettings;
 
+auto
+ReadTls(documents::Section& aRoot) -> TlsSettings;
+
 auto
 ReadFencing(documents::Section& aRoot) -> FencingSettings;
 
--- a/src/settings/tests/settings_tests.cpp
+++ b/src/settings/tests/settings_tests.cpp
@@ -77,6 +77,9 @@
   WrongCase{ "classes: true", "classes: yes", "expected true or false" },
   WrongCase{ "level: info", "level: loud", "log.level: is \"loud\"" },
   WrongCase{ "sha256: ", "sha256: x", "keys.callers[0].sha256: not a hash" },
+  WrongCase{ "fencing:",
+             "tls: {key: k}\nfencing:",
+             "tls.certificate: missing" },
   WrongCase{ "account: desconto-certo", "", "callers[0].account: missing" },
   WrongCase{
     "[entry, control]",
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -49,8 +49,6 @@
   std::int64_t mMaxConnections = 4096;
   /// Longest time for a caller to send a request.
   Millis mRequestTimeout{ 10000 };
-  /// Longest time that a connection may stay open without a request.
-  Millis mIdleTimeout{ 60000 };
   std::int64_t mMaxWaitingRequests = 2000;
   std::int64_t mMaxWaitingBytes = std::int64_t{ 512 } * 1024 * 1024;
   /// Longest time from SIGTERM until the process ends.
@@ -83,6 +81,19 @@
   auto operator==(const KeySettings&) const -> bool = default;
 };
 
+/// TLS of the caller, operator and endpoint listeners, and of calls to
+/// endpoints. Files are PEM; empty names mean plain connections.
+struct TlsSettings
+{
+  /// The certificate and those that lead to its authority.
+  std::string mCertificateFile;
+  std::string mKeyFile;
+  /// Authorities of the endpoints' certificates.
+  std::string mEndpointTrustFile;
+
+  auto operator==(const TlsSettings&) const -> bool = default;
+};
+
 /// Whether endpoints of a kind refuse orders with an old fencing number.
 enum class FencingSupport : std::uint8_t
 {
@@ -156,6 +167,7 @@
   std::string mDataFolder;
   InstanceLimits mLimits;
   KeySettings mKeys;
+  TlsSettings mTls;
   FencingSettings mFencing;
   WeightStoreSettings mWeightStore;
   PolicySettings mPolicy;
--- a/src/wire/httpclient.h
+++ b/src/wire/httpclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "wire/eventloop.h"
+#include "wire/tls.h"
 #include "wire/types/httpmessage.h"
 
 #include <cstddef>
@@ -61,6 +62,11 @@
 auto
 CreateHttpClient(EventLoop& aLoop) -> HttpClientPtr;
 
+/// Makes later calls use aTls, or be plain when it is null. A server whose
+/// certificate is refused counts as not connected.
+auto
+SetTls(HttpClient& aClient, TlsContextPtr aTls) -> void;
+
 /// Sends aCall on a connection of its own. No handler runs before it returns.
 auto
 StartCall(HttpClient& aClient, HttpCall aCall, CallHandlers aHandlers)
--- a/src/wire/httpserver.h
+++ b/src/wire/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "base/findings.h"
 #include "wire/eventloop.h"
+#include "wire/tls.h"
 #include "wire/types/httpmessage.h"
 
 #include <cstddef>
@@ -11,11 +12,13 @@
 /// HTTP server on an event loop. All functions are for the loop's thread.
 namespace cuminslip::wire {
 
-/// What a listener accepts.
+/// What a listener accepts. Request heads are limited by h2o.
 struct ListenerLimits
 {
   std::size_t mMaxBodyBytes = std::size_t{ 8 } * 1024 * 1024;
   std::size_t mMaxConnections = 4096;
+  /// Longest time to send a request whole, and longest pause between two
+  /// requests of a connection.
   Millis mRequestTimeout{ 10000 };
 
   auto operator==(const ListenerLimits&) const -> bool = default;
@@ -47,6 +50,11 @@
 auto
 ListenAddress(const HttpServer& aServer) -> SocketAddress;
 
+/// Makes later connections use aTls, or be plain when it is null. Open ones go
+/// on as they are.
+auto
+SetTls(HttpServer& aServer, TlsContextPtr aTls) -> void;
+
 /// Stops accepting connections; open ones go on.
 auto
 StopAccepting(HttpServer& aServer) -> void;
--- a/src/wire/internal/httpclient.cpp
+++ b/src/wire/internal/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "wire/httpclient.h"
 
 #include "wire/internal/eventloopstate.h"
+#include "wire/internal/tlscontext.h"
 
 #include <cstring>
 #include <map>
@@ -33,6 +34,7 @@
   EventLoop* mLoop = nullptr;
   h2o_timeout_t mIoTimeout{};
   h2o_http1client_ctx_t mContext{};
+  TlsContextPtr mTls;
   CallId mNextCall = 1;
   std::map<CallId, std::unique_ptr<OpenCall>> mCalls;
 };
@@ -261,7 +263,7 @@
     &aClient.mContext,
     h2o_iovec_init(host.data(), host.size()),
     static_cast<std::uint16_t>(aCall.mCall.mAddress.mPort),
-    0,
+    aClient.mTls != nullptr ? 1 : 0,
     OnConnect);
 }
 
@@ -291,6 +293,14 @@
   return client;
 }
 
+auto
+SetTls(HttpClient& aClient, TlsContextPtr aTls) -> void
+{
+  aClient.mTls = std::move(aTls);
+  aClient.mContext.ssl_ctx =
+    aClient.mTls == nullptr ? nullptr : aClient.mTls->mContext.get();
+}
+
 auto
 StartCall(HttpClient& aClient, HttpCall aCall, CallHandlers aHandlers) -> CallId
 {
--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -1,10 +1,12 @@
 #include "wire/httpserver.h"
 
 #include "wire/internal/eventloopstate.h"
+#include "wire/internal/tlscontext.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -51,6 +53,7 @@
   h2o_accept_ctx_t mAccept{};
   h2o_socket_t* mListener = nullptr;
   SocketAddress mAddress;
+  TlsContextPtr mTls;
   ListenerLimits mLimits;
   RequestHandler mHandler;
   std::shared_ptr<std::set<h2o_socket_t*>> mConnections =
@@ -270,6 +273,7 @@
   aServer.mConfig.max_request_entity_size = aServer.mLimits.mMaxBodyBytes;
   aServer.mConfig.http1.req_timeout =
     static_cast<std::uint64_t>(aServer.mLimits.mRequestTimeout.count());
+  aServer.mConfig.handshake_timeout = aServer.mConfig.http1.req_timeout;
   auto* host = h2o_config_register_host(
     &aServer.mConfig, h2o_iovec_init(H2O_STRLIT("default")), 65535);
   auto* path = h2o_config_register_path(host, "/", 0);
@@ -363,6 +367,14 @@
   return aServer.mAddress;
 }
 
+auto
+SetTls(HttpServer& aServer, TlsContextPtr aTls) -> void
+{
+  aServer.mTls = std::move(aTls);
+  aServer.mAccept.ssl_ctx =
+    aServer.mTls == nullptr ? nullptr : aServer.mTls->mContext.get();
+}
+
 auto
 StopAccepting(HttpServer& aServer) -> void
 {
@@ -468,10 +480,10 @@
   }
   auto* conn = aResponder->mRequest->conn;
   auto* sock = conn->callbacks->get_socket(conn);
-  auto byte = char{};
-  const auto n =
-    recv(h2o_socket_get_fd(sock), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  // NOTE: bytes may still be unread when the caller has gone, as a second
+  // request or TLS's own closing record, so reading ahead does not tell.
+  auto waiting = pollfd{ h2o_socket_get_fd(sock), POLLRDHUP, 0 };
+  return poll(&waiting, 1, 0) > 0;
 }
 
 auto
