--- a/src/client/internal/client.cpp
+++ b/src/client/internal/client.cpp
@@ -141,6 +141,8 @@
                                  (else CUMINSLIP_INSTANCES)
   -k, --key-file FILE            file with the operator key
                                  (else CUMINSLIP_KEY_FILE)
+  -c, --trust FILE               TLS: authorities of the instances' certificates
+                                 (else CUMINSLIP_TRUST)
   -j, --json                     output for scripts
   -t, --timeout-ms N             longest time for one attempt
   -d, --retry-delay-ms N         delay before the second attempt; it doubles
--- a/src/client/internal/operatorcalls.cpp
+++ b/src/client/internal/operatorcalls.cpp
@@ -92,6 +92,7 @@
 {
   const auto loop = wire::CreateEventLoop();
   const auto client = wire::CreateHttpClient(*loop);
+  wire::SetTls(*client, aOptions.mTls);
   const auto headers = wire::Headers{
     { "authorization", "Bearer " + aOptions.mKey },
     { "content-type", "application/json" },
--- a/src/client/internal/options.cpp
+++ b/src/client/internal/options.cpp
@@ -14,12 +14,14 @@
 namespace {
 
 constexpr auto kInstancesVariable = "CUMINSLIP_INSTANCES";
+constexpr auto kTrustVariable = "CUMINSLIP_TRUST";
 constexpr auto kKeyFileVariable = "CUMINSLIP_KEY_FILE";
 
 enum OptionValue
 {
   InstanceOption = 1,
   KeyFileOption,
+  TrustOption,
   JsonOption,
   DryRunOption,
   ExpectedRevisionOption,
@@ -44,6 +46,7 @@
 constexpr auto kOptionTable = std::array{
   TextOption("instance", 'i', InstanceOption),
   TextOption("key-file", 'k', KeyFileOption),
+  TextOption("trust", 'c', TrustOption),
   Flag("json", 'j', JsonOption),
   Flag("dry-run", 'n', DryRunOption),
   TextOption("expected-revision", 'e', ExpectedRevisionOption),
@@ -117,6 +120,9 @@
     case KeyFileOption:
       aOptions.mKeyFile = aText;
       return;
+    case TrustOption:
+      aOptions.mTrustFile = aText;
+      return;
     case JsonOption:
       aOptions.mIsJson = true;
       return;
@@ -174,6 +180,17 @@
   return key;
 }
 
+auto
+ReadTrust(const std::string& aPath, Findings& aFindings) -> wire::TlsContextPtr
+{
+  const auto outcome = CollectOutcome<wire::TlsContextPtr>(
+    [&] { return wire::LoadClientTls(aPath); });
+  for (const auto& finding : outcome.mFindings.mItems) {
+    AddFinding(aFindings, finding);
+  }
+  return outcome.mValue.value_or(nullptr);
+}
+
 auto
 ApplyDefaults(Options& aOptions, Findings& aFindings) -> void
 {
@@ -183,6 +200,12 @@
   if (aOptions.mKeyFile.empty()) {
     aOptions.mKeyFile = ReadVariable(kKeyFileVariable);
   }
+  if (aOptions.mTrustFile.empty()) {
+    aOptions.mTrustFile = ReadVariable(kTrustVariable);
+  }
+  if (!aOptions.mTrustFile.empty()) {
+    aOptions.mTls = ReadTrust(aOptions.mTrustFile, aFindings);
+  }
   if (!aOptions.mKeyFile.empty()) {
     aOptions.mKey = ReadKey(aOptions.mKeyFile, aFindings);
   }
--- a/src/client/tests/client_tests.cpp
+++ b/src/client/tests/client_tests.cpp
@@ -266,14 +266,15 @@
 
 BOOST_AUTO_TEST_CASE(RefusesWrongCommandLines)
 {
-  for (const auto& words :
-       std::vector<std::vector<std::string>>{ { "template" },
-                                              { "template", "get" },
-                                              { "template", "get", "a", "b" },
-                                              { "status", "--nonsense" },
-                                              { "status", "-i", "host:1" },
-                                              { "status", "-e", "x" },
-                                              { "nonsense" } }) {
+  for (const auto& words : std::vector<std::vector<std::string>>{
+         { "template" },
+         { "template", "get" },
+         { "template", "get", "a", "b" },
+         { "status", "--nonsense" },
+         { "status", "-i", "host:1" },
+         { "status", "-e", "x" },
+         { "status", "--trust", "/nowhere.pem" },
+         { "nonsense" } }) {
     BOOST_TEST(IsCode(Run(words, kNowhere), ExitCode::Usage));
   }
   BOOST_TEST(IsClientCommand("template"));
--- a/src/client/types/options.h
+++ b/src/client/types/options.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/types/ids.h"
+#include "wire/tls.h"
 #include "wire/types/httpmessage.h"
 
 #include <optional>
@@ -31,6 +32,10 @@
   std::string mKeyFile;
   /// Read from mKeyFile.
   std::string mKey;
+  /// Authorities of the instances' certificates; empty for plain connections.
+  std::string mTrustFile;
+  /// Read from mTrustFile; null for plain connections.
+  wire::TlsContextPtr mTls;
   bool mIsJson = false;
   bool mIsDryRun = false;
   bool mWantsHelp = false;
--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "program/internal/handlers.h"
+#include "program/internal/reload.h"
 #include "program/types/programevents.h"
 #include "settings/settings.h"
 #include "templates/templates.h"
@@ -303,6 +304,9 @@
   if (auto listening = StartListeners(*instance); !listening) {
     return listening.error();
   }
+  if (auto tls = ApplyTls(*instance, instance->mSettings.mTls); !tls) {
+    return tls.error();
+  }
   LogEvent(kInstanceStartedEvent,
            { { "failure_domain", instance->mSettings.mFailureDomain.mValue },
              { "region", instance->mSettings.mRegion.mValue },
--- a/src/program/internal/serve.cpp
+++ b/src/program/internal/serve.cpp
@@ -1,6 +1,7 @@
 #include "program/serve.h"
 
 #include "program/instance.h"
+#include "program/internal/reload.h"
 #include "settings/settings.h"
 
 #include <atomic>
@@ -16,24 +17,30 @@
 constexpr auto kExitStart = 3;
 
 auto
-StopSignals() -> sigset_t
+WatchedSignals() -> sigset_t
 {
   auto signals = sigset_t{};
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
-/// Waits for a stop signal in a thread of its own and passes it on to the front
-/// task. Precondition: the signals are blocked in every thread.
+/// Waits for signals in a thread of its own and passes them on to the front
+/// task, until one of them is a stop. Precondition: they are blocked in every
+/// thread.
 auto
-WatchSignals(Instance& aInstance) -> std::jthread
+WatchSignals(Instance& aInstance, const std::string& aPath) -> std::jthread
 {
-  return std::jthread([&aInstance] {
-    const auto signals = StopSignals();
+  return std::jthread([&aInstance, aPath] {
+    const auto signals = WatchedSignals();
     auto number = 0;
-    sigwait(&signals, &number);
+    while (sigwait(&signals, &number) == 0 && number == SIGHUP) {
+      wire::PostToLoop(*aInstance.mLoop, [&aInstance, aPath] {
+        ReloadSettings(aInstance, aPath);
+      });
+    }
     wire::PostToLoop(*aInstance.mLoop,
                      [&aInstance] { BeginGracefulStop(aInstance); });
   });
@@ -44,7 +51,7 @@
 auto
 Serve(const std::string& aPath, std::ostream& aErrors) -> int
 {
-  const auto signals = StopSignals();
+  const auto signals = WatchedSignals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   auto settings = CollectOutcome<Settings>([&] { return LoadSettings(aPath); });
   if (!settings.mValue) {
@@ -60,7 +67,7 @@
     return kExitStart;
   }
   {
-    const auto watcher = WatchSignals(**instance.mValue);
+    const auto watcher = WatchSignals(**instance.mValue, aPath);
     RunInstance(**instance.mValue);
     // NOTE: wakes the watcher when the stop came from elsewhere.
     kill(getpid(), SIGTERM);
--- a/src/wire/tests/testcertificate.cpp
+++ b/src/wire/testing/testcertificate.cpp
@@ -1,4 +1,4 @@
-#include "wire/tests/testcertificate.h"
+#include "wire/testing/testcertificate.h"
 
 #include "base/digest.h"
 
--- a/src/wire/tests/tls_tests.cpp
+++ b/src/wire/tests/tls_tests.cpp
@@ -1,5 +1,5 @@
+#include "wire/testing/testcertificate.h"
 #include "wire/tests/httpfixture.h"
-#include "wire/tests/testcertificate.h"
 
 #include <fstream>
 
