--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
   clang-tidy
 
 .PHONY: setup build test test-sanitized run bench format check-format lint \
-  generate bench-decisions bench-policy
+  generate bench-decisions bench-policy check-model
 
 setup:
 	scripts/setup $(PACKAGES)
@@ -46,3 +46,6 @@
 
 generate:
 	scripts/generate
+
+check-model:
+	scripts/check-model
