Accept nothing before all expected members are voters

Cause: tests with real processes showed that changes accepted while the founder was the only voter were lost with it. Change: an instance named at founding stays expected until it is a voter, and no command is accepted while any is expected; an operator may remove one that never comes, also before it joined. Before: the founder accepted alone.

--- a/src/control/internal/memberchange.cpp
+++ b/src/control/internal/memberchange.cpp
@@ -97,6 +97,7 @@
     if (it.mId == aId) {
       it.mRole = MemberRole::Voter;
       it.mReplaces = 0;
+      std::erase(aMembership.mExpected, it.mInstance);
     }
   }
   return aMembership;
@@ -187,7 +188,6 @@
     return;
   }
   auto next = membership;
-  std::erase(next.mExpected, instance);
   next.mMembers.push_back(aInput.mMember);
   next.mMembers.back().mRole = MemberRole::Learner;
   next.mMembers.back().mReplaces = 0;
@@ -235,16 +235,15 @@
 {
   const auto& membership = CurrentMembership(aContext.mState);
   const auto* member = FindMemberOf(membership, aInput.mInstance);
-  if (!member) {
+  const auto id = member ? member->mId : 0;
+  auto next = WithoutMember(membership, id);
+  if (std::erase(next.mExpected, aInput.mInstance) == 0 && !member) {
     Refuse(aContext, "the instance is no member");
     return;
   }
   if (!MayChange(aContext)) {
     return;
   }
-  const auto id = member->mId;
-  auto next = WithoutMember(membership, id);
-  std::erase(next.mExpected, aInput.mInstance);
   if (!HasLiveQuorum(aContext, next)) {
     Refuse(aContext, "the members that are left and answer make no quorum");
     return;
--- a/src/control/internal/proposals.cpp
+++ b/src/control/internal/proposals.cpp
@@ -31,6 +31,9 @@
     return ProposalFate::NotLeader;
   }
   const auto& membership = CurrentMembership(aState);
+  if (!membership.mExpected.empty()) {
+    return ProposalFate::NotJoined;
+  }
   const auto voters = std::count_if(
     membership.mMembers.begin(),
     membership.mMembers.end(),
--- a/src/control/tests/controlcore_tests.cpp
+++ b/src/control/tests/controlcore_tests.cpp
@@ -285,6 +285,32 @@
              "another membership change is under way");
 }
 
+BOOST_AUTO_TEST_CASE(NothingIsAcceptedBeforeAllExpectedMembersVote)
+{
+  auto founder = TestCluster(1);
+  founder.mMembers[0].mDisk = {};
+  founder.mMembers[0].mDisk.mVote.mMember = 5;
+  founder.Start(0);
+  founder.mCommitted.clear();
+  founder.mResults.clear();
+  founder.mLeaders.clear();
+  founder.Feed(0, FoundInput{ 78, { "d0" }, { { "i1" }, { "i2" } } });
+  founder.Run(Seconds(2));
+  BOOST_REQUIRE(founder.Leader() == 0U);
+  const auto early = founder.Propose(0, PublishOf("ana", 0, "r1"));
+  BOOST_TEST((founder.mPlaces.at(early).mFate == ProposalFate::NotJoined));
+
+  // An operator may give an instance up that never came.
+  for (const auto* name : { "i1", "i2" }) {
+    const auto removal = founder.Feed(0, RemoveMemberInput{ { name } });
+    BOOST_TEST(removal.mMembershipProblem == "");
+    founder.Run(Seconds(1));
+  }
+  const auto later = founder.Propose(0, PublishOf("ana", 0, "r1"));
+  founder.Run(Seconds(1));
+  BOOST_TEST(IsAccepted(founder, later));
+}
+
 BOOST_AUTO_TEST_CASE(OfTwoChangesWithEqualNumbersOneWins)
 {
   auto cluster = TestCluster(3);
--- a/src/control/types/coreio.h
+++ b/src/control/types/coreio.h
@@ -103,7 +103,10 @@
   NotLeader,
   DiskFull,
   /// Too much waits to be committed.
-  Overloaded
+  Overloaded,
+  /// The log was founded and not all expected instances are voters yet: what
+  /// was accepted now could be lost with fewer than planned.
+  NotJoined
 };
 
 struct ProposalPlace
--- a/src/control/types/membership.h
+++ b/src/control/types/membership.h
@@ -33,7 +33,8 @@
 struct Membership
 {
   std::vector<Member> mMembers;
-  /// Instances named when the log was founded that have not joined yet.
+  /// Instances named when the log was founded that are not voters yet. While
+  /// there are any, no command is accepted.
   std::vector<InstanceId> mExpected;
 
   auto operator==(const Membership&) const -> bool = default;
