--- a/src/peers/internal/controlnode.cpp
+++ b/src/peers/internal/controlnode.cpp
@@ -22,7 +22,7 @@
     case ProposalFate::DiskFull:
       return LeaderOutcome::DiskFull;
     case ProposalFate::Overloaded:
-    case ProposalFate::Founding:
+    case ProposalFate::NotJoined:
       return LeaderOutcome::Overloaded;
     default:
       return LeaderOutcome::NotLeader;
