--- a/bench/decisioncost.cpp
+++ b/bench/decisioncost.cpp
@@ -4,8 +4,11 @@
 
 #include "base/digest.h"
 
+#include <unistd.h>
+
 #include <chrono>
 #include <cstdio>
+#include <fstream>
 #include <string>
 
 using namespace cuminslip;
@@ -108,34 +111,42 @@
 }
 
 auto
-PrintQueue(std::size_t aAccounts, std::size_t aEach) -> void
+AddEntry(WaitQueue& aQueue, std::size_t aAccounts) -> void
 {
-  auto queue = WaitQueue{};
-  queue.mSettings.mMaxRequests = 1000000;
-  auto sequence = std::uint64_t{ 0 };
+  const auto number = aQueue.mNextSequence;
   const auto now = TimePoint(Seconds(1));
   const auto limits = AccountLimits{ 0, 0, 1000000, std::int64_t{ 1 } << 40 };
-  const auto add = [&] {
-    const auto number = sequence++;
-    auto entry = WaitEntry{};
-    entry.mId = { std::to_string(number) };
-    entry.mAccount = { "account-" + std::to_string(number % aAccounts) };
-    entry.mCostTokens = static_cast<std::int64_t>(1000 + number % 977);
-    entry.mPriority = Priority::Normal;
-    entry.mBytes = 4000;
-    entry.mEnqueued = now;
-    entry.mExpires = now + Seconds(60);
-    entry.mLatestStart = now + Millis(20000 + number % 1000);
-    Enqueue(queue, entry, limits, now);
-  };
+  auto entry = WaitEntry{};
+  entry.mId = { "request-" + std::to_string(number) };
+  entry.mAccount = { "account-" + std::to_string(number % aAccounts) };
+  entry.mCostTokens = static_cast<std::int64_t>(1000 + number % 977);
+  entry.mPriority = Priority::Normal;
+  entry.mBytes = 4000;
+  entry.mEnqueued = now;
+  entry.mExpires = now + Seconds(60);
+  entry.mLatestStart = now + Millis(20000 + number % 1000);
+  Enqueue(aQueue, entry, limits, now);
+}
+
+auto
+FillQueue(WaitQueue& aQueue, std::size_t aAccounts, std::size_t aEach) -> void
+{
+  aQueue.mSettings.mMaxRequests = 1000000;
   for (auto i = std::size_t{ 0 }; i < aAccounts * aEach; ++i) {
-    add();
+    AddEntry(aQueue, aAccounts);
   }
+}
+
+auto
+PrintQueue(std::size_t aAccounts, std::size_t aEach) -> void
+{
+  auto queue = WaitQueue{};
+  FillQueue(queue, aAccounts, aEach);
+  const auto now = TimePoint(Seconds(1));
+  const auto always = [](const WaitEntry&) { return true; };
   const auto nanos = MeasureNanos(200, [&] {
-    add();
-    sSink =
-      sSink +
-      (TakeNext(queue, now, [](const WaitEntry&) { return true; }) ? 1U : 0U);
+    AddEntry(queue, aAccounts);
+    sSink = sSink + (TakeNext(queue, now, always) ? 1U : 0U);
   });
   std::printf("| enqueue and take, %zu accounts, %zu waiting each | %.0f |\n",
               aAccounts,
@@ -143,6 +154,64 @@
               nanos);
 }
 
+auto
+PrintWaitPrediction(std::size_t aAccounts, std::size_t aEach) -> void
+{
+  auto queue = WaitQueue{};
+  FillQueue(queue, aAccounts, aEach);
+  queue.mTokensPerSecond = 100000;
+  auto entry = queue.mEntries.begin()->second.mEntry;
+  entry.mId = { "new" };
+  const auto nanos = MeasureNanos(50, [&] {
+    sSink = sSink + static_cast<std::size_t>(PredictWait(queue, entry).count());
+  });
+  std::printf("| wait prediction, %zu accounts, %zu waiting each | %.0f |\n",
+              aAccounts,
+              aEach,
+              nanos);
+}
+
+/// Bytes of memory that this process holds.
+auto
+ReadResidentBytes() -> std::size_t
+{
+  auto file = std::ifstream("/proc/self/statm");
+  auto total = std::size_t{ 0 };
+  auto resident = std::size_t{ 0 };
+  file >> total >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+auto
+PrintMemory() -> void
+{
+  constexpr auto kEndpoints = std::size_t{ 600 };
+  const auto now = TimePoint(Seconds(1));
+  const auto before = ReadResidentBytes();
+  auto prefixes = PrefixKnowledge{};
+  auto events = std::vector<CacheEvent>{};
+  const auto each = prefixes.mSettings.mMaxPrefixesPerEndpoint;
+  for (auto i = std::size_t{ 0 }; i < kEndpoints; ++i) {
+    events.clear();
+    for (auto k = std::size_t{ 0 }; k < each; ++k) {
+      events.push_back({ k, CacheEventKind::Stored, i * each + k, 512 });
+    }
+    const auto id = EndpointId{ "engine-" + std::to_string(i) };
+    ApplyCacheEvents(prefixes, id, 1, events, false, now);
+  }
+  const auto middle = ReadResidentBytes();
+  auto queue = WaitQueue{};
+  FillQueue(queue, 290, 30);
+  const auto after = ReadResidentBytes();
+  std::printf("\n| memory | bytes each |\n| --- | --- |\n");
+  std::printf("| prefix of an endpoint, %zu in all | %zu |\n",
+              kEndpoints * each,
+              (middle - before) / (kEndpoints * each));
+  std::printf("| waiting entry, %zu in all | %zu |\n",
+              queue.mEntries.size(),
+              (after - middle) / queue.mEntries.size());
+}
+
 auto
 PrintHashing(std::size_t aBytes) -> void
 {
@@ -168,7 +237,11 @@
   PrintQueue(10, 10);
   PrintQueue(290, 10);
   PrintQueue(290, 30);
+  PrintWaitPrediction(10, 10);
+  PrintWaitPrediction(290, 10);
+  PrintWaitPrediction(290, 30);
   PrintHashing(8000);
   PrintHashing(4000000);
+  PrintMemory();
   return 0;
 }
