Predict waits without looking at each entry

Cause: a wait prediction, made for each request, took 1.3 ms with 8,700 waiting. Change: each account keeps its waiting tokens by pool and rank.

--- a/src/policy/internal/waitaccounts.cpp
+++ b/src/policy/internal/waitaccounts.cpp
@@ -125,27 +125,20 @@
   return std::nullopt;
 }
 
-/// Tokens of an account that go before a new entry of it.
+/// Tokens of an account that may go before a new entry: those of its rank and
+/// of earlier ones.
 auto
-TokensBefore(const WaitQueue& aQueue,
-             const AccountWait& aAccount,
-             const WaitEntry& aEntry) -> double
+TokensBefore(const AccountWait& aAccount, const WaitEntry& aEntry) -> double
 {
-  auto tokens = 0.0;
-  const auto pool = aAccount.mPools.find(aEntry.mPool);
-  if (pool == aAccount.mPools.end()) {
-    return tokens;
+  auto tokens = std::int64_t{ 0 };
+  const auto pool = aAccount.mTokens.find(aEntry.mPool);
+  if (pool == aAccount.mTokens.end()) {
+    return 0.0;
   }
-  for (const auto& [order, id] : pool->second) {
-    if (order.mRank > static_cast<int>(aEntry.mPriority)) {
-      break;
-    }
-    const auto& other = aQueue.mEntries.at(id).mEntry;
-    if (other.mLatestStart <= aEntry.mLatestStart) {
-      tokens += static_cast<double>(other.mCostTokens);
-    }
+  for (auto rank = 0; rank <= static_cast<int>(aEntry.mPriority); ++rank) {
+    tokens += pool->second.at(static_cast<std::size_t>(rank));
   }
-  return tokens;
+  return static_cast<double>(tokens);
 }
 
 } // namespace
@@ -251,15 +244,14 @@
   }
   const auto own = aQueue.mAccounts.find(aEntry.mAccount);
   const auto isWaiting = own != aQueue.mAccounts.end();
-  const auto mine =
-    (isWaiting ? TokensBefore(aQueue, own->second, aEntry) : 0.0) +
-    static_cast<double>(aEntry.mCostTokens);
+  const auto mine = (isWaiting ? TokensBefore(own->second, aEntry) : 0.0) +
+                    static_cast<double>(aEntry.mCostTokens);
   const auto perWeight = mine / std::max(aEntry.mWeight, kLeastWeight);
   auto before = isWaiting ? mine : 0.0;
   for (const auto& [id, account] : aQueue.mAccounts) {
     if (id != aEntry.mAccount) {
-      before += std::min(TokensBefore(aQueue, account, aEntry),
-                         perWeight * account.mWeight);
+      before +=
+        std::min(TokensBefore(account, aEntry), perWeight * account.mWeight);
     }
   }
   before -= isWaiting ? static_cast<double>(aEntry.mCostTokens) : 0.0;
--- a/src/policy/internal/waitqueue.cpp
+++ b/src/policy/internal/waitqueue.cpp
@@ -22,6 +22,15 @@
                                             doublings);
 }
 
+auto
+TokensOf(AccountWait& aAccount,
+         const WaitEntry& aEntry,
+         const WaitOrder& aOrder) -> std::int64_t&
+{
+  return aAccount.mTokens[aEntry.mPool].at(
+    static_cast<std::size_t>(aOrder.mRank));
+}
+
 auto
 Store(WaitQueue& aQueue, WaitEntry aEntry) -> void
 {
@@ -34,6 +43,7 @@
   account.mRequests += 1;
   account.mBytes += aEntry.mBytes;
   account.mPools[aEntry.mPool].emplace(order, aEntry.mId);
+  TokensOf(account, aEntry, order) += aEntry.mCostTokens;
   aQueue.mBytes += aEntry.mBytes;
   aQueue.mCostTokens += aEntry.mCostTokens;
   aQueue.mExpiries.insert({ aEntry.mExpires, sequence, aEntry.mId });
@@ -55,10 +65,13 @@
     const auto due = *aQueue.mPromotions.begin();
     aQueue.mPromotions.erase(aQueue.mPromotions.begin());
     auto& stored = aQueue.mEntries.at(due.mId);
-    auto& pool = aQueue.mAccounts.at(stored.mEntry.mAccount)
-                   .mPools.at(stored.mEntry.mPool);
+    auto& account = aQueue.mAccounts.at(stored.mEntry.mAccount);
+    auto& pool = account.mPools.at(stored.mEntry.mPool);
     pool.erase(stored.mOrder);
+    const auto tokens = stored.mEntry.mCostTokens;
+    TokensOf(account, stored.mEntry, stored.mOrder) -= tokens;
     stored.mOrder.mRank = kUrgentRank;
+    TokensOf(account, stored.mEntry, stored.mOrder) += tokens;
     pool.emplace(stored.mOrder, due.mId);
   }
 }
@@ -238,8 +251,10 @@
   account.mBytes -= entry.mBytes;
   auto& pool = account.mPools.at(entry.mPool);
   pool.erase(order);
+  TokensOf(account, entry, order) -= entry.mCostTokens;
   if (pool.empty()) {
     account.mPools.erase(entry.mPool);
+    account.mTokens.erase(entry.mPool);
   }
   aQueue.mBytes -= entry.mBytes;
   aQueue.mCostTokens -= entry.mCostTokens;
--- a/src/policy/tests/waitqueue_tests.cpp
+++ b/src/policy/tests/waitqueue_tests.cpp
@@ -51,13 +51,18 @@
 {
   auto requests = std::size_t{ 0 };
   auto bytes = std::int64_t{ 0 };
+  auto tokens = std::int64_t{ 0 };
   for (const auto& [id, account] : aQueue.mAccounts) {
     requests += static_cast<std::size_t>(account.mRequests);
     bytes += account.mBytes;
     BOOST_REQUIRE(account.mRequests >= 0);
+    for (const auto& [pool, byRank] : account.mTokens) {
+      tokens += byRank[0] + byRank[1] + byRank[2];
+    }
   }
   BOOST_REQUIRE_EQUAL(requests, aQueue.mEntries.size());
   BOOST_REQUIRE_EQUAL(bytes, aQueue.mBytes);
+  BOOST_REQUIRE_EQUAL(tokens, aQueue.mCostTokens);
   BOOST_REQUIRE_EQUAL(requests, aQueue.mExpiries.size());
   BOOST_REQUIRE(aQueue.mBytes <= aQueue.mSettings.mMaxBytes);
   BOOST_REQUIRE(static_cast<std::int64_t>(requests) <=
@@ -355,6 +360,25 @@
   BOOST_TEST(started->mEntry.mId.mValue == "short");
 }
 
+BOOST_AUTO_TEST_CASE(PredictsTheWaitFromSharesAndRate)
+{
+  auto queue = WaitQueue{};
+  for (auto i = 0; i < 10; ++i) {
+    Enqueue(queue,
+            MakeEntry(std::to_string(i), "a", Priority::Normal),
+            kNoLimits,
+            kTestStart);
+  }
+  const auto predict = [&](const std::string& aAccount, Priority aPriority) {
+    return PredictWait(queue, MakeEntry("new", aAccount, aPriority));
+  };
+  BOOST_TEST((predict("a", Priority::Normal) == Micros(0)));
+  queue.mTokensPerSecond = 1000;
+  BOOST_TEST((predict("a", Priority::Normal) == Seconds(10)));
+  BOOST_TEST((predict("a", Priority::Urgent) == Micros(0)));
+  BOOST_TEST((predict("b", Priority::Normal) == Seconds(1)));
+}
+
 BOOST_AUTO_TEST_CASE(OldestWaitLeavesOutPatientWork)
 {
   auto queue = WaitQueue{};
--- a/src/policy/waitqueue.h
+++ b/src/policy/waitqueue.h
@@ -3,6 +3,7 @@
 #include "policy/types/requestfacts.h"
 #include "policy/types/waitentry.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -42,6 +43,9 @@
   auto operator<=>(const WaitOrder&) const = default;
 };
 
+/// Waiting tokens by WaitOrder::mRank.
+using TokensByRank = std::array<std::int64_t, 3>;
+
 struct AccountWait
 {
   double mWeight = 1.0;
@@ -50,6 +54,7 @@
   std::int64_t mRequests = 0;
   std::int64_t mBytes = 0;
   std::map<WaitPool, std::map<WaitOrder, RequestId>> mPools;
+  std::map<WaitPool, TokensByRank> mTokens;
 };
 
 struct StoredEntry
