Bound the knowledge of prefixes as a whole

Cause: 512 prefixes of each of 600 engines would take 45 MB. Change: at most 65,536 in all, divided evenly.

--- a/bench/decisioncost.cpp
+++ b/bench/decisioncost.cpp
@@ -200,13 +200,17 @@
     ApplyCacheEvents(prefixes, id, 1, events, false, now);
   }
   const auto middle = ReadResidentBytes();
+  auto kept = std::size_t{ 0 };
+  for (const auto& endpoint : prefixes.mEndpoints) {
+    kept += endpoint.mRecent.size();
+  }
   auto queue = WaitQueue{};
   FillQueue(queue, 290, 30);
   const auto after = ReadResidentBytes();
   std::printf("\n| memory | bytes each |\n| --- | --- |\n");
   std::printf("| prefix of an endpoint, %zu in all | %zu |\n",
-              kEndpoints * each,
-              (middle - before) / (kEndpoints * each));
+              kept,
+              (middle - before) / kept);
   std::printf("| waiting entry, %zu in all | %zu |\n",
               queue.mEntries.size(),
               (after - middle) / queue.mEntries.size());
--- a/src/policy/internal/prefixknowledge.cpp
+++ b/src/policy/internal/prefixknowledge.cpp
@@ -56,6 +56,27 @@
   endpoint = {};
 }
 
+auto
+PrefixLimit(const PrefixKnowledge& aKnowledge) -> std::size_t
+{
+  const auto& settings = aKnowledge.mSettings;
+  const auto endpoints = std::max<std::size_t>(1, aKnowledge.mSlots.size());
+  return std::min(settings.mMaxPrefixesPerEndpoint,
+                  std::max<std::size_t>(1, settings.mMaxPrefixes / endpoints));
+}
+
+/// Removes the prefixes used least recently above the limit.
+auto
+TrimSlot(PrefixKnowledge& aKnowledge, std::uint32_t aSlot) -> void
+{
+  const auto limit = PrefixLimit(aKnowledge);
+  const auto& recent = aKnowledge.mEndpoints.at(aSlot).mRecent;
+  while (recent.size() > limit) {
+    const auto oldest = recent.back();
+    RemovePrefix(aKnowledge, aSlot, oldest);
+  }
+}
+
 auto
 AddSlot(PrefixKnowledge& aKnowledge, const EndpointId& aEndpoint)
   -> std::optional<std::uint32_t>
@@ -71,6 +92,9 @@
     aKnowledge.mFreeSlots.pop_back();
   }
   aKnowledge.mSlots.emplace(aEndpoint, slot);
+  for (auto i = std::uint32_t{ 0 }; i < aKnowledge.mEndpoints.size(); ++i) {
+    TrimSlot(aKnowledge, i);
+  }
   return slot;
 }
 
@@ -128,10 +152,7 @@
     endpoint.mPositions.emplace(aPrefix, endpoint.mRecent.begin());
   }
   SetHolder(aKnowledge.mHolders[aPrefix], aHolder);
-  if (endpoint.mRecent.size() > aKnowledge.mSettings.mMaxPrefixesPerEndpoint) {
-    const auto oldest = endpoint.mRecent.back();
-    RemovePrefix(aKnowledge, aHolder.mSlot, oldest);
-  }
+  TrimSlot(aKnowledge, aHolder.mSlot);
 }
 
 auto
--- a/src/policy/prefixknowledge.h
+++ b/src/policy/prefixknowledge.h
@@ -19,6 +19,8 @@
 struct PrefixKnowledgeSettings
 {
   std::size_t mMaxPrefixesPerEndpoint = 512;
+  /// Divided evenly between the endpoints where there are many.
+  std::size_t mMaxPrefixes = 65536;
   std::size_t mMaxEndpoints = 1024;
   /// Certainty of a prefix that the engine reported, and of one that this
   /// instance sent there.
--- a/src/policy/tests/prefixknowledge_tests.cpp
+++ b/src/policy/tests/prefixknowledge_tests.cpp
@@ -94,6 +94,26 @@
   BOOST_TEST(IsKeptPrefix(kMaxPrefixes - 1));
 }
 
+BOOST_AUTO_TEST_CASE(DividesTheWholeBoundBetweenEndpoints)
+{
+  auto knowledge = PrefixKnowledge{};
+  knowledge.mSettings.mMaxPrefixes = 100;
+  for (auto round = 0; round < 2; ++round) {
+    for (auto i = 0; i < 20; ++i) {
+      for (auto prefix = 0U; prefix < 50; ++prefix) {
+        const auto events = std::vector<CacheEvent>{ Stored(prefix, 512) };
+        ApplyCacheEvents(
+          knowledge, { std::to_string(i) }, 1, events, false, kTestStart);
+      }
+    }
+  }
+  auto kept = std::size_t{ 0 };
+  for (const auto& endpoint : knowledge.mEndpoints) {
+    kept += endpoint.mRecent.size();
+  }
+  BOOST_TEST(kept == 100U);
+}
+
 BOOST_AUTO_TEST_CASE(StaysWithinItsBounds)
 {
   for (auto seed = std::uint64_t{ 1 }; seed <= 5; ++seed) {
