--- a/src/control/internal/replication.cpp
+++ b/src/control/internal/replication.cpp
@@ -109,48 +109,6 @@
   return hint;
 }
 
-auto
-CountDiskFull(const CoreState& aState) -> std::size_t
-{
-  auto full = std::size_t{ 0 };
-  for (const auto& it : CurrentMembership(aState).mMembers) {
-    if (it.mRole != MemberRole::Voter) {
-      continue;
-    }
-    const auto progress = aState.mProgress.find(it.mId);
-    const auto isFull =
-      it.mId == aState.mVote.mMember
-        ? aState.mIsDiskFull
-        : progress != aState.mProgress.end() && progress->second.mIsDiskFull;
-    full += isFull ? 1 : 0;
-  }
-  return full;
-}
-
-auto
-ProposalFateNow(const CoreState& aState) -> ProposalFate
-{
-  if (aState.mRole != CoreRole::Leader) {
-    return ProposalFate::NotLeader;
-  }
-  const auto& membership = CurrentMembership(aState);
-  const auto voters =
-    std::count_if(membership.mMembers.begin(),
-                  membership.mMembers.end(),
-                  [](const auto& it) { return it.mRole == MemberRole::Voter; });
-  const auto usable = static_cast<std::size_t>(voters) - CountDiskFull(aState);
-  if (aState.mIsDiskFull || usable < QuorumSize(membership)) {
-    return ProposalFate::DiskFull;
-  }
-  auto pending = std::size_t{ 0 };
-  for (auto index = LastIndex(aState.mLog); index > aState.mCommit; --index) {
-    pending +=
-      aState.mLog.mEntries[index - aState.mLog.mBaseIndex - 1].mPayload.size();
-  }
-  return pending > aState.mOptions.mMaxPendingBytes ? ProposalFate::Overloaded
-                                                    : ProposalFate::Appended;
-}
-
 } // namespace
 
 auto
@@ -165,7 +123,7 @@
 QuorumAckTime(const CoreState& aState, TimePoint aNow) -> TimePoint
 {
   return QuorumValue(
-    aState, aNow, [](const Progress& it) { return it.mAckedSend; });
+    aState, aNow, [](const Progress& aItem) { return aItem.mAckedSend; });
 }
 
 auto
@@ -293,7 +251,7 @@
     return;
   }
   const auto index = QuorumValue(
-    state, state.mDurable, [](const Progress& it) { return it.mMatch; });
+    state, state.mDurable, [](const Progress& aItem) { return aItem.mMatch; });
   // NOTE: only entries of the own term are committed by counting.
   if (index < state.mTermStart || index <= state.mCommit) {
     return;
@@ -390,29 +348,4 @@
   }
 }
 
-auto
-HandleProposals(StepContext& aContext, const ProposeInput& aInput) -> void
-{
-  auto& state = aContext.mState;
-  const auto fate = ProposalFateNow(state);
-  auto entries = std::vector<LogEntry>{};
-  for (const auto& it : aInput.mProposals) {
-    const auto index = LastIndex(state.mLog) + entries.size() + 1;
-    aContext.mOutput.mPlaces.push_back(
-      { it.mToken, fate, index, state.mVote.mTerm });
-    if (fate == ProposalFate::Appended) {
-      entries.push_back({ index,
-                          state.mVote.mTerm,
-                          EntryKind::Command,
-                          LeaderClock(aContext),
-                          it.mPayload });
-    }
-  }
-  if (entries.empty()) {
-    return;
-  }
-  AppendEntries(aContext, std::move(entries));
-  BroadcastAppend(aContext, false);
-}
-
 } // namespace cuminslip
--- a/src/peers/internal/controlnode.cpp
+++ b/src/peers/internal/controlnode.cpp
@@ -22,6 +22,7 @@
     case ProposalFate::DiskFull:
       return LeaderOutcome::DiskFull;
     case ProposalFate::Overloaded:
+    case ProposalFate::Founding:
       return LeaderOutcome::Overloaded;
     default:
       return LeaderOutcome::NotLeader;
@@ -300,7 +301,7 @@
   }
   auto templates = TemplatesAfter(mState, mAnnounced);
   std::erase_if(templates,
-                [&](const auto& it) { return it.mRevision > limit; });
+                [&](const auto& aItem) { return aItem.mRevision > limit; });
   mAnnounced = limit;
   if (!templates.empty()) {
     mHooks.mOnTemplates(std::move(templates));
