--- a/src/endpoints/internal/orphansweep.cpp
+++ b/src/endpoints/internal/orphansweep.cpp
@@ -16,7 +16,7 @@
 FindReason(const Membership& aMembership,
            const EndpointEntry& aEntry,
            const HoldingReport& aHolding,
-           const Ledger& aLedger,
+           const IsHeldFunction& aIsHeld,
            TimePoint aNow) -> ReleaseReason
 {
   const auto owner = Owner{ aHolding.mOwner, aHolding.mOwnerIncarnation };
@@ -25,8 +25,8 @@
     return ReleaseReason::OwnerGone;
   }
   if (aHolding.mOwner == aMembership.mSettings.mInstance) {
-    return aLedger.mEntries.contains(aHolding.mId) ? ReleaseReason::None
-                                                   : ReleaseReason::NotInLedger;
+    return aIsHeld(aHolding.mId) ? ReleaseReason::None
+                                 : ReleaseReason::NotInLedger;
   }
   const auto leaseEnd = *aEntry.mHoldingsHeardAt + aHolding.mExpiresIn;
   // NOTE: only a report made after the lease ended shows that nobody renewed.
@@ -45,13 +45,13 @@
 SweepEndpoint(OrphanSweep& aSweep,
               const Membership& aMembership,
               const EndpointEntry& aEntry,
-              const Ledger& aLedger,
+              const IsHeldFunction& aIsHeld,
               TimePoint aNow,
               std::set<SuspectKey>& aSeen,
               std::vector<ReleaseAction>& aActions) -> void
 {
   for (const auto& holding : aEntry.mLatest.mHoldings) {
-    const auto reason = FindReason(aMembership, aEntry, holding, aLedger, aNow);
+    const auto reason = FindReason(aMembership, aEntry, holding, aIsHeld, aNow);
     if (reason == ReleaseReason::None) {
       continue;
     }
@@ -121,7 +121,7 @@
 SweepOrphans(OrphanSweep& aSweep,
              const Membership& aMembership,
              const Registry& aRegistry,
-             const Ledger& aLedger,
+             const IsHeldFunction& aIsHeld,
              TimePoint aNow) -> std::vector<ReleaseAction>
 {
   auto actions = std::vector<ReleaseAction>{};
@@ -129,7 +129,7 @@
   const auto alive = AliveInstances(aMembership, aNow);
   for (const auto& [id, entry] : aRegistry.mEntries) {
     if (entry.mHoldingsHeardAt && IsSweeper(aMembership, alive, id)) {
-      SweepEndpoint(aSweep, aMembership, entry, aLedger, aNow, seen, actions);
+      SweepEndpoint(aSweep, aMembership, entry, aIsHeld, aNow, seen, actions);
     }
   }
   std::erase_if(aSweep.mSuspects,
--- a/src/endpoints/internal/registryapply.cpp
+++ b/src/endpoints/internal/registryapply.cpp
@@ -225,6 +225,21 @@
   return outcome;
 }
 
+auto
+NoteHoldings(Registry& aRegistry,
+             const Announcement& aState,
+             TimePoint aAskedAt) -> void
+{
+  auto* entry = FindEntry(aRegistry, aState.mEndpoint);
+  const auto isNews = entry != nullptr &&
+                      entry->mLatest.mIncarnation == aState.mIncarnation &&
+                      entry->mHoldingsHeardAt.value_or(TimePoint{}) < aAskedAt;
+  if (isNews) {
+    entry->mLatest.mHoldings = aState.mHoldings;
+    entry->mHoldingsHeardAt = aAskedAt;
+  }
+}
+
 auto
 LearnEndpoint(Registry& aRegistry,
               const Announcement& aAnnouncement,
--- a/src/endpoints/orphansweep.h
+++ b/src/endpoints/orphansweep.h
@@ -4,6 +4,7 @@
 #include "endpoints/membership.h"
 #include "endpoints/registry.h"
 
+#include <functional>
 #include <map>
 #include <utility>
 #include <vector>
@@ -17,6 +18,9 @@
 inline constexpr auto kInspectionAge = Millis(30000);
 inline constexpr auto kUrgentInspectionAge = Millis(2000);
 
+/// Tells whether this instance uses a holding.
+using IsHeldFunction = std::function<bool(const HoldingId&)>;
+
 /// Memory of earlier sweeps.
 struct OrphanSweep
 {
@@ -49,7 +53,7 @@
 /// Compares what the endpoints that this instance sweeps report with who is
 /// alive. Freed are holdings
 /// - of an incarnation that has ended for certain,
-/// - of this instance itself that its ledger does not have,
+/// - of this instance itself that it does not use,
 /// - of an owner that is silent or unknown once the lease is over; an owner
 /// that
 ///   is only cut off goes on renewing, so its lease is not over.
@@ -57,7 +61,7 @@
 SweepOrphans(OrphanSweep& aSweep,
              const Membership& aMembership,
              const Registry& aRegistry,
-             const Ledger& aLedger,
+             const IsHeldFunction& aIsHeld,
              TimePoint aNow) -> std::vector<ReleaseAction>;
 
 } // namespace cuminslip::endpoints
--- a/src/endpoints/registry.h
+++ b/src/endpoints/registry.h
@@ -94,6 +94,13 @@
                   TimePoint aNow,
                   Millis aAge = Millis(0)) -> ApplyOutcome;
 
+/// Takes in the holdings of a state document that was asked for at aAskedAt.
+/// Ignored for other incarnations, and when later holdings are known.
+auto
+NoteHoldings(Registry& aRegistry,
+             const Announcement& aState,
+             TimePoint aAskedAt) -> void;
+
 /// Takes in what a peer knows of an endpoint: all but load, cache events and
 /// holdings, which stay as they are.
 auto
--- a/src/endpoints/tests/holdings_tests.cpp
+++ b/src/endpoints/tests/holdings_tests.cpp
@@ -235,6 +235,9 @@
       if (row.mName == "own, in the ledger") {
         AddHolding(ledger, Stream("h"), domain.mNow);
       }
+      const auto isHeld = [&ledger](const HoldingId& aId) {
+        return ledger.mEntries.contains(aId);
+      };
       auto sweep = OrphanSweep{};
       auto released = std::size_t{ 0 };
       for (std::uint64_t i = 1; i <= 5; ++i) {
@@ -249,7 +252,7 @@
         RunFor(domain, Seconds(1));
         released +=
           SweepOrphans(
-            sweep, self.mMembership, self.mRegistry, ledger, domain.mNow)
+            sweep, self.mMembership, self.mRegistry, isHeld, domain.mNow)
             .size();
       }
       BOOST_TEST((released > 0) == row.mIsReleased);
