--- a/src/program/internal/handlers.cpp
+++ b/src/program/internal/handlers.cpp
@@ -1,9 +1,9 @@
 #include "program/internal/handlers.h"
 
-#include "base/digest.h"
 #include "endpoints/protocol.h"
 #include "program/internal/metrics.h"
 #include "program/types/programevents.h"
+#include "settings/keys.h"
 
 namespace cuminslip::program {
 
@@ -42,20 +42,6 @@
 
 } // namespace
 
-auto
-FindKeyOwner(const std::vector<KeyEntry>& aKeys, std::string_view aKey)
-  -> std::optional<std::string>
-{
-  const auto digest = Sha256Hex(aKey);
-  auto owner = std::optional<std::string>{};
-  for (const auto& entry : aKeys) {
-    if (EqualsConstantTime(entry.mSha256, digest)) {
-      owner = entry.mName;
-    }
-  }
-  return owner;
-}
-
 auto
 HandleCaller(Instance& aInstance,
              const wire::HttpRequest& aRequest,
@@ -71,7 +57,7 @@
                const wire::ResponderPtr& aResponder) -> void
 {
   const auto key = wire::BearerKey(aRequest.mHeaders);
-  if (!FindKeyOwner(aInstance.mSettings.mKeys.mEndpoints, key)) {
+  if (!IdentifyEndpoint(aInstance.mSettings.mKeys, key)) {
     LogEvent(kKeyRefusedEvent, { { "interface", "endpoint" } });
     wire::SendResponse(aResponder,
                        PlainResponse(kUnauthorized, "unknown endpoint key\n"));
--- a/src/program/internal/handlers.h
+++ b/src/program/internal/handlers.h
@@ -25,10 +25,4 @@
                const wire::HttpRequest& aRequest,
                const wire::ResponderPtr& aResponder) -> void;
 
-/// Name of whoever has aKey among aKeys; none when nobody has. Compares in
-/// constant time.
-auto
-FindKeyOwner(const std::vector<KeyEntry>& aKeys, std::string_view aKey)
-  -> std::optional<std::string>;
-
 } // namespace cuminslip::program
--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -4,6 +4,7 @@
 #include "program/internal/handlers.h"
 #include "program/internal/reload.h"
 #include "program/types/programevents.h"
+#include "settings/keys.h"
 #include "settings/settings.h"
 #include "templates/templates.h"
 
@@ -111,10 +112,8 @@
   ports.mTimers.mStop = [&aInstance](wire::TimerId aTimer) {
     wire::StopTimer(*aInstance.mLoop, aTimer);
   };
-  ports.mIdentify =
-    [&aInstance](std::string_view aKey) -> std::optional<AccountId> {
-    const auto owner = FindKeyOwner(aInstance.mSettings.mKeys.mCallers, aKey);
-    return owner ? std::optional(AccountId{ *owner }) : std::nullopt;
+  ports.mIdentify = [&aInstance](std::string_view aKey) {
+    return IdentifyCaller(aInstance.mSettings.mKeys, aKey);
   };
   return ports;
 }
--- a/src/program/internal/operatorhandlers.cpp
+++ b/src/program/internal/operatorhandlers.cpp
@@ -1,6 +1,7 @@
 #include "program/internal/handlers.h"
 #include "program/internal/operatorjson.h"
 #include "program/types/programevents.h"
+#include "settings/keys.h"
 #include "templates/templates.h"
 
 #include <boost/json.hpp>
@@ -283,8 +284,8 @@
                const wire::HttpRequest& aRequest,
                const wire::ResponderPtr& aResponder) -> void
 {
-  const auto name = FindKeyOwner(aInstance.mSettings.mKeys.mOperators,
-                                 wire::BearerKey(aRequest.mHeaders));
+  const auto name = IdentifyOperator(aInstance.mSettings.mKeys,
+                                     wire::BearerKey(aRequest.mHeaders));
   if (!name) {
     LogEvent(kKeyRefusedEvent, { { "interface", "operator" } });
     wire::SendResponse(
--- a/src/program/internal/reload.cpp
+++ b/src/program/internal/reload.cpp
@@ -34,7 +34,9 @@
 TakeOver(Instance& aInstance, const std::string& aPath) -> leaf::result<void>
 {
   BOOST_LEAF_AUTO(settings, LoadSettings(aPath));
-  BOOST_LEAF_CHECK(ApplyTls(aInstance, settings.mTls));
+  if (auto tls = ApplyTls(aInstance, settings.mTls); !tls) {
+    return tls.error();
+  }
   aInstance.mSettings.mTls = settings.mTls;
   aInstance.mSettings.mKeys = settings.mKeys;
   return {};
@@ -63,7 +65,9 @@
   struct Done
   {};
   const auto outcome = CollectOutcome<Done>([&]() -> leaf::result<Done> {
-    BOOST_LEAF_CHECK(TakeOver(aInstance, aPath));
+    if (auto taken = TakeOver(aInstance, aPath); !taken) {
+      return taken.error();
+    }
     return Done{};
   });
   if (!outcome.mValue) {
--- a/src/program/tests/reload_tests.cpp
+++ b/src/program/tests/reload_tests.cpp
@@ -41,7 +41,7 @@
 WriteSettings(const std::vector<std::string>& aKeys,
               const wire::testing::TestCertificate& aCertificate) -> std::string
 {
-  const auto path = (kFolder / "settings.yaml").string();
+  auto path = (kFolder / "settings.yaml").string();
   auto file = std::ofstream(path);
   file << "instance: entry-1\nfailure_domain: poa-1\nregion: porto-alegre\n"
           "roles: [entry, control]\ndata_folder: unused\n"
