Let an emptied control instance follow until it is replaced

Cause: a control instance without a trusted disk had no source of templates but its domain, so it was not ready until an operator replaced it. Change: it follows as an instance without a disk does. Test: the emptied member is ready with the revision in force before the replace command.

--- a/src/peers/internal/peercontext.cpp
+++ b/src/peers/internal/peercontext.cpp
@@ -57,6 +57,14 @@
   return !age || *age > kIsolationAfter;
 }
 
+auto
+TakesPartInControl(const PeerContext& aContext) -> bool
+{
+  return aContext.mControl && aContext.mControl->StorageFailure().empty() &&
+         aContext.mControl->Core().mRole != CoreRole::Halted &&
+         aContext.mControl->Core().mVote.mCluster != 0;
+}
+
 auto
 OtherControls(const PeerContext& aContext) -> std::vector<std::string>
 {
--- a/src/peers/internal/peercontext.h
+++ b/src/peers/internal/peercontext.h
@@ -60,6 +60,11 @@
 auto
 IsIsolatedNow(const PeerContext& aContext) -> bool;
 
+/// True when this instance holds the control state itself: its disk belongs to
+/// a control log and can be trusted.
+auto
+TakesPartInControl(const PeerContext& aContext) -> bool;
+
 /// Addresses of the control instances but this one; the ones of the own
 /// failure domain first.
 auto
--- a/src/peers/internal/templatefollower.cpp
+++ b/src/peers/internal/templatefollower.cpp
@@ -51,7 +51,7 @@
 TemplateFollower::Sources() const -> std::vector<std::string>
 {
   auto sources = std::vector<std::string>{};
-  if (!mContext.mControl) {
+  if (!TakesPartInControl(mContext)) {
     sources = OtherControls(mContext);
   }
   if (IsIsolatedNow(mContext)) {
@@ -156,7 +156,7 @@
   if (mHasReadyMate) {
     return true;
   }
-  if (!mContext.mControl) {
+  if (!TakesPartInControl(mContext)) {
     return mIsFresh && mPages.empty();
   }
   const auto& core = mContext.mControl->Core();
--- a/src/peers/internal/templatefollower.h
+++ b/src/peers/internal/templatefollower.h
@@ -7,8 +7,9 @@
 /// Keeps the templates here up to date from other instances, and finds out
 /// when this instance is ready. Sources in order: control instances of the own
 /// failure domain, other control instances, and while no source is in touch
-/// with the quorum the other instances of the domain. A control instance
-/// follows others only while it is isolated. Peer thread only.
+/// with the quorum the other instances of the domain. An instance that takes
+/// part in the control log follows others only while it is isolated. Peer
+/// thread only.
 class TemplateFollower
 {
 public:
--- a/src/peers/tests/peertask_tests.cpp
+++ b/src/peers/tests/peertask_tests.cpp
@@ -127,6 +127,9 @@
   group.Stop(emptied);
   group.Empty(emptied);
   group.Start(emptied);
+  BOOST_TEST(group.WaitForRevision(emptied, accepted.mRevision));
+  BOOST_TEST(group.WaitUntilReady(emptied));
+  BOOST_TEST(!group.mTasks[emptied]->Status().mIsLeader);
 
   const auto reply = group.ChangeMembership(
     asked, { MembershipAction::Replace, group.Instance(emptied) });
