--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -2,7 +2,9 @@
 
 #include "base/digest.h"
 #include "program/internal/handlers.h"
+#include "program/internal/reload.h"
 #include "program/types/programevents.h"
+#include "settings/keys.h"
 #include "settings/settings.h"
 #include "templates/templates.h"
 
@@ -110,10 +112,8 @@
   ports.mTimers.mStop = [&aInstance](wire::TimerId aTimer) {
     wire::StopTimer(*aInstance.mLoop, aTimer);
   };
-  ports.mIdentify =
-    [&aInstance](std::string_view aKey) -> std::optional<AccountId> {
-    const auto owner = FindKeyOwner(aInstance.mSettings.mKeys.mCallers, aKey);
-    return owner ? std::optional(AccountId{ *owner }) : std::nullopt;
+  ports.mIdentify = [&aInstance](std::string_view aKey) {
+    return IdentifyCaller(aInstance.mSettings.mKeys, aKey);
   };
   return ports;
 }
@@ -303,6 +303,9 @@
   if (auto listening = StartListeners(*instance); !listening) {
     return listening.error();
   }
+  if (auto tls = ApplyTls(*instance, instance->mSettings.mTls); !tls) {
+    return tls.error();
+  }
   LogEvent(kInstanceStartedEvent,
            { { "failure_domain", instance->mSettings.mFailureDomain.mValue },
              { "region", instance->mSettings.mRegion.mValue },
