--- a/src/control/tests/testcluster.h
+++ b/src/control/tests/testcluster.h
@@ -294,7 +294,7 @@
     }
   }
 
-  /// Lets aTime pass in steps of 10 ms.
+  /// Lets aTime pass, delivering messages every 10 ms.
   auto Run(Millis aTime) -> void
   {
     const auto end = mNow + aTime;
@@ -314,6 +314,10 @@
           Feed(to, MessageInput{ it.mMessage.mMessage });
         }
       }
+      // NOTE: members tick every 50 ms, as in the peer task.
+      if (mNow.time_since_epoch() % Millis(50) != Micros(0)) {
+        continue;
+      }
       for (auto n = std::size_t{ 0 }; n < mMembers.size(); ++n) {
         if (mMembers[n].mIsUp) {
           Feed(n, TickInput{});
