--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -8,6 +8,7 @@
 #include "settings/settings.h"
 #include "templates/templates.h"
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 
@@ -59,6 +60,11 @@
   }
   front.mMaxWaitingRequests = settings.mLimits.mMaxWaitingRequests;
   front.mMaxWaitingBytes = settings.mLimits.mMaxWaitingBytes;
+  // NOTE: each failure domain has an orderer of its own and a third of the
+  // weight store's transfers, so that no orderer needs to ask another.
+  constexpr auto kFailureDomains = std::int64_t{ 3 };
+  front.mMaxTransfers = static_cast<std::size_t>(std::max<std::int64_t>(
+    1, settings.mWeightStore.mMaxConcurrentLoads / kFailureDomains));
   front.mIsFirstComeFirstServed =
     settings.mPolicy.mQueue == QueuePolicy::FirstCome;
   front.mChoice.mRule = ToChoiceRule(settings.mPolicy.mPlacement);
@@ -87,6 +93,28 @@
   return port;
 }
 
+auto
+MakeOrdererPort(Instance& aInstance) -> placement::AcquireFunction
+{
+  return
+    [&aInstance](Millis aDuration,
+                 std::function<void(const placement::OrdererLease&)> aReply) {
+      auto command = LeaseCommand{};
+      command.mName = "orderer/" + aInstance.mSettings.mFailureDomain.mValue;
+      command.mHolder = aInstance.mSettings.mInstance.mValue + "/" +
+                        std::to_string(aInstance.mIncarnation);
+      command.mDuration = static_cast<LogMillis>(aDuration.count());
+      aInstance.mPeers->AcquireLease(
+        command,
+        [&aInstance, reply = std::move(aReply)](const LeaseGrant& aGrant) {
+          const auto lease = placement::OrdererLease{ aGrant.mIsHeld,
+                                                      aGrant.mFencing,
+                                                      aGrant.mValidUntil };
+          wire::PostToLoop(*aInstance.mLoop, [reply, lease] { reply(lease); });
+        });
+    };
+}
+
 auto
 MakeFrontPorts(Instance& aInstance) -> requests::FrontPorts
 {
@@ -105,6 +133,7 @@
   ports.mEndpoints.mCancel = [&aInstance](wire::CallId aCall) {
     wire::CancelCall(*aInstance.mClient, aCall);
   };
+  ports.mAcquireOrderer = MakeOrdererPort(aInstance);
   ports.mTimers.mStart = [&aInstance](Micros aDelay,
                                       std::function<void()> aAction) {
     return wire::StartTimer(*aInstance.mLoop, aDelay, std::move(aAction));
--- a/src/program/internal/operatorhandlers.cpp
+++ b/src/program/internal/operatorhandlers.cpp
@@ -260,6 +260,13 @@
   if (aCall.mRequest.mMethod != "GET") {
     return false;
   }
+  if (path == "/operator/v1/placement/plan") {
+    wire::SendResponse(
+      aCall.mResponder,
+      wire::JsonResponse(
+        200, EncodePlan(requests::PlannedOrdersOf(*aCall.mInstance.mFront))));
+    return true;
+  }
   if (path == "/operator/v1/revisions") {
     GetRevisions(aCall);
     return true;
--- a/src/program/internal/operatorjson.cpp
+++ b/src/program/internal/operatorjson.cpp
@@ -1,5 +1,7 @@
 #include "program/internal/operatorjson.h"
 
+#include "endpoints/protocol.h"
+
 #include <boost/json.hpp>
 
 namespace cuminslip::program {
@@ -264,6 +266,23 @@
   return json::serialize(json::object{ { "endpoints", items } });
 }
 
+auto
+EncodePlan(const std::vector<placement::PlannedOrder>& aOrders) -> std::string
+{
+  auto items = json::array{};
+  for (const auto& order : aOrders) {
+    items.push_back(
+      json::object{ { "endpoint", order.mEndpoint.mValue },
+                    { "failure_domain", order.mFailureDomain.mValue },
+                    { "action", endpoints::NameOf(order.mAction) },
+                    { "model", order.mModel.mModel.mValue },
+                    { "version", order.mModel.mVersion.mValue },
+                    { "reason", order.mReason },
+                    { "blocked_by", order.mBlockedBy } });
+  }
+  return json::serialize(json::object{ { "orders", items } });
+}
+
 auto
 EncodeStatus(const Settings& aSettings,
              const PeerStatus& aStatus,
--- a/src/program/internal/operatorjson.h
+++ b/src/program/internal/operatorjson.h
@@ -2,6 +2,7 @@
 
 #include "base/findings.h"
 #include "peers/types/peerreports.h"
+#include "placement/types/placementtypes.h"
 #include "requests/types/standing.h"
 #include "settings/types/settings.h"
 #include "wire/types/httpmessage.h"
@@ -42,6 +43,9 @@
 auto
 EncodeEndpoints(const std::vector<EndpointView>& aEndpoints) -> std::string;
 
+auto
+EncodePlan(const std::vector<placement::PlannedOrder>& aOrders) -> std::string;
+
 auto
 EncodeStatus(const Settings& aSettings,
              const PeerStatus& aStatus,
--- a/src/requests/front.h
+++ b/src/requests/front.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/types/ids.h"
+#include "placement/orderer.h"
 #include "requests/types/frontsettings.h"
 #include "requests/types/ports.h"
 #include "requests/types/standing.h"
@@ -31,6 +32,8 @@
   ControlPort mControl;
   PeerPort mPeers;
   TimerPort mTimers;
+  /// Acquires the lease of this failure domain's orderer.
+  placement::AcquireFunction mAcquireOrderer;
   /// The client account of a caller key; none when the key is unknown.
   std::function<std::optional<AccountId>(std::string_view aKey)> mIdentify;
 };
@@ -86,6 +89,12 @@
 auto
 DrainEndpoint(Front& aFront, const EndpointId& aEndpoint) -> bool;
 
+/// Orders that the placement controller would give, with what blocks them.
+/// Empty on instances that are no candidates for the orderer's lease.
+auto
+PlannedOrdersOf(const Front& aFront)
+  -> const std::vector<placement::PlannedOrder>&;
+
 /// What operators and metrics are told.
 auto
 StandingOf(const Front& aFront) -> FrontStanding;
--- a/src/requests/internal/admit.cpp
+++ b/src/requests/internal/admit.cpp
@@ -1,6 +1,7 @@
 #include "policy/decisionlog.h"
 #include "requests/internal/delivery.h"
 #include "requests/internal/filters.h"
+#include "requests/internal/ordering.h"
 #include "requests/internal/waiting.h"
 
 namespace cuminslip::requests {
@@ -78,6 +79,7 @@
     return FilterResult::Done;
   }
   ++aFront.mCounters.mAdmitted;
+  NoteDemand(aFront, aRequest);
   return FilterResult::Continue;
 }
 
--- a/src/requests/internal/attemptevents.cpp
+++ b/src/requests/internal/attemptevents.cpp
@@ -89,7 +89,7 @@
                   aFront.mSettings.mHealth,
                   aFront.mPorts.mNow());
   attempt.mIsTrial = false;
-  CloseAttempt(aFront, aRequest, false);
+  CloseAttempt(aFront, aRequest, endpoints::ReleaseReason::None);
   FinishAnswer(aFront, aRequest, aReason);
   PumpQueue(aFront);
 }
@@ -229,7 +229,7 @@
                   aFront.mSettings.mHealth,
                   aFront.mPorts.mNow());
   attempt.mIsTrial = false;
-  CloseAttempt(aFront, aRequest, false);
+  CloseAttempt(aFront, aRequest, endpoints::ReleaseReason::None);
   FinishServiceCall(aFront, aRequest, response);
   PumpQueue(aFront);
 }
--- a/src/requests/internal/delivery.cpp
+++ b/src/requests/internal/delivery.cpp
@@ -200,7 +200,11 @@
       { "reason", aRefusal.mMessage },
       { "attempts", aRequest.mAttempts },
       { "retry_after_ms", aRefusal.mRetryAfter.value_or(Millis(0)).count() } });
-  CloseAttempt(aFront, aRequest, true);
+  CloseAttempt(aFront,
+               aRequest,
+               aRefusal.mType == RefusalType::TimedOut
+                 ? endpoints::ReleaseReason::DeadlinePassed
+                 : endpoints::ReleaseReason::Failed);
   RecordFailure(aFront, aRequest, aRefusal.mRan);
   if (aRefusal.mRan == Ran::No) {
     ReturnTokens(aFront, aRequest);
@@ -303,7 +307,7 @@
            { { "request", aRequest.mFacts.mId.mValue },
              { "pieces", aRequest.mSequencer.mNext } });
   const auto ran = aRequest.mAttempt ? Ran::Unknown : aRequest.mRan;
-  CloseAttempt(aFront, aRequest, true);
+  CloseAttempt(aFront, aRequest, endpoints::ReleaseReason::CallerGone);
   RecordFailure(aFront, aRequest, ran);
   if (ran == Ran::No) {
     ReturnTokens(aFront, aRequest);
--- a/src/requests/internal/dispatch.cpp
+++ b/src/requests/internal/dispatch.cpp
@@ -253,12 +253,16 @@
                     ? BuildStreamCall(aFront, aRequest, running)
                     : BuildServiceCall(aFront, aRequest);
   call.mTimeout = AllowanceLeft(aFront, aRequest) + Millis(1);
+  if (aRequest.mCompletion) {
+    HoldStream(aFront, aRequest, running);
+  }
   running.mCall = aFront.mPorts.mEndpoints.mStart(
     std::move(call), HandlersFor(aFront, aRequest, running.mId));
 }
 
 auto
-CloseAttempt(Front& aFront, Request& aRequest, bool aIsCancelling) -> void
+CloseAttempt(Front& aFront, Request& aRequest, endpoints::ReleaseReason aReason)
+  -> void
 {
   if (!aRequest.mAttempt) {
     return;
@@ -273,9 +277,11 @@
                    attempt.mEndpoint,
                    aRequest.mFacts.mPromptTokens,
                    aFront.mPorts.mNow());
-  if (aIsCancelling && aRequest.mCompletion) {
-    CancelAttempt(aFront, attempt);
+  if (aReason == endpoints::ReleaseReason::None) {
+    DropStream(aFront, attempt.mId);
+    return;
   }
+  ReleaseStream(aFront, attempt.mId, aReason);
 }
 
 auto
--- a/src/requests/internal/dispatch.h
+++ b/src/requests/internal/dispatch.h
@@ -26,9 +26,11 @@
             Ran aRan,
             const std::string& aCause) -> void;
 
-/// Forgets the running attempt, and cancels it at the endpoint when asked.
+/// Forgets the running attempt. Its memory at the engine is released for
+/// aReason; None says that the engine holds nothing.
 auto
-CloseAttempt(Front& aFront, Request& aRequest, bool aIsCancelling) -> void;
+CloseAttempt(Front& aFront, Request& aRequest, endpoints::ReleaseReason aReason)
+  -> void;
 
 /// Fails attempts from which nothing was heard for too long.
 auto
--- a/src/requests/internal/front.cpp
+++ b/src/requests/internal/front.cpp
@@ -8,9 +8,11 @@
 #include "requests/internal/dispatch.h"
 #include "requests/internal/filters.h"
 #include "requests/internal/holdings.h"
+#include "requests/internal/ordering.h"
 #include "requests/internal/sharing.h"
 #include "requests/types/requestsevents.h"
 
+#include <algorithm>
 #include <array>
 
 namespace cuminslip::requests {
@@ -105,6 +107,15 @@
   return events;
 }
 
+auto
+CountReleases(const endpoints::Ledger& aLedger) -> std::int64_t
+{
+  return std::count_if(
+    aLedger.mEntries.begin(), aLedger.mEntries.end(), [](const auto& aItem) {
+      return aItem.second.mReleaseReason != endpoints::ReleaseReason::None;
+    });
+}
+
 auto
 TakeAnnouncement(Front& aFront, const endpoints::Announcement& aAnnouncement)
   -> endpoints::AnnounceAnswer
@@ -148,6 +159,8 @@
   front->mPorts = std::move(aPorts);
   front->mRandom.seed(aSeed);
   StartSharing(*front);
+  StartHoldings(*front);
+  StartOrdering(*front);
   front->mQueue.mSettings.mMaxRequests = front->mSettings.mMaxWaitingRequests;
   front->mQueue.mSettings.mMaxBytes = front->mSettings.mMaxWaitingBytes;
   return front;
@@ -255,15 +268,12 @@
     aFront.mFleet, aFront.mSettings.mHealth, now, aFront.mRandom);
   UpdateOverloadLevel(aFront);
   CheckSilence(aFront);
-  RetryCancels(aFront);
+  TickHoldings(aFront);
+  TickOrdering(aFront);
   if (now >= aFront.mNextCallerCheck) {
     aFront.mNextCallerCheck = now + kCallerCheckInterval;
     CheckCallers(aFront);
   }
-  if (now >= aFront.mNextRenewal) {
-    aFront.mNextRenewal = now + aFront.mSettings.mRenewInterval;
-    RenewLeases(aFront);
-  }
   PumpQueue(aFront);
 }
 
@@ -295,7 +305,7 @@
 auto
 IsIdle(const Front& aFront) -> bool
 {
-  return aFront.mRequests.empty() && aFront.mCancels.empty();
+  return aFront.mRequests.empty() && aFront.mLedger.mEntries.empty();
 }
 
 auto
@@ -314,6 +324,13 @@
   return true;
 }
 
+auto
+PlannedOrdersOf(const Front& aFront)
+  -> const std::vector<placement::PlannedOrder>&
+{
+  return aFront.mOrderer.mPlan;
+}
+
 auto
 StandingOf(const Front& aFront) -> FrontStanding
 {
@@ -324,7 +341,7 @@
   for (const auto& [id, request] : aFront.mRequests) {
     standing.mRunning += request->mAttempt ? 1 : 0;
   }
-  standing.mOpenCancels = static_cast<std::int64_t>(aFront.mCancels.size());
+  standing.mOpenCancels = CountReleases(aFront.mLedger);
   standing.mOldestWait =
     std::chrono::duration_cast<Millis>(OldestWait(aFront.mQueue, now));
   standing.mOverloadLevel = aFront.mOverload.mLevel;
--- a/src/requests/internal/frontstate.h
+++ b/src/requests/internal/frontstate.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "endpoints/holdings.h"
 #include "endpoints/membership.h"
+#include "endpoints/orphankeeper.h"
+#include "placement/orderer.h"
 #include "policy/prefixknowledge.h"
 #include "policy/tokenbucket.h"
 #include "policy/waitqueue.h"
@@ -10,23 +13,10 @@
 
 #include <map>
 #include <random>
+#include <set>
 
 namespace cuminslip::requests {
 
-/// A cancel that an endpoint has not acknowledged yet.
-struct OpenCancel
-{
-  AttemptId mAttempt;
-  EndpointId mEndpoint;
-  Incarnation mIncarnation = 0;
-  wire::SocketAddress mAddress;
-  int mTries = 0;
-  wire::CallId mCall = 0;
-  TimePoint mNextTry;
-  /// The lease has run out by then, so the engine freed it by itself.
-  TimePoint mGiveUp;
-};
-
 struct Front
 {
   FrontSettings mSettings;
@@ -47,8 +37,17 @@
   /// Ended requests; freed at the next tick, as callers up the stack may still
   /// refer to them.
   std::vector<std::unique_ptr<Request>> mEnded;
-  std::map<AttemptId, OpenCancel> mCancels;
-  TimePoint mNextRenewal;
+  endpoints::Ledger mLedger;
+  /// Holdings whose release was sent and not answered yet.
+  std::set<HoldingId> mReleasing;
+  endpoints::OrphanKeeper mOrphans;
+  placement::Orderer mOrderer;
+  TimePoint mNextOrdering;
+  /// Prompt tokens admitted by client account and length class, in the present
+  /// and in the last window.
+  std::map<std::pair<AccountId, std::string>, std::int64_t> mDemandNow;
+  std::map<std::pair<AccountId, std::string>, std::int64_t> mDemandBefore;
+  TimePoint mDemandUntil;
   TimePoint mNextCallerCheck;
   std::uint64_t mNextNumber = 1;
   bool mIsStopping = false;
--- a/src/requests/internal/holdings.cpp
+++ b/src/requests/internal/holdings.cpp
@@ -3,167 +3,179 @@
 #include "endpoints/protocol.h"
 #include "requests/types/requestsevents.h"
 
-#include <algorithm>
-
 namespace cuminslip::requests {
 
 namespace {
 
-constexpr auto kCancelTimeout = Millis(1000);
-constexpr auto kFirstCancelDelay = Millis(200);
-constexpr auto kGreatestCancelDelay = Millis(2000);
-constexpr auto kGiveUpMargin = Millis(1000);
+constexpr auto kReleaseTimeout = Millis(1000);
+constexpr auto kMaxAnswerBytes = std::size_t{ 1 } << 20U;
 constexpr auto kStatusOk = 200;
-constexpr auto kMaxBackoffSteps = 4;
+
+/// Collects the answer to a controller's call.
+struct PendingCall
+{
+  endpoints::EndpointAnswer mAnswer;
+  endpoints::EndpointReply mReply;
+};
 
 auto
-KeyHeaders(const Front& aFront) -> wire::Headers
+SendRelease(Front& aFront, const endpoints::ReleaseAction& aAction) -> void
 {
-  auto headers = wire::Headers{ { "content-type", "application/json" } };
-  if (!aFront.mSettings.mEndpointKey.empty()) {
-    headers.push_back(
-      { "authorization", "Bearer " + aFront.mSettings.mEndpointKey });
+  if (!aFront.mReleasing.insert(aAction.mId).second) {
+    return;
   }
-  return headers;
+  endpoints::LogRelease(aAction);
+  auto call = endpoints::EndpointCall{};
+  call.mAddress = aAction.mAddress;
+  call.mPath = endpoints::PathOf(aAction);
+  call.mBody = "{}";
+  call.mTimeout = kReleaseTimeout;
+  CallEndpoint(
+    aFront,
+    std::move(call),
+    [&aFront, id = aAction.mId](
+      const std::optional<endpoints::EndpointAnswer>& aAnswer) {
+      aFront.mReleasing.erase(id);
+      endpoints::NoteReleaseAnswer(
+        aFront.mLedger, id, aAnswer && aAnswer->mStatus == kStatusOk);
+    });
 }
 
 auto
-CancelDelay(int aTries) -> Millis
+SendRenewal(Front& aFront, const endpoints::RenewAction& aAction) -> void
 {
-  const auto steps = std::min(aTries, kMaxBackoffSteps);
-  return std::min(kFirstCancelDelay * (1 << steps), kGreatestCancelDelay);
+  auto call = endpoints::EndpointCall{};
+  call.mAddress = aAction.mAddress;
+  call.mPath = endpoints::kRenewPath;
+  call.mBody = endpoints::EncodeRenewRequest(aAction.mRequest);
+  CallEndpoint(
+    aFront,
+    std::move(call),
+    [&aFront, ids = aAction.mRequest.mIds, sent = aFront.mPorts.mNow()](
+      const std::optional<endpoints::EndpointAnswer>& aAnswer) {
+      if (aAnswer && aAnswer->mStatus == kStatusOk) {
+        endpoints::NoteRenewed(aFront.mLedger, ids, sent);
+      }
+    });
 }
 
 auto
-OnCancelEnd(Front& aFront,
-            const AttemptId& aAttempt,
-            wire::CallEnd aEnd,
-            int aStatus) -> void
+IsHeldHere(const Front& aFront, const HoldingId& aHolding) -> bool
 {
-  const auto it = aFront.mCancels.find(aAttempt);
-  if (it == aFront.mCancels.end()) {
-    return;
-  }
-  if (aEnd == wire::CallEnd::Complete && aStatus == kStatusOk) {
-    aFront.mCancels.erase(it);
-    return;
-  }
-  auto& cancel = it->second;
-  cancel.mCall = 0;
-  cancel.mNextTry = aFront.mPorts.mNow() + CancelDelay(cancel.mTries);
+  return aFront.mLedger.mEntries.contains(aHolding);
 }
 
+} // namespace
+
 auto
-SendCancel(Front& aFront, OpenCancel& aCancel) -> void
+StartHoldings(Front& aFront) -> void
 {
-  ++aCancel.mTries;
-  auto call = wire::HttpCall{};
-  call.mAddress = aCancel.mAddress;
-  call.mTimeout = kCancelTimeout;
-  call.mRequest = { "POST",
-                    endpoints::CancelPath(aCancel.mAttempt),
-                    "",
-                    KeyHeaders(aFront),
-                    "{}" };
-  const auto status = std::make_shared<int>(0);
-  auto handlers = wire::CallHandlers{};
-  handlers.mOnHead = [status](int aStatus, const wire::Headers&) {
-    *status = aStatus;
-  };
-  handlers.mOnEnd =
-    [&aFront, attempt = aCancel.mAttempt, status](wire::CallEnd aEnd) {
-      OnCancelEnd(aFront, attempt, aEnd, *status);
-    };
-  aCancel.mCall =
-    aFront.mPorts.mEndpoints.mStart(std::move(call), std::move(handlers));
+  auto& settings = aFront.mLedger.mSettings;
+  settings.mOwner = { aFront.mSettings.mInstance,
+                      aFront.mSettings.mIncarnation };
+  settings.mLease = aFront.mSettings.mLease;
+  settings.mRenewBefore =
+    aFront.mSettings.mLease - aFront.mSettings.mRenewInterval;
 }
 
-/// True once the engine has freed the memory by itself: it was restarted, or
-/// the lease has run out.
 auto
-IsMoot(const Front& aFront, const OpenCancel& aCancel) -> bool
+HoldStream(Front& aFront, const Request& aRequest, const Attempt& aAttempt)
+  -> void
 {
-  if (aFront.mPorts.mNow() >= aCancel.mGiveUp) {
-    return true;
-  }
-  const auto& entries = aFront.mFleet.mRegistry.mEntries;
-  const auto it = entries.find(aCancel.mEndpoint);
-  return it != entries.end() &&
-         it->second.mLatest.mIncarnation != aCancel.mIncarnation;
+  auto holding = endpoints::Holding{};
+  holding.mId = HoldingId{ aAttempt.mId.mValue };
+  holding.mEndpoint = aAttempt.mEndpoint;
+  holding.mEndpointIncarnation = aAttempt.mIncarnation;
+  holding.mAddress = wire::FormatAddress(aAttempt.mAddress);
+  holding.mTokens = aRequest.mFacts.mPromptTokens + aRequest.mFacts.mMaxTokens;
+  holding.mDeadline = aRequest.mFacts.mDeadline;
+  endpoints::AddHolding(
+    aFront.mLedger, std::move(holding), aFront.mPorts.mNow());
 }
 
-struct RenewalTarget
+auto
+ReleaseStream(Front& aFront,
+              const AttemptId& aAttempt,
+              endpoints::ReleaseReason aReason) -> void
 {
-  wire::SocketAddress mAddress;
-  std::vector<HoldingId> mIds;
-};
-
-} // namespace
+  endpoints::ReleaseHolding(aFront.mLedger,
+                            HoldingId{ aAttempt.mValue },
+                            aReason,
+                            aFront.mPorts.mNow());
+}
 
 auto
-CancelAttempt(Front& aFront, const Attempt& aAttempt) -> void
+DropStream(Front& aFront, const AttemptId& aAttempt) -> void
 {
-  auto cancel = OpenCancel{};
-  cancel.mAttempt = aAttempt.mId;
-  cancel.mEndpoint = aAttempt.mEndpoint;
-  cancel.mIncarnation = aAttempt.mIncarnation;
-  cancel.mAddress = aAttempt.mAddress;
-  cancel.mGiveUp =
-    aFront.mPorts.mNow() + aFront.mSettings.mLease + kGiveUpMargin;
-  auto& open = aFront.mCancels[aAttempt.mId] = cancel;
-  SendCancel(aFront, open);
+  endpoints::DropHolding(aFront.mLedger, HoldingId{ aAttempt.mValue });
 }
 
 auto
-RetryCancels(Front& aFront) -> void
+TickHoldings(Front& aFront) -> void
 {
   const auto now = aFront.mPorts.mNow();
-  for (auto it = aFront.mCancels.begin(); it != aFront.mCancels.end();) {
-    auto& cancel = it->second;
-    if (IsMoot(aFront, cancel)) {
-      LogEvent(kCancelFailedEvent,
-               { { "attempt", cancel.mAttempt.mValue },
-                 { "endpoint", cancel.mEndpoint.mValue },
-                 { "tries", cancel.mTries } });
-      aFront.mPorts.mEndpoints.mCancel(cancel.mCall);
-      it = aFront.mCancels.erase(it);
-      continue;
-    }
-    if (cancel.mCall == 0 && now >= cancel.mNextTry) {
-      SendCancel(aFront, cancel);
-    }
-    ++it;
+  for (const auto& [id, entry] : aFront.mFleet.mRegistry.mEntries) {
+    endpoints::NoteEndpointIncarnation(
+      aFront.mLedger, id, entry.mLatest.mIncarnation);
   }
+  const auto actions = endpoints::TickLedger(aFront.mLedger, now);
+  for (const auto& action : actions.mReleases) {
+    SendRelease(aFront, action);
+  }
+  for (const auto& action : actions.mRenewals) {
+    SendRenewal(aFront, action);
+  }
+  const auto context = endpoints::OrphanContext{
+    aFront.mMembership,
+    aFront.mFleet.mRegistry,
+    [&aFront](const HoldingId& aHolding) {
+      return IsHeldHere(aFront, aHolding);
+    },
+    [&aFront](endpoints::EndpointCall aCall, endpoints::EndpointReply aReply) {
+      CallEndpoint(aFront, std::move(aCall), std::move(aReply));
+    }
+  };
+  endpoints::TickOrphanKeeper(aFront.mOrphans, context, now);
 }
 
 auto
-RenewLeases(Front& aFront) -> void
+CallEndpoint(Front& aFront,
+             endpoints::EndpointCall aCall,
+             endpoints::EndpointReply aReply) -> void
 {
-  auto targets = std::map<EndpointId, RenewalTarget>{};
-  for (const auto& [id, request] : aFront.mRequests) {
-    if (!request->mAttempt || !request->mCompletion) {
-      continue;
-    }
-    auto& target = targets[request->mAttempt->mEndpoint];
-    target.mAddress = request->mAttempt->mAddress;
-    target.mIds.push_back(HoldingId{ request->mAttempt->mId.mValue });
+  const auto pending = std::make_shared<PendingCall>();
+  pending->mReply = std::move(aReply);
+  const auto address = wire::ParseAddress(aCall.mAddress);
+  if (!address) {
+    pending->mReply(std::nullopt);
+    return;
   }
-  for (auto& [endpoint, target] : targets) {
-    const auto renewal =
-      endpoints::RenewRequest{ { aFront.mSettings.mInstance,
-                                 aFront.mSettings.mIncarnation },
-                               aFront.mSettings.mLease,
-                               std::move(target.mIds) };
-    auto call = wire::HttpCall{};
-    call.mAddress = target.mAddress;
-    call.mTimeout = aFront.mSettings.mRenewInterval;
-    call.mRequest = { "POST",
-                      std::string(endpoints::kRenewPath),
-                      "",
-                      KeyHeaders(aFront),
-                      endpoints::EncodeRenewRequest(renewal) };
-    aFront.mPorts.mEndpoints.mStart(std::move(call), {});
+  auto call = wire::HttpCall{};
+  call.mAddress = *address;
+  call.mTimeout = aCall.mTimeout;
+  call.mRequest = { aCall.mMethod,
+                    aCall.mPath,
+                    "",
+                    { { "content-type", "application/json" } },
+                    std::move(aCall.mBody) };
+  if (!aFront.mSettings.mEndpointKey.empty()) {
+    call.mRequest.mHeaders.push_back(
+      { "authorization", "Bearer " + aFront.mSettings.mEndpointKey });
   }
+  auto handlers = wire::CallHandlers{};
+  handlers.mOnHead = [pending](int aStatus, const wire::Headers&) {
+    pending->mAnswer.mStatus = aStatus;
+  };
+  handlers.mOnPiece = [pending](std::string_view aPiece) {
+    if (pending->mAnswer.mBody.size() < kMaxAnswerBytes) {
+      pending->mAnswer.mBody += aPiece;
+    }
+  };
+  handlers.mOnEnd = [pending](wire::CallEnd aEnd) {
+    const auto isWhole = aEnd == wire::CallEnd::Complete;
+    pending->mReply(isWhole ? std::optional(pending->mAnswer) : std::nullopt);
+  };
+  aFront.mPorts.mEndpoints.mStart(std::move(call), std::move(handlers));
 }
 
 } // namespace cuminslip::requests
--- a/src/requests/internal/holdings.h
+++ b/src/requests/internal/holdings.h
@@ -2,20 +2,38 @@
 
 #include "requests/internal/frontstate.h"
 
-/// Keeps and frees memory at engines.
+/// Keeps and frees memory at engines: runs the ledger of this instance's
+/// holdings and the sweep of those that nobody owns.
 namespace cuminslip::requests {
 
-/// Cancels an attempt and repeats it until the engine confirms, is gone, or
-/// the lease has run out.
+/// Sets up the ledger with the front's settings.
 auto
-CancelAttempt(Front& aFront, const Attempt& aAttempt) -> void;
+StartHoldings(Front& aFront) -> void;
 
-/// Repeats cancels that are due.
+/// Enters the stream of an attempt that is about to be sent.
 auto
-RetryCancels(Front& aFront) -> void;
+HoldStream(Front& aFront, const Request& aRequest, const Attempt& aAttempt)
+  -> void;
 
-/// Renews the leases of all running streams, one call for each engine.
+/// Frees the stream of an attempt; repeated until the engine confirms it, is
+/// gone, or the lease has run out.
 auto
-RenewLeases(Front& aFront) -> void;
+ReleaseStream(Front& aFront,
+              const AttemptId& aAttempt,
+              endpoints::ReleaseReason aReason) -> void;
+
+/// Forgets the stream of an attempt that the engine has freed itself.
+auto
+DropStream(Front& aFront, const AttemptId& aAttempt) -> void;
+
+/// Sends releases and renewals that are due, and sweeps.
+auto
+TickHoldings(Front& aFront) -> void;
+
+/// Sends a controller's call to an endpoint; the reply comes on this task.
+auto
+CallEndpoint(Front& aFront,
+             endpoints::EndpointCall aCall,
+             endpoints::EndpointReply aReply) -> void;
 
 } // namespace cuminslip::requests
--- a/src/requests/internal/recovery.cpp
+++ b/src/requests/internal/recovery.cpp
@@ -121,7 +121,10 @@
                   aFront.mPorts.mNow());
   aRequest.mAttempt->mIsTrial = false;
   aRequest.mRan = CombineRan(aRequest.mRan, aRan);
-  CloseAttempt(aFront, aRequest, aRan != Ran::No);
+  CloseAttempt(aFront,
+               aRequest,
+               aRan == Ran::No ? endpoints::ReleaseReason::None
+                               : endpoints::ReleaseReason::Failed);
   UpdateFleetHealth(aFront.mFleet,
                     aFront.mSettings.mHealth,
                     aFront.mPorts.mNow(),
--- a/src/requests/internal/sharing.cpp
+++ b/src/requests/internal/sharing.cpp
@@ -17,6 +17,8 @@
   }
   for (const auto& change : aOutput.mInstanceChanges) {
     endpoints::LogInstanceChange(change);
+    endpoints::NoteInstanceChange(
+      aFront.mOrphans, change, aFront.mPorts.mNow());
   }
 }
 
--- a/src/requests/tests/fakes.cpp
+++ b/src/requests/tests/fakes.cpp
@@ -78,6 +78,10 @@
   ports.mPeers.mSend = [&](const std::string&, const std::string& aBytes) {
     aFixture.mPeerMessages.push_back(aBytes);
   };
+  ports.mAcquireOrderer =
+    [&](Millis, std::function<void(const placement::OrdererLease&)> aReply) {
+      aReply(aFixture.mOrdererLease);
+    };
   ports.mIdentify = [](std::string_view aKey) -> std::optional<AccountId> {
     return aKey == "key" ? std::optional(AccountId{ "acme" }) : std::nullopt;
   };
--- a/src/requests/tests/fakes.h
+++ b/src/requests/tests/fakes.h
@@ -54,6 +54,7 @@
   std::map<std::string, std::shared_ptr<FakeCaller>> mCallers;
   std::uint64_t mSequence = 0;
   std::vector<std::string> mPeerMessages;
+  placement::OrdererLease mOrdererLease;
   FrontPtr mFront;
 
   FrontFixture();
--- a/src/requests/types/frontsettings.h
+++ b/src/requests/types/frontsettings.h
@@ -38,6 +38,8 @@
   std::size_t mMaxUnsentBytes = std::size_t{ 4 } * 1024 * 1024;
   /// Largest record of a non-idempotent run; the control log takes 64 KiB.
   std::size_t mMaxRecordedBytes = std::size_t{ 60 } * 1024;
+  /// Transfers from the weight store at one time, in this failure domain.
+  std::size_t mMaxTransfers = 2;
   bool mIsFirstComeFirstServed = false;
   AdmissionSettings mAdmission;
   ChoiceSettings mChoice;
--- a/src/requests/types/requestsevents.h
+++ b/src/requests/types/requestsevents.h
@@ -23,8 +23,6 @@
   Event{ 1707, "run_replayed", Severity::Info };
 inline constexpr auto kAnnouncementRefusedEvent =
   Event{ 1708, "announcement_refused", Severity::Warning };
-inline constexpr auto kCancelFailedEvent =
-  Event{ 1709, "cancel_failed", Severity::Warning };
 
 inline constexpr auto kTemplatesAppliedEvent =
   Event{ 1710, "templates_applied", Severity::Info };
