--- a/src/control/tests/testcluster.h
+++ b/src/control/tests/testcluster.h
@@ -3,42 +3,13 @@
 #include "control/controlcodec.h"
 #include "control/controlcore.h"
 #include "control/statemachine.h"
+#include "control/tests/diskimage.h"
 
 #include <random>
 #include <stdexcept>
 
 namespace cuminslip {
 
-/// What a member's disk holds after a power loss.
-struct DiskImage
-{
-  VoteRecord mVote;
-  Snapshot mSnapshot;
-  std::vector<LogEntry> mEntries;
-  Revision mFloor = 0;
-
-  auto Apply(const DiskWrite& aWrite, Revision aFloor) -> void
-  {
-    if (aWrite.mVote) {
-      mVote = *aWrite.mVote;
-    }
-    if (aWrite.mSnapshot) {
-      mSnapshot = *aWrite.mSnapshot;
-    }
-    const auto from = aWrite.mIsLogReplaced ? 1 : aWrite.mTruncateFrom;
-    std::erase_if(mEntries, [&](const auto& aEntry) {
-      return (from != 0 && aEntry.mIndex >= from) ||
-             aEntry.mIndex <= mSnapshot.mIndex;
-    });
-    for (const auto& it : aWrite.mEntries) {
-      if (it.mIndex > mSnapshot.mIndex) {
-        mEntries.push_back(it);
-      }
-    }
-    mFloor = std::max(mFloor, aFloor);
-  }
-};
-
 struct TestMember
 {
   bool mIsUp = false;
@@ -383,6 +354,27 @@
   }
 };
 
+/// The members but one.
+inline auto
+Others(const TestCluster& aCluster, std::size_t aNumber)
+  -> std::vector<std::size_t>
+{
+  auto others = std::vector<std::size_t>{};
+  for (auto n = std::size_t{ 0 }; n < aCluster.mMembers.size(); ++n) {
+    if (n != aNumber) {
+      others.push_back(n);
+    }
+  }
+  return others;
+}
+
+inline auto
+IsAccepted(const TestCluster& aCluster, std::uint64_t aToken) -> bool
+{
+  const auto result = aCluster.ResultOf(aToken);
+  return result && result->mStatus == CommandStatus::Accepted;
+}
+
 inline auto
 PublishOf(std::string aAccount,
           Revision aExpected,
