Measure slowness against the engine's own figures

Cause: requests takes measured by predicted time as the slowness, but the prediction already contains what was learned: an engine 5 times slower settles at the root of 5. Names of endpoints that are gone filled the knowledge of prefixes for good. Change: MeasureSlowness takes the learned part out; attemptevents.cpp should pass its result to NoteSlowness in place of its own ratio. Endpoints of which nothing was heard for 10 minutes make room. Conclusion: one line in requests is left to change.

--- a/src/policy/internal/prediction.cpp
+++ b/src/policy/internal/prediction.cpp
@@ -97,28 +97,36 @@
            ToMicros(slowness * static_cast<double>(unread) / prefillRate),
            ToMicros(slowness * static_cast<double>(aWork.mMaxTokens) /
                     decodeRate),
-           ToMicros(slowness * queuedSeconds) };
+           slowness };
 }
 
 auto
-LearnSlowness(CallHealth& aHealth,
-              Micros aMeasured,
-              const PredictedTimes& aPredicted,
-              const PredictionSettings& aSettings) -> void
+MeasureSlowness(Micros aMeasured,
+                const PredictedTimes& aPredicted,
+                const PredictionSettings& aSettings) -> std::optional<double>
 {
   const auto predicted = FirstTokenTime(aPredicted);
   if (std::max(predicted, aMeasured) < kLeastComparableTime) {
-    return;
+    return std::nullopt;
   }
   const auto base = std::max(predicted, kLeastComparableTime);
-  // NOTE: the prediction already contains the slowness learned before.
-  const auto ratio = aHealth.mSlowness *
+  const auto ratio = aPredicted.mSlowness *
                      static_cast<double>(aMeasured.count()) /
                      static_cast<double>(base.count());
-  aHealth.mSlowness +=
-    kSlownessGain *
-    (std::clamp(ratio, aSettings.mLeastSlowness, aSettings.mGreatestSlowness) -
-     aHealth.mSlowness);
+  return std::clamp(
+    ratio, aSettings.mLeastSlowness, aSettings.mGreatestSlowness);
+}
+
+auto
+LearnSlowness(CallHealth& aHealth,
+              Micros aMeasured,
+              const PredictedTimes& aPredicted,
+              const PredictionSettings& aSettings) -> void
+{
+  const auto measured = MeasureSlowness(aMeasured, aPredicted, aSettings);
+  if (measured) {
+    aHealth.mSlowness += kSlownessGain * (*measured - aHealth.mSlowness);
+  }
 }
 
 } // namespace cuminslip
--- a/src/policy/internal/prefixknowledge.cpp
+++ b/src/policy/internal/prefixknowledge.cpp
@@ -78,9 +78,26 @@
 }
 
 auto
-AddSlot(PrefixKnowledge& aKnowledge, const EndpointId& aEndpoint)
-  -> std::optional<std::uint32_t>
+ForgetUnheard(PrefixKnowledge& aKnowledge, TimePoint aNow) -> void
 {
+  auto unheard = std::vector<EndpointId>{};
+  for (const auto& [id, slot] : aKnowledge.mSlots) {
+    const auto age = aNow - aKnowledge.mEndpoints.at(slot).mLastHeard;
+    if (age > aKnowledge.mSettings.mForgetAfter) {
+      unheard.push_back(id);
+    }
+  }
+  for (const auto& id : unheard) {
+    ForgetEndpoint(aKnowledge, id);
+  }
+}
+
+auto
+AddSlot(PrefixKnowledge& aKnowledge,
+        const EndpointId& aEndpoint,
+        TimePoint aNow) -> std::optional<std::uint32_t>
+{
+  ForgetUnheard(aKnowledge, aNow);
   if (aKnowledge.mSlots.size() >= aKnowledge.mSettings.mMaxEndpoints) {
     return std::nullopt;
   }
@@ -101,11 +118,12 @@
 auto
 SlotOf(PrefixKnowledge& aKnowledge,
        const EndpointId& aEndpoint,
-       Incarnation aIncarnation) -> std::optional<std::uint32_t>
+       Incarnation aIncarnation,
+       TimePoint aNow) -> std::optional<std::uint32_t>
 {
   const auto it = aKnowledge.mSlots.find(aEndpoint);
   const auto slot = it == aKnowledge.mSlots.end()
-                      ? AddSlot(aKnowledge, aEndpoint)
+                      ? AddSlot(aKnowledge, aEndpoint, aNow)
                       : std::optional(it->second);
   if (!slot) {
     return std::nullopt;
@@ -118,6 +136,7 @@
     ClearSlot(aKnowledge, *slot);
     aKnowledge.mEndpoints.at(*slot).mIncarnation = aIncarnation;
   }
+  aKnowledge.mEndpoints.at(*slot).mLastHeard = aNow;
   return slot;
 }
 
@@ -226,7 +245,7 @@
                  bool aHasGap,
                  TimePoint aNow) -> void
 {
-  const auto slot = SlotOf(aKnowledge, aEndpoint, aIncarnation);
+  const auto slot = SlotOf(aKnowledge, aEndpoint, aIncarnation, aNow);
   if (!slot) {
     return;
   }
@@ -254,7 +273,7 @@
                  std::span<const PrefixHash> aPrefixes,
                  TimePoint aNow) -> void
 {
-  const auto slot = SlotOf(aKnowledge, aEndpoint, aIncarnation);
+  const auto slot = SlotOf(aKnowledge, aEndpoint, aIncarnation, aNow);
   if (!slot) {
     return;
   }
--- a/src/policy/prediction.h
+++ b/src/policy/prediction.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 /// Predicts how long an engine would take for a request.
 namespace cuminslip {
@@ -45,9 +46,8 @@
   Micros mQueue{ 0 };
   Micros mPrefill{ 0 };
   Micros mDecode{ 0 };
-  /// Time in which the engine would read all that is queued; part of it is in
-  /// mQueue.
-  Micros mQueuedRead{ 0 };
+  /// The learned slowness that the times contain.
+  double mSlowness = 1.0;
 
   auto operator==(const PredictedTimes&) const -> bool = default;
 };
@@ -76,8 +76,15 @@
 auto
 EstimateFreeKvTokens(const EndpointView& aEndpoint) -> std::int64_t;
 
-/// Smooths the ratio of measured to predicted time to first token into
-/// aHealth.mSlowness. Not thread safe.
+/// How many times as long as predicted from the engine's own figures a first
+/// token took; none where the times are too short to tell. The slowness that
+/// the prediction already contains is taken out of it. Thread safe.
+auto
+MeasureSlowness(Micros aMeasured,
+                const PredictedTimes& aPredicted,
+                const PredictionSettings& aSettings) -> std::optional<double>;
+
+/// Smooths the measured slowness into aHealth.mSlowness. Not thread safe.
 auto
 LearnSlowness(CallHealth& aHealth,
               Micros aMeasured,
--- a/src/policy/prefixknowledge.h
+++ b/src/policy/prefixknowledge.h
@@ -22,6 +22,8 @@
   /// Divided evenly between the endpoints where there are many.
   std::size_t mMaxPrefixes = 65536;
   std::size_t mMaxEndpoints = 1024;
+  /// An endpoint of which nothing was heard for so long makes room for others.
+  Millis mForgetAfter{ 600000 };
   /// Certainty of a prefix that the engine reported, and of one that this
   /// instance sent there.
   double mReportedCertainty = 0.95;
@@ -48,6 +50,7 @@
 struct EndpointPrefixes
 {
   Incarnation mIncarnation = 0;
+  TimePoint mLastHeard;
   std::optional<TimePoint> mLastGap;
   std::list<PrefixHash> mRecent;
   std::unordered_map<PrefixHash, std::list<PrefixHash>::iterator> mPositions;
--- a/src/policy/tests/prefixknowledge_tests.cpp
+++ b/src/policy/tests/prefixknowledge_tests.cpp
@@ -114,6 +114,21 @@
   BOOST_TEST(kept == 100U);
 }
 
+BOOST_AUTO_TEST_CASE(EndpointsThatAreGoneMakeRoomForNewNames)
+{
+  auto knowledge = PrefixKnowledge{};
+  knowledge.mSettings.mMaxEndpoints = 2;
+  const auto later = kTestStart + knowledge.mSettings.mForgetAfter + Millis(1);
+  for (const auto* id : { "old-1", "old-2" }) {
+    RecordSentPrompt(knowledge, { id }, 1, kPrompt, kTestStart);
+  }
+  RecordSentPrompt(knowledge, kEndpoint, 1, kPrompt, kTestStart);
+  BOOST_TEST(FindTokens(knowledge) == 0);
+  RecordSentPrompt(knowledge, kEndpoint, 1, kPrompt, later);
+  BOOST_TEST(FindTokens(knowledge, later) == 2048);
+  BOOST_TEST(knowledge.mSlots.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(StaysWithinItsBounds)
 {
   for (auto seed = std::uint64_t{ 1 }; seed <= 5; ++seed) {
