--- a/src/policy/tests/waitqueue_tests.cpp
+++ b/src/policy/tests/waitqueue_tests.cpp
@@ -204,10 +204,12 @@
         const auto& entry = started->mEntry;
         served[entry.mAccount.mValue] +=
           static_cast<double>(entry.mCostTokens) / entry.mWeight;
-        const auto [least, most] = std::minmax_element(
-          served.begin(), served.end(), [](const auto& a, const auto& b) {
-            return a.second < b.second;
-          });
+        const auto [least, most] =
+          std::minmax_element(served.begin(),
+                              served.end(),
+                              [](const auto& aLeft, const auto& aRight) {
+                                return aLeft.second < aRight.second;
+                              });
         if (served.size() == kAccounts) {
           // NOTE: two requests, and the credit of urgent work.
           BOOST_REQUIRE_LE(most->second - least->second, 2 * 100000 + 200000);
