--- a/src/control/types/coreio.h
+++ b/src/control/types/coreio.h
@@ -104,8 +104,9 @@
   DiskFull,
   /// Too much waits to be committed.
   Overloaded,
-  /// Not all control instances named at the founding are voters yet.
-  Founding
+  /// The log was founded and not all expected instances are voters yet: what
+  /// was accepted now could be lost with fewer than planned.
+  NotJoined
 };
 
 struct ProposalPlace
