Close a connection whose stream is aborted while a piece is being written

Cause: AbortStream then only shut the socket down; h2o does not read while it answers, so the connection and its responder stayed for good. Change: the next proceed sends the error state, which closes it.

--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -150,6 +150,11 @@
   const auto responder = *reinterpret_cast<Generator*>(aGenerator)->mResponder;
   responder->mIsSending = false;
   responder->mInFlight.clear();
+  if (responder->mIsDone && responder->mRequest != nullptr) {
+    // NOTE: the stream was aborted while this piece was being written.
+    h2o_send(responder->mRequest, nullptr, 0, H2O_SEND_STATE_ERROR);
+    return;
+  }
   Flush(*responder);
 }
 
