Close the connection of a stream that is aborted while a piece is written

Cause: AbortStream only shut the socket down while a piece was in flight; h2o does not read during a response, so that it never noticed, and the connection stayed open with its memory. Found by the client's tests under the address sanitizer: 8 connections left. Change: the abort goes to h2o when the piece has been written. Test: an abort right after the start of a stream leaves no connection (failed before after its 20 s, passes now).

--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -28,6 +28,7 @@
   bool mIsSending = false;
   bool mIsFinishing = false;
   bool mIsDone = false;
+  bool mIsAborted = false;
   std::function<void()> mOnClose;
 };
 
@@ -150,6 +151,12 @@
   const auto responder = *reinterpret_cast<Generator*>(aGenerator)->mResponder;
   responder->mIsSending = false;
   responder->mInFlight.clear();
+  if (responder->mIsAborted) {
+    // NOTE: h2o does not read while a response is open, so that it would not
+    // notice the closed connection by itself.
+    h2o_send(responder->mRequest, nullptr, 0, H2O_SEND_STATE_ERROR);
+    return;
+  }
   Flush(*responder);
 }
 
@@ -453,6 +460,7 @@
     return;
   }
   aResponder->mIsDone = true;
+  aResponder->mIsAborted = true;
   aResponder->mPending.clear();
   auto* request = aResponder->mRequest;
   request->http1_is_persistent = 0;
--- a/src/wire/tests/http_tests.cpp
+++ b/src/wire/tests/http_tests.cpp
@@ -80,6 +80,19 @@
   BOOST_TEST((end == CallEnd::Broken));
 }
 
+BOOST_AUTO_TEST_CASE(AbortWhileSendingClosesTheConnection)
+{
+  Serve([&](const HttpRequest&, const ResponderPtr& aResponder) {
+    StartStream(aResponder, 200, {});
+    AbortStream(aResponder);
+  });
+
+  const auto answer = Fetch(*this, Call("GET", "/", ""));
+
+  BOOST_TEST((answer.mEnd == CallEnd::Broken));
+  RunUntil([&] { return CountConnections(*mServer) == 0; });
+}
+
 BOOST_AUTO_TEST_CASE(NoticesACallerWhoLeaves)
 {
   auto responder = ResponderPtr{};
