Run the client tests' fake servers on one lasting thread

Cause: h2o keeps memory for each thread, which the leak checker reports when a test's server thread ends. Change: the fakes share a thread that lasts as long as the process.

--- a/src/client/tests/fakeoperator.cpp
+++ b/src/client/tests/fakeoperator.cpp
@@ -1,29 +1,58 @@
 #include "client/tests/fakeoperator.h"
 
+#include <future>
+#include <thread>
+
 namespace cuminslip::client::testing {
 
+namespace {
+
+/// Runs for the life of the process, since h2o keeps memory for each thread
+/// that is lost when the thread ends.
+auto
+SharedLoop() -> wire::EventLoop&
+{
+  static auto& loop = []() -> wire::EventLoop& {
+    auto* created = wire::CreateEventLoop().release();
+    std::thread([created] { wire::RunLoop(*created); }).detach();
+    return *created;
+  }();
+  return loop;
+}
+
+auto
+RunOnSharedLoop(const std::function<void()>& aAction) -> void
+{
+  const auto done = std::make_shared<std::promise<void>>();
+  wire::PostToLoop(SharedLoop(), [&aAction, done] {
+    aAction();
+    done->set_value();
+  });
+  done->get_future().wait();
+}
+
+} // namespace
+
 FakeOperator::FakeOperator(Answer aAnswer)
   : mAnswer(std::move(aAnswer))
-  , mLoop(wire::CreateEventLoop())
 {
-  auto outcome = CollectOutcome<wire::HttpServerPtr>([&] {
-    return wire::StartHttpServer(
-      *mLoop,
-      { "127.0.0.1", 0 },
-      {},
-      [this](const auto& aRequest, const auto& aResponder) {
-        Handle(aRequest, aResponder);
-      });
+  RunOnSharedLoop([this] {
+    auto outcome = CollectOutcome<wire::HttpServerPtr>([&] {
+      return wire::StartHttpServer(
+        SharedLoop(),
+        { "127.0.0.1", 0 },
+        {},
+        [this](const auto& aRequest, const auto& aResponder) {
+          Handle(aRequest, aResponder);
+        });
+    });
+    mServer = std::move(outcome.mValue.value());
   });
-  mServer = std::move(outcome.mValue.value());
-  mThread = std::thread([this] { wire::RunLoop(*mLoop); });
 }
 
 FakeOperator::~FakeOperator()
 {
-  wire::StopLoop(*mLoop);
-  mThread.join();
-  mServer.reset();
+  RunOnSharedLoop([this] { mServer.reset(); });
 }
 
 auto
--- a/src/client/tests/fakeoperator.h
+++ b/src/client/tests/fakeoperator.h
@@ -3,13 +3,11 @@
 #include "wire/httpserver.h"
 
 #include <functional>
-#include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
-/// A hand-written operator server on a thread of its own.
+/// A hand-written operator server on a thread that all of them share.
 namespace cuminslip::client::testing {
 
 class FakeOperator
@@ -36,9 +34,7 @@
   Answer mAnswer;
   std::mutex mMutex;
   std::vector<wire::HttpRequest> mSeen;
-  wire::EventLoopPtr mLoop;
   wire::HttpServerPtr mServer;
-  std::thread mThread;
 };
 
 } // namespace cuminslip::client::testing
