--- a/src/control/internal/memberchange.cpp
+++ b/src/control/internal/memberchange.cpp
@@ -235,19 +235,15 @@
 {
   const auto& membership = CurrentMembership(aContext.mState);
   const auto* member = FindMemberOf(membership, aInput.mInstance);
-  const auto isExpected = std::count(membership.mExpected.begin(),
-                                     membership.mExpected.end(),
-                                     aInput.mInstance) > 0;
-  if (!member && !isExpected) {
+  const auto id = member ? member->mId : 0;
+  auto next = WithoutMember(membership, id);
+  if (std::erase(next.mExpected, aInput.mInstance) == 0 && !member) {
     Refuse(aContext, "the instance is no member");
     return;
   }
   if (!MayChange(aContext)) {
     return;
   }
-  const auto id = member ? member->mId : MemberId{ 0 };
-  auto next = WithoutMember(membership, id);
-  std::erase(next.mExpected, aInput.mInstance);
   if (!HasLiveQuorum(aContext, next)) {
     Refuse(aContext, "the members that are left and answer make no quorum");
     return;
--- a/src/peers/internal/controlnode.cpp
+++ b/src/peers/internal/controlnode.cpp
@@ -22,7 +22,7 @@
     case ProposalFate::DiskFull:
       return LeaderOutcome::DiskFull;
     case ProposalFate::Overloaded:
-    case ProposalFate::Founding:
+    case ProposalFate::NotJoined:
       return LeaderOutcome::Overloaded;
     default:
       return LeaderOutcome::NotLeader;
@@ -97,7 +97,21 @@
 }
 
 auto
-ControlNode::Receive(std::string_view aMessage) -> void
+ControlNode::Receive(std::string_view aMessage) -> std::string
+{
+  auto message = CollectOutcome<ControlMessage>(
+    [&] { return DecodeControlMessage(aMessage); });
+  if (!message.mValue) {
+    return {};
+  }
+  mReplyTo = message.mValue->mFrom;
+  Feed(MessageInput{ std::move(*message.mValue) });
+  mReplyTo.reset();
+  return std::exchange(mReply, {});
+}
+
+auto
+ControlNode::ReceiveReply(std::string_view aMessage) -> void
 {
   auto message = CollectOutcome<ControlMessage>(
     [&] { return DecodeControlMessage(aMessage); });
@@ -106,6 +120,17 @@
   }
 }
 
+auto
+ControlNode::SendOrReturn(const OutgoingMessage& aMessage) -> void
+{
+  const auto isReply = mReplyTo && aMessage.mMessage.mTo == *mReplyTo;
+  if (isReply && mReply.empty()) {
+    mReply = EncodeControlMessage(aMessage.mMessage);
+    return;
+  }
+  mHooks.mSend(aMessage);
+}
+
 auto
 ControlNode::Propose(std::string aCommand, ProposalReply aReply) -> void
 {
@@ -186,7 +211,7 @@
     LogCoreEvent(it);
   }
   for (const auto& it : output.mMessages) {
-    mHooks.mSend(it);
+    SendOrReturn(it);
   }
   TakePlaces(output.mPlaces);
   if (output.mRestore) {
