--- a/src/requests/internal/attemptevents.cpp
+++ b/src/requests/internal/attemptevents.cpp
@@ -47,14 +47,13 @@
 LearnFirstToken(Front& aFront, const Request& aRequest) -> void
 {
   const auto& attempt = *aRequest.mAttempt;
-  const auto predicted = FirstTokenTime(attempt.mPredicted);
   const auto measured = aFront.mPorts.mNow() - attempt.mStarted;
-  if (predicted.count() <= 0) {
-    return;
+  const auto slowness = MeasureSlowness(
+    measured, attempt.mPredicted, aFront.mSettings.mChoice.mPrediction);
+  if (slowness) {
+    endpoints::NoteSlowness(
+      aFront.mFleet.mRegistry, attempt.mEndpoint, *slowness);
   }
-  const auto ratio = static_cast<double>(measured.count()) /
-                     static_cast<double>(predicted.count());
-  endpoints::NoteSlowness(aFront.mFleet.mRegistry, attempt.mEndpoint, ratio);
 }
 
 auto
--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -28,6 +28,7 @@
   bool mIsSending = false;
   bool mIsFinishing = false;
   bool mIsDone = false;
+  bool mIsAborted = false;
   std::function<void()> mOnClose;
 };
 
@@ -71,6 +72,7 @@
 namespace {
 
 constexpr auto kBacklog = 1024;
+constexpr auto kUnavailable = 503;
 constexpr auto kCloseRounds = 1000;
 
 auto
@@ -150,8 +152,9 @@
   const auto responder = *reinterpret_cast<Generator*>(aGenerator)->mResponder;
   responder->mIsSending = false;
   responder->mInFlight.clear();
-  if (responder->mIsDone && responder->mRequest != nullptr) {
-    // NOTE: the stream was aborted while this piece was being written.
+  if (responder->mIsAborted) {
+    // NOTE: h2o does not read while a response is open, so that it would not
+    // notice the closed connection by itself.
     h2o_send(responder->mRequest, nullptr, 0, H2O_SEND_STATE_ERROR);
     return;
   }
@@ -457,7 +460,14 @@
   if (aResponder->mRequest == nullptr || aResponder->mIsDone) {
     return;
   }
+  if (!aResponder->mHasStarted) {
+    // NOTE: h2o has no way to end a request but by a response.
+    aResponder->mRequest->http1_is_persistent = 0;
+    SendResponse(aResponder, { kUnavailable, {}, "" });
+    return;
+  }
   aResponder->mIsDone = true;
+  aResponder->mIsAborted = true;
   aResponder->mPending.clear();
   auto* request = aResponder->mRequest;
   request->http1_is_persistent = 0;
