Change the control membership from the command line

Cause: a replaced control instance had no way back into the quorum. Change: control add, replace and remove; a process test replaces an emptied instance, loses a second one and goes on publishing.

--- a/src/client/internal/client.cpp
+++ b/src/client/internal/client.cpp
@@ -80,6 +80,19 @@
   return client::RunFetch(aOptions, "POST", path, {}, aOutput);
 }
 
+template<const char* kAction>
+auto
+ChangeMember(const Options& aOptions, const Output& aOutput) -> ExitCode
+{
+  const auto path =
+    "/operator/v1/control/members/" + aOptions.mWords.at(2) + "/" + kAction;
+  return client::RunFetch(aOptions, "POST", path, {}, aOutput);
+}
+
+constexpr char kAddAction[] = "add";
+constexpr char kReplaceAction[] = "replace";
+constexpr char kRemoveAction[] = "remove";
+
 constexpr auto kCommands = std::array{
   Command{ "check",
            "FILE",
@@ -132,6 +145,21 @@
            "lists orders that would be given, with reasons",
            true,
            Get<kPlanPath> },
+  Command{ "control add",
+           "INSTANCE",
+           "adds a control instance named in the settings",
+           true,
+           ChangeMember<kAddAction> },
+  Command{ "control replace",
+           "INSTANCE",
+           "puts an instance's present disk in place of its former one",
+           true,
+           ChangeMember<kReplaceAction> },
+  Command{ "control remove",
+           "INSTANCE",
+           "removes a control instance",
+           true,
+           ChangeMember<kRemoveAction> },
   Command{ "status", "", "one-screen overview", true, Get<kStatusPath> },
 };
 
--- a/src/program/internal/operatorhandlers.cpp
+++ b/src/program/internal/operatorhandlers.cpp
@@ -14,6 +14,7 @@
 
 constexpr auto kTemplatesPath = std::string_view("/operator/v1/templates");
 constexpr auto kEndpointsPath = std::string_view("/operator/v1/endpoints");
+constexpr auto kMembersPath = std::string_view("/operator/v1/control/members/");
 constexpr auto kHistorySuffix = std::string_view("/history");
 constexpr auto kDrainSuffix = std::string_view("/drain");
 
@@ -253,6 +254,76 @@
   return true;
 }
 
+auto
+FindControlInstance(const Settings& aSettings, const std::string& aName)
+  -> std::optional<PeerInstance>
+{
+  for (const auto& item : aSettings.mControlInstances) {
+    if (item.mId.mValue == aName) {
+      return PeerInstance{ item.mId,
+                           wire::FormatAddress(item.mAddress),
+                           item.mFailureDomain };
+    }
+  }
+  return std::nullopt;
+}
+
+auto
+ToMembershipAction(std::string_view aName) -> std::optional<MembershipAction>
+{
+  if (aName == "add") {
+    return MembershipAction::Add;
+  }
+  if (aName == "replace") {
+    return MembershipAction::Replace;
+  }
+  if (aName == "remove") {
+    return MembershipAction::Remove;
+  }
+  return std::nullopt;
+}
+
+auto
+ChangeMember(const OperatorCall& aCall, const MembershipRequest& aRequest)
+  -> void
+{
+  aCall.mInstance.mPeers->ChangeMembership(
+    aRequest,
+    [call = OperatorCall(aCall), aRequest](const MembershipReply& aReply) {
+      const auto isBegun = aReply.mProblem.empty();
+      LogAction(call,
+                "change control membership",
+                aRequest.mInstance.mInstance.mValue,
+                isBegun ? "begun" : aReply.mProblem,
+                0);
+      RespondLater(call,
+                   isBegun ? wire::JsonResponse(200, R"({"begun":true})")
+                           : ErrorResponse(409, "refused", aReply.mProblem));
+    });
+}
+
+auto
+RouteMembers(const OperatorCall& aCall) -> bool
+{
+  const auto& path = aCall.mRequest.mPath;
+  if (aCall.mRequest.mMethod != "POST" || !path.starts_with(kMembersPath)) {
+    return false;
+  }
+  const auto rest = path.substr(kMembersPath.size());
+  const auto slash = rest.find('/');
+  if (slash == std::string::npos) {
+    return false;
+  }
+  const auto action = ToMembershipAction(rest.substr(slash + 1));
+  const auto instance =
+    FindControlInstance(aCall.mInstance.mSettings, rest.substr(0, slash));
+  if (!action || !instance) {
+    return false;
+  }
+  ChangeMember(aCall, { *action, *instance });
+  return true;
+}
+
 auto
 RouteStatus(const OperatorCall& aCall) -> bool
 {
@@ -300,7 +371,8 @@
     return;
   }
   const auto call = OperatorCall{ aInstance, aRequest, aResponder, *name };
-  if (RouteTemplates(call) || RouteEndpoints(call) || RouteStatus(call)) {
+  if (RouteTemplates(call) || RouteEndpoints(call) || RouteMembers(call) ||
+      RouteStatus(call)) {
     return;
   }
   wire::SendResponse(aResponder,
--- a/src/program/tests/control_tests.cpp
+++ b/src/program/tests/control_tests.cpp
@@ -110,6 +110,40 @@
   BOOST_TEST(isBack);
 }
 
+BOOST_AUTO_TEST_CASE(AReplacedInstanceCarriesTheQuorumAfterASecondLoss)
+{
+  auto deployment = Deployment(kControls, kControls);
+  deployment.StartAll();
+  auto person = Operator{ deployment, 0, 0, std::mt19937_64(8) };
+  for (auto i = 0; i < 5; ++i) {
+    person.PublishNext();
+  }
+  deployment.Kill(0);
+  deployment.EraseDisk(0);
+  person.PublishNext();
+  deployment.Start(0);
+  const auto path = "/operator/v1/control/members/" + deployment.Name(0);
+  BOOST_TEST(WaitUntil([&] {
+    return Call(deployment.Ports(1).mOperator,
+                "POST",
+                path + "/replace",
+                "operator")
+             .mStatus == 200;
+  }));
+  BOOST_TEST(WaitUntil([&] {
+    const auto answer = Call(deployment.Ports(2).mOperator,
+                             "GET",
+                             "/operator/v1/revisions",
+                             "operator");
+    return answer.mBody.find("learner") == std::string::npos &&
+           answer.mBody.find(deployment.Name(0)) != std::string::npos;
+  }));
+  deployment.Kill(1);
+  person.PublishNext();
+  BOOST_TEST(WaitUntil(
+    [&] { return HasRevisionEverywhere(deployment, person.mRevision); }));
+}
+
 BOOST_AUTO_TEST_CASE(OperatorsWithEqualNumbersHaveOneWinner)
 {
   auto deployment = Deployment(kControls, kControls);
