--- a/src/requests/internal/attemptevents.cpp
+++ b/src/requests/internal/attemptevents.cpp
@@ -47,14 +47,13 @@
 LearnFirstToken(Front& aFront, const Request& aRequest) -> void
 {
   const auto& attempt = *aRequest.mAttempt;
-  const auto predicted = FirstTokenTime(attempt.mPredicted);
   const auto measured = aFront.mPorts.mNow() - attempt.mStarted;
-  if (predicted.count() <= 0) {
-    return;
+  const auto slowness = MeasureSlowness(
+    measured, attempt.mPredicted, aFront.mSettings.mChoice.mPrediction);
+  if (slowness) {
+    endpoints::NoteSlowness(
+      aFront.mFleet.mRegistry, attempt.mEndpoint, *slowness);
   }
-  const auto ratio = static_cast<double>(measured.count()) /
-                     static_cast<double>(predicted.count());
-  endpoints::NoteSlowness(aFront.mFleet.mRegistry, attempt.mEndpoint, ratio);
 }
 
 auto
@@ -89,7 +88,7 @@
                   aFront.mSettings.mHealth,
                   aFront.mPorts.mNow());
   attempt.mIsTrial = false;
-  CloseAttempt(aFront, aRequest, false);
+  CloseAttempt(aFront, aRequest, endpoints::ReleaseReason::None);
   FinishAnswer(aFront, aRequest, aReason);
   PumpQueue(aFront);
 }
@@ -229,7 +228,7 @@
                   aFront.mSettings.mHealth,
                   aFront.mPorts.mNow());
   attempt.mIsTrial = false;
-  CloseAttempt(aFront, aRequest, false);
+  CloseAttempt(aFront, aRequest, endpoints::ReleaseReason::None);
   FinishServiceCall(aFront, aRequest, response);
   PumpQueue(aFront);
 }
