Wait for readiness before the killed-instance test asks

Cause: in one of two runs the instance had the template but was not ready yet and refused with ran no, as it should. Change: the test waits for /readyz. No check is eased.

--- a/src/program/tests/endpoints_tests.cpp
+++ b/src/program/tests/endpoints_tests.cpp
@@ -127,6 +127,12 @@
   const auto published = Publish(deployment, 0, 1, 0, "first");
   BOOST_REQUIRE(published.mStatus == 200);
   BOOST_REQUIRE(WaitUntil([&] { return RevisionAt(deployment, kSecond) > 0; }));
+  // NOTE: the template may be readable before the instance has checked that no
+  // one in its failure domain has a later one.
+  BOOST_REQUIRE(WaitUntil([&] {
+    return Call(deployment.Ports(kSecond).mPlatform, "GET", "/readyz", "")
+             .mStatus == 200;
+  }));
   const auto prompt = std::string(40000, 'x');
   auto call = std::async(std::launch::async, [&] {
     return Call(deployment.Ports(kSecond).mCaller,
