Check a waiting request against the template in force; rebuild views less

Change: before an answer begins, model and version follow the template in force, and what no endpoint may serve any more is refused at once; long prompts being read are counted; a load report refreshes one view, ages are renewed every 200 ms.

--- a/src/requests/internal/attemptevents.cpp
+++ b/src/requests/internal/attemptevents.cpp
@@ -70,6 +70,9 @@
   if (!texts.empty() && !attempt.mFirstPiece) {
     attempt.mFirstPiece = aFront.mPorts.mNow();
     LearnFirstToken(aFront, aRequest);
+    if (std::exchange(attempt.mIsLongPrefill, false)) {
+      CountLongPrefill(aFront.mFleet, attempt.mEndpoint, -1);
+    }
   }
   for (const auto& text : texts) {
     DeliverPiece(aFront, aRequest, text);
--- a/src/requests/internal/dispatch.cpp
+++ b/src/requests/internal/dispatch.cpp
@@ -149,9 +149,31 @@
     return false;
   }
   aRequest.mTemplate = it->second;
+  // NOTE: an answer that has begun can't go on with another model or version.
+  if (aRequest.mSequencer.mNext == 0 && aRequest.mCompletion) {
+    aRequest.mFacts.mModel = it->second->mTemplate.mModel;
+    aRequest.mFacts.mVersion = it->second->mTemplate.mVersion;
+  }
   return true;
 }
 
+/// Refuses requests that the template in force permits nowhere any more.
+auto
+RefuseWithdrawn(Front& aFront, const std::vector<RequestId>& aIds) -> void
+{
+  for (const auto& id : aIds) {
+    auto* request = FindRequest(aFront, id);
+    if (request == nullptr) {
+      continue;
+    }
+    RefuseRequest(aFront,
+                  *request,
+                  { RefusalType::NotPermitted,
+                    "the template in force permits no endpoint",
+                    request->mRan });
+  }
+}
+
 struct Candidate
 {
   RequestId mId;
@@ -162,6 +184,7 @@
 StartNext(Front& aFront) -> bool
 {
   auto candidate = std::optional<Candidate>{};
+  auto withdrawn = std::vector<RequestId>{};
   const auto canStart = [&](const WaitEntry& aEntry) {
     auto* request = FindRequest(aFront, aEntry.mId);
     if (request == nullptr || !RebindTemplate(aFront, *request)) {
@@ -169,14 +192,18 @@
     }
     auto choice = TryChoice(aFront, *request);
     const auto hasPlace = choice.mIndex.has_value();
+    if (choice.mReason == ChoiceReason::NonePermitted) {
+      withdrawn.push_back(aEntry.mId);
+    }
     if (hasPlace) {
       candidate = Candidate{ aEntry.mId, std::move(choice) };
     }
     return hasPlace;
   };
   const auto started = TakeNext(aFront.mQueue, aFront.mPorts.mNow(), canStart);
+  RefuseWithdrawn(aFront, withdrawn);
   if (!started) {
-    return false;
+    return !withdrawn.empty();
   }
   LogWaitEnded(*started);
   RecordWait(aFront.mOverload, started->mWaited);
@@ -245,6 +272,11 @@
                    now);
   auto& running = *aRequest.mAttempt;
   endpoints::BeginAttempt(aRequest.mSequencer, running.mId);
+  running.mIsLongPrefill =
+    IsLongWork(running.mUnreadTokens, aFront.mSettings.mChoice.mLanes);
+  if (running.mIsLongPrefill) {
+    CountLongPrefill(aFront.mFleet, running.mEndpoint, 1);
+  }
   running.mIsTrial = NoteAttemptBegan(
     aFront.mFleet, running.mEndpoint, aRequest.mFacts.mPromptTokens, now);
   auto call = wire::HttpCall{};
@@ -273,6 +305,9 @@
   if (attempt.mIsTrial) {
     ForgetTrial(aFront.mFleet, attempt.mEndpoint);
   }
+  if (attempt.mIsLongPrefill) {
+    CountLongPrefill(aFront.mFleet, attempt.mEndpoint, -1);
+  }
   NoteAttemptEnded(aFront.mFleet,
                    attempt.mEndpoint,
                    aRequest.mFacts.mPromptTokens,
--- a/src/requests/internal/fleet.cpp
+++ b/src/requests/internal/fleet.cpp
@@ -22,27 +22,9 @@
   auto& health = HealthOf(aFleet, aView.mId);
   NoteIncarnation(health, aView.mIncarnation);
   aView.mIsEjected = !MayCall(health);
-}
-
-/// Takes over the registry's figures for one endpoint after they changed.
-auto
-RefreshView(Fleet& aFleet, const EndpointId& aEndpoint, TimePoint aNow) -> void
-{
-  const auto it =
-    std::find_if(aFleet.mViews.begin(),
-                 aFleet.mViews.end(),
-                 [&](const auto& aView) { return aView.mId == aEndpoint; });
-  if (it == aFleet.mViews.end()) {
-    return;
-  }
-  auto view = endpoints::ViewAt(aFleet.mRegistry, aEndpoint, aNow);
-  if (!view) {
-    aFleet.mIsStale = true;
-    return;
-  }
-  view->mLane = it->mLane;
-  ApplyHealth(aFleet, *view);
-  *it = std::move(*view);
+  const auto reading = aFleet.mLongPrefills.find(aView.mId);
+  aView.mOwnLongPrefills =
+    reading == aFleet.mLongPrefills.end() ? 0 : reading->second;
 }
 
 auto
@@ -92,6 +74,38 @@
   aFleet.mIsStale = false;
 }
 
+auto
+RefreshView(Fleet& aFleet, const EndpointId& aEndpoint, TimePoint aNow) -> void
+{
+  const auto it =
+    std::find_if(aFleet.mViews.begin(),
+                 aFleet.mViews.end(),
+                 [&](const auto& aView) { return aView.mId == aEndpoint; });
+  if (it == aFleet.mViews.end()) {
+    return;
+  }
+  auto view = endpoints::ViewAt(aFleet.mRegistry, aEndpoint, aNow);
+  if (!view) {
+    aFleet.mIsStale = true;
+    return;
+  }
+  view->mLane = it->mLane;
+  ApplyHealth(aFleet, *view);
+  *it = std::move(*view);
+}
+
+auto
+CountLongPrefill(Fleet& aFleet,
+                 const EndpointId& aEndpoint,
+                 std::int64_t aChange) -> void
+{
+  auto& count = aFleet.mLongPrefills[aEndpoint];
+  count = std::max<std::int64_t>(0, count + aChange);
+  if (count == 0) {
+    aFleet.mLongPrefills.erase(aEndpoint);
+  }
+}
+
 auto
 MarkStale(Fleet& aFleet) -> void
 {
--- a/src/requests/internal/fleet.h
+++ b/src/requests/internal/fleet.h
@@ -16,6 +16,8 @@
 {
   endpoints::Registry mRegistry;
   std::map<EndpointId, EndpointHealth> mHealth;
+  /// Long prompts of this instance that each engine is reading now.
+  std::map<EndpointId, std::int64_t> mLongPrefills;
   std::vector<EndpointView> mViews;
   bool mIsStale = true;
 };
@@ -25,6 +27,16 @@
 auto
 RefreshViews(Fleet& aFleet, const LaneSettings& aLanes, TimePoint aNow) -> void;
 
+/// Takes over the registry's figures for one endpoint after they changed.
+auto
+RefreshView(Fleet& aFleet, const EndpointId& aEndpoint, TimePoint aNow) -> void;
+
+/// Counts a long prompt that an engine begins (1) or has ceased (-1) to read.
+auto
+CountLongPrefill(Fleet& aFleet,
+                 const EndpointId& aEndpoint,
+                 std::int64_t aChange) -> void;
+
 /// Makes the next RefreshViews rebuild.
 auto
 MarkStale(Fleet& aFleet) -> void;
--- a/src/requests/internal/front.cpp
+++ b/src/requests/internal/front.cpp
@@ -28,6 +28,8 @@
 /// Filters after this one run for admitted requests only.
 constexpr auto kAdmitPosition = std::size_t{ 5 };
 
+/// Ages of reports grow between announcements; decisions allow for this much.
+constexpr auto kViewsInterval = Millis(200);
 constexpr auto kCallerCheckInterval = Millis(500);
 constexpr auto kStatusBadRequest = 400;
 
@@ -136,7 +138,11 @@
                      events,
                      outcome.mAnswer.mResendCacheEventsFrom.has_value(),
                      now);
-    MarkStale(aFront.mFleet);
+    if (outcome.mChanges.empty()) {
+      RefreshView(aFront.mFleet, aAnnouncement.mEndpoint, now);
+    } else {
+      MarkStale(aFront.mFleet);
+    }
     PumpQueue(aFront);
   }
   return outcome.mAnswer;
@@ -262,7 +268,10 @@
     endpoints::LogEndpointChange(change);
   }
   TickSharing(aFront);
-  MarkStale(aFront.mFleet);
+  if (now >= aFront.mNextViews) {
+    aFront.mNextViews = now + kViewsInterval;
+    MarkStale(aFront.mFleet);
+  }
   RefreshViews(aFront.mFleet, aFront.mSettings.mChoice.mLanes, now);
   UpdateFleetHealth(
     aFront.mFleet, aFront.mSettings.mHealth, now, aFront.mRandom);
--- a/src/requests/internal/frontstate.h
+++ b/src/requests/internal/frontstate.h
@@ -49,6 +49,7 @@
   std::map<std::pair<AccountId, std::string>, std::int64_t> mDemandBefore;
   TimePoint mDemandUntil;
   TimePoint mNextCallerCheck;
+  TimePoint mNextViews;
   std::uint64_t mNextNumber = 1;
   bool mIsStopping = false;
   bool mIsPumping = false;
--- a/src/requests/internal/sharing.cpp
+++ b/src/requests/internal/sharing.cpp
@@ -14,6 +14,7 @@
   }
   for (const auto& change : aOutput.mEndpointChanges) {
     endpoints::LogEndpointChange(change);
+    MarkStale(aFront.mFleet);
   }
   for (const auto& change : aOutput.mInstanceChanges) {
     endpoints::LogInstanceChange(change);
@@ -64,7 +65,6 @@
                                                   aFront.mFleet.mRegistry,
                                                   aBytes,
                                                   aFront.mPorts.mNow()));
-  MarkStale(aFront.mFleet);
 }
 
 auto
--- a/src/requests/tests/front_tests.cpp
+++ b/src/requests/tests/front_tests.cpp
@@ -263,6 +263,25 @@
   OnlyStream();
 }
 
+BOOST_AUTO_TEST_CASE(AWaitingRequestFollowsTheTemplateInForce)
+{
+  Announce("engine-1", 9001);
+  const auto caller = Ask("check", "q");
+  const auto call = OnlyStream();
+  SendHead(call, 429);
+  SendBytes(call, R"({"refused":true,"ran":"no","reason":"no_memory"})");
+  End(call, wire::CallEnd::Complete);
+  auto next = SampleTemplate();
+  next.mRevision = 6;
+  next.mTemplate.mVersion = ModelVersion{ "4" };
+  ApplyTemplates(*mFront, { next });
+  Pass(Millis(500));
+
+  BOOST_TEST(OpenCalls("/v1/streams").empty());
+  BOOST_TEST(caller->mStatus == 403);
+  BOOST_TEST(RanOf(caller->mBody) == "no");
+}
+
 BOOST_AUTO_TEST_CASE(RefusalByTheEngineBeforeRunningWaitsForRoom)
 {
   Announce("engine-1", 9001);
--- a/src/requests/types/request.h
+++ b/src/requests/types/request.h
@@ -48,6 +48,8 @@
   PredictedTimes mPredicted;
   /// Prompt tokens that the engine is not believed to have cached.
   std::int64_t mUnreadTokens = 0;
+  /// Counted among the long prompts that the engine reads now.
+  bool mIsLongPrefill = false;
   /// The call that shows whether an ejected endpoint works again.
   bool mIsTrial = false;
   endpoints::EventStreamParser mParser;
