--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
   clang-tidy
 
 .PHONY: setup build test test-sanitized run bench format check-format lint \
-  generate bench-decisions bench-policy check-model
+  generate bench-decisions bench-policy check-model slopes
 
 setup:
 	scripts/setup $(PACKAGES)
@@ -49,3 +49,8 @@
 
 check-model:
 	scripts/check-model
+
+slopes: build
+	$(BUILD)/src/endpoints/cuminslip_endpoints_slopes
+	$(BUILD)/src/peers/cuminslip_control_bench
+	$(BUILD)/bench/cuminslip_decision_bench
