Refuse calls that come while an instance closes

Change: the peer task stops first and the handlers answer 503 from then on; a test stops an instance under load. Lint findings in two test files are mended.

--- a/src/program/instance.h
+++ b/src/program/instance.h
@@ -15,6 +15,11 @@
 
 struct Instance
 {
+  Instance() = default;
+  ~Instance();
+  Instance(const Instance&) = delete;
+  auto operator=(const Instance&) -> Instance& = delete;
+
   Settings mSettings;
   Incarnation mIncarnation = 0;
   wire::EventLoopPtr mLoop;
@@ -24,8 +29,10 @@
   wire::HttpServerPtr mOperatorServer;
   wire::HttpServerPtr mEndpointServer;
   wire::HttpServerPtr mPlatformServer;
-  /// Declared last: stops first, as its replies go to the loop.
+  /// Stops first, as its replies go to the loop.
   std::unique_ptr<PeerTask> mPeers;
+  /// Set while the listeners close; their handlers then refuse.
+  bool mIsClosed = false;
   bool mIsStopping = false;
   bool mWasReady = false;
 };
--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -18,6 +18,7 @@
 
 constexpr auto kStopCheckInterval = Millis(50);
 constexpr auto kSecretWords = 16;
+constexpr auto kUnavailable = 503;
 
 /// A number that grows with each start, also on instances without a disk.
 auto
@@ -257,6 +258,10 @@
     limits,
     [&aInstance, aHandler](const wire::HttpRequest& aRequest,
                            const wire::ResponderPtr& aResponder) {
+      if (aInstance.mIsClosed) {
+        wire::SendResponse(aResponder, { kUnavailable, {}, "" });
+        return;
+      }
       aHandler(aInstance, aRequest, aResponder);
     });
 }
@@ -314,6 +319,14 @@
 
 } // namespace
 
+Instance::~Instance()
+{
+  // NOTE: closing the listeners runs the loop, which may bring more requests;
+  // their handlers must not reach the peer task any more.
+  mIsClosed = true;
+  mPeers.reset();
+}
+
 auto
 StartInstance(Settings aSettings) -> leaf::result<std::unique_ptr<Instance>>
 {
--- a/src/program/tests/processes.cpp
+++ b/src/program/tests/processes.cpp
@@ -19,8 +19,6 @@
 #include <fstream>
 #include <thread>
 
-extern char** environ;
-
 namespace cuminslip::program::testing {
 
 namespace {
@@ -42,7 +40,9 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     auto length = socklen_t{ sizeof(address) };
-    bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    const auto isBound =
+      bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    BOOST_REQUIRE(isBound);
     getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
     sockets.push_back(fd);
     ports.push_back(ntohs(address.sin_port));
--- a/src/program/tests/requests_tests.cpp
+++ b/src/program/tests/requests_tests.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <future>
 
@@ -133,6 +134,28 @@
   BOOST_TEST(WaitUntil([&] { return HeldTokens(0) == 0; }));
 }
 
+BOOST_AUTO_TEST_CASE(AStopUnderLoadEndsCleanly)
+{
+  const auto entry = std::size_t{ 6 };
+  auto isOver = std::atomic<bool>{ false };
+  auto callers = std::vector<std::future<void>>{};
+  for (auto i = 0; i < 4; ++i) {
+    callers.push_back(std::async(std::launch::async, [&, i] {
+      while (!isOver) {
+        Ask(entry, "load " + std::to_string(i), 20);
+        Call(mDeployment.Ports(entry).mPlatform, "GET", "/readyz", "");
+      }
+    }));
+  }
+  BOOST_TEST(WaitUntil([&] { return HeldTokens(0) > 0; }));
+  const auto status = mDeployment.StopGracefully(entry);
+  isOver = true;
+  for (auto& caller : callers) {
+    caller.get();
+  }
+  BOOST_TEST(status == 0);
+}
+
 BOOST_AUTO_TEST_CASE(KeysOfOneInterfaceAreRefusedOnTheOthers)
 {
   const auto& ports = mDeployment.Ports(0);
--- a/src/requests/tests/fakes.cpp
+++ b/src/requests/tests/fakes.cpp
@@ -79,7 +79,8 @@
     aFixture.mPeerMessages.push_back(aBytes);
   };
   ports.mAcquireOrderer =
-    [&](Millis, std::function<void(const placement::OrdererLease&)> aReply) {
+    [&](Millis,
+        const std::function<void(const placement::OrdererLease&)>& aReply) {
       aReply(aFixture.mOrdererLease);
     };
   ports.mIdentify = [](std::string_view aKey) -> std::optional<AccountId> {
@@ -300,8 +301,9 @@
 }
 
 auto
-FrontFixture::SendHead(wire::CallId aCall, int aStatus, wire::Headers aHeaders)
-  -> void
+FrontFixture::SendHead(wire::CallId aCall,
+                       int aStatus,
+                       const wire::Headers& aHeaders) -> void
 {
   const auto handler = mCalls[aCall].mHandlers.mOnHead;
   if (handler) {
--- a/src/requests/tests/fakes.h
+++ b/src/requests/tests/fakes.h
@@ -96,8 +96,9 @@
   /// Number of pieces to skip in the body of a stream call.
   auto SkippedPieces(wire::CallId aCall) -> std::int64_t;
 
-  auto SendHead(wire::CallId aCall, int aStatus, wire::Headers aHeaders = {})
-    -> void;
+  auto SendHead(wire::CallId aCall,
+                int aStatus,
+                const wire::Headers& aHeaders = {}) -> void;
   auto SendBytes(wire::CallId aCall, const std::string& aBytes) -> void;
   auto SendPieceEvent(wire::CallId aCall,
                       std::int64_t aNumber,
