--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -45,6 +45,20 @@
   return ChoiceRule::LeastCost;
 }
 
+auto
+ToFencingRule(FencingSupport aSupport) -> requests::FencingRule
+{
+  switch (aSupport) {
+    case FencingSupport::Announced:
+      return requests::FencingRule::Announced;
+    case FencingSupport::Checked:
+      return requests::FencingRule::Checked;
+    case FencingSupport::Unchecked:
+      return requests::FencingRule::Unchecked;
+  }
+  return requests::FencingRule::Unchecked;
+}
+
 auto
 MakeFrontSettings(const Instance& aInstance) -> requests::FrontSettings
 {
@@ -61,6 +75,7 @@
   }
   front.mMaxWaitingRequests = settings.mLimits.mMaxWaitingRequests;
   front.mMaxWaitingBytes = settings.mLimits.mMaxWaitingBytes;
+  front.mEngineFencing = ToFencingRule(settings.mFencing.mModelEngine);
   // NOTE: each failure domain has an orderer of its own and a third of the
   // weight store's transfers, so that no orderer needs to ask another.
   constexpr auto kFailureDomains = std::int64_t{ 3 };
--- a/src/requests/internal/ordering.cpp
+++ b/src/requests/internal/ordering.cpp
@@ -59,7 +59,9 @@
   for (const auto& view : aFront.mFleet.mViews) {
     const auto it = aFront.mFleet.mRegistry.mEntries.find(view.mId);
     if (it != aFront.mFleet.mRegistry.mEntries.end()) {
-      items.push_back({ view, it->second.mLatest.mChecksFencing });
+      items.push_back({ view,
+                        ChecksFencing(aFront.mSettings.mEngineFencing,
+                                      it->second.mLatest.mChecksFencing) });
     }
   }
   return items;
@@ -96,6 +98,20 @@
 
 } // namespace
 
+auto
+ChecksFencing(FencingRule aRule, std::optional<bool> aAnnounced) -> bool
+{
+  switch (aRule) {
+    case FencingRule::Announced:
+      return aAnnounced.value_or(false);
+    case FencingRule::Checked:
+      return true;
+    case FencingRule::Unchecked:
+      return false;
+  }
+  return false;
+}
+
 auto
 StartOrdering(Front& aFront) -> void
 {
--- a/src/requests/tests/front_tests.cpp
+++ b/src/requests/tests/front_tests.cpp
@@ -297,6 +297,27 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(FencingTests)
+
+BOOST_AUTO_TEST_CASE(UnknownCountsAsIgnoringAndTheSettingGoesFirst)
+{
+  struct Row
+  {
+    FencingRule mRule;
+    std::optional<bool> mAnnounced;
+    bool mIsChecked;
+  };
+  for (const auto& row : { Row{ FencingRule::Announced, std::nullopt, false },
+                           Row{ FencingRule::Announced, false, false },
+                           Row{ FencingRule::Announced, true, true },
+                           Row{ FencingRule::Checked, std::nullopt, true },
+                           Row{ FencingRule::Unchecked, true, false } }) {
+    BOOST_TEST(ChecksFencing(row.mRule, row.mAnnounced) == row.mIsChecked);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(AtMostOnceTests, FrontFixture)
 
 BOOST_AUTO_TEST_CASE(RecordsBeforeTheFirstByte)
--- a/src/requests/types/frontsettings.h
+++ b/src/requests/types/frontsettings.h
@@ -9,6 +9,8 @@
 #include "policy/retries.h"
 #include "policy/types/requestfacts.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +19,19 @@
 /// Time between two calls of TickFront.
 inline constexpr auto kFrontTick = Millis(20);
 
+/// Whether engines are taken to refuse orders with an old fencing number.
+enum class FencingRule : std::uint8_t
+{
+  /// As each announces; none counts as no.
+  Announced,
+  Checked,
+  Unchecked
+};
+
+/// What an engine that announces aAnnounced is taken to do. Thread safe.
+auto
+ChecksFencing(FencingRule aRule, std::optional<bool> aAnnounced) -> bool;
+
 struct FrontSettings
 {
   InstanceId mInstance;
@@ -38,6 +53,7 @@
   std::size_t mMaxUnsentBytes = std::size_t{ 4 } * 1024 * 1024;
   /// Largest record of a non-idempotent run; the control log takes 64 KiB.
   std::size_t mMaxRecordedBytes = std::size_t{ 60 } * 1024;
+  FencingRule mEngineFencing = FencingRule::Announced;
   /// Transfers from the weight store at one time, in this failure domain.
   std::size_t mMaxTransfers = 2;
   bool mIsFirstComeFirstServed = false;
