Read the ask command's files by documents, drop an unused overload

Cause: read-through: ask read files with a loop of its own beside documents/readfile.h, and policy/lanes.h kept an overload that nothing calls. Change: the one reader serves both, so that a file that can't be read is named with what was expected; the overload is gone.

--- a/src/policy/internal/lanes.cpp
+++ b/src/policy/internal/lanes.cpp
@@ -155,11 +155,4 @@
   return std::clamp(number, 0, kLast);
 }
 
-auto
-EnginePriority(Priority aPriority, Micros aSlack, const LaneSettings& aSettings)
-  -> int
-{
-  return EnginePriority(aPriority, 0, aSlack, aSettings);
-}
-
 } // namespace cuminslip
--- a/src/policy/lanes.h
+++ b/src/policy/lanes.h
@@ -79,9 +79,4 @@
                Micros aSlack,
                const LaneSettings& aSettings) -> int;
 
-/// The same for a prompt that is not long. Thread safe.
-auto
-EnginePriority(Priority aPriority, Micros aSlack, const LaneSettings& aSettings)
-  -> int;
-
 } // namespace cuminslip
--- a/src/program/internal/ask.cpp
+++ b/src/program/internal/ask.cpp
@@ -1,16 +1,15 @@
 #include "program/ask.h"
 
+#include "documents/readfile.h"
 #include "wire/eventloop.h"
 #include "wire/httpclient.h"
 
 #include <boost/json.hpp>
 #include <popt.h>
 
-#include <fstream>
 #include <memory>
 #include <optional>
 #include <ostream>
-#include <sstream>
 
 namespace cuminslip::program {
 
@@ -53,16 +52,15 @@
   return aText == nullptr ? std::string{} : std::string(aText);
 }
 
+/// The file's text; problems go to aErrors.
 auto
-ReadFile(const std::string& aPath) -> std::optional<std::string>
+ReadOrReport(const std::string& aPath, std::ostream& aErrors)
+  -> std::optional<std::string>
 {
-  auto file = std::ifstream(aPath);
-  if (!file) {
-    return std::nullopt;
-  }
-  auto text = std::ostringstream{};
-  text << file.rdbuf();
-  return text.str();
+  const auto outcome =
+    CollectOutcome<std::string>([&] { return documents::ReadFile(aPath); });
+  aErrors << FormatFindings(outcome.mFindings);
+  return outcome.mValue;
 }
 
 auto
@@ -88,11 +86,11 @@
   options.mPrompt = TakeText(aRaw.mPrompt);
   options.mMaxTokens = aRaw.mMaxTokens;
   const auto parsed = wire::ParseAddress(address);
-  const auto key = ReadFile(keyFile);
+  const auto key =
+    keyFile.empty() ? std::nullopt : ReadOrReport(keyFile, aErrors);
   if (!promptFile.empty()) {
-    const auto prompt = ReadFile(promptFile);
+    const auto prompt = ReadOrReport(promptFile, aErrors);
     if (!prompt) {
-      aErrors << promptFile << ": cannot be read\n";
       return std::nullopt;
     }
     options.mPrompt = *prompt;
