--- a/src/control/control.capnp
+++ b/src/control/control.capnp
@@ -189,6 +189,10 @@
       offset @35 :UInt64;
       piece @36 :Data;
     }
+    publishRouting :group {
+      version @37 :UInt64;
+      document @38 :Data;
+    }
   }
 }
 
@@ -204,6 +208,7 @@
   account @0 :Text;
   revision @1 :UInt64;
   document @2 :Data;
+  version @3 :UInt64;
 }
 
 struct PublishRecord {
--- a/src/control/internal/applyparts.h
+++ b/src/control/internal/applyparts.h
@@ -54,6 +54,12 @@
          Revision aIndex,
          const FinishWorkCommand& aCommand) -> CommandResult;
 
+auto
+ApplyOne(ControlState& aState,
+         const ControlBounds& aBounds,
+         Revision aIndex,
+         const PublishRoutingCommand& aCommand) -> CommandResult;
+
 /// Drops what has been kept for its time.
 auto
 DropExpired(ControlState& aState, const ControlBounds& aBounds) -> void;
--- a/src/control/internal/applytemplates.cpp
+++ b/src/control/internal/applytemplates.cpp
@@ -96,6 +96,7 @@
 {
   if (!AreNamesValid(aBounds,
                      { aCommand.mAccount.mValue, aCommand.mRequest.mValue }) ||
+      aCommand.mAccount == kRoutingAccount ||
       aCommand.mDocument.size() > aBounds.mMaxDocumentBytes) {
     return { CommandStatus::Invalid };
   }
@@ -124,6 +125,25 @@
   return result;
 }
 
+auto
+ApplyOne(ControlState& aState,
+         const ControlBounds& aBounds,
+         Revision aIndex,
+         const PublishRoutingCommand& aCommand) -> CommandResult
+{
+  if (aCommand.mVersion == 0 ||
+      aCommand.mDocument.size() > aBounds.mMaxRoutingBytes) {
+    return { CommandStatus::Invalid };
+  }
+  auto& present = aState.mTemplates[kRoutingAccount];
+  if (aCommand.mVersion > present.mVersion) {
+    present = {
+      kRoutingAccount, aIndex, aCommand.mDocument, aCommand.mVersion
+    };
+  }
+  return { CommandStatus::Accepted, present.mRevision };
+}
+
 auto
 ApplyOne(ControlState& aState,
          const ControlBounds& aBounds,
--- a/src/control/internal/commandcodec.cpp
+++ b/src/control/internal/commandcodec.cpp
@@ -19,6 +19,13 @@
     to.setDocument(DataOf(aFrom.mDocument));
   }
 
+  auto operator()(const PublishRoutingCommand& aFrom) -> void
+  {
+    auto to = mRoot.initPublishRouting();
+    to.setVersion(aFrom.mVersion);
+    to.setDocument(DataOf(aFrom.mDocument));
+  }
+
   auto operator()(const ClaimRunCommand& aFrom) -> void
   {
     auto to = mRoot.initClaimRun();
@@ -132,6 +139,10 @@
                            { TextOf(it.getRequest()) },
                            BytesOf(it.getDocument()) };
   }
+  if (aFrom.isPublishRouting()) {
+    const auto it = aFrom.getPublishRouting();
+    return PublishRoutingCommand{ it.getVersion(), BytesOf(it.getDocument()) };
+  }
   if (aFrom.isClaimRun()) {
     const auto it = aFrom.getClaimRun();
     return ClaimRunCommand{ { TextOf(it.getAccount()) },
--- a/src/control/internal/memberchange.cpp
+++ b/src/control/internal/memberchange.cpp
@@ -8,6 +8,13 @@
 namespace {
 
 constexpr auto kMaxVoters = std::size_t{ 7 };
+/// Voters, learners and spares.
+constexpr auto kMaxMembers = std::size_t{ 12 };
+/// A voter silent for this long gives its place to a spare. Longer than an
+/// election takes, and shorter than the platform's `catch_up` for a loss.
+constexpr auto kReplaceSilentAfter = Millis(3500);
+/// A spare silent for this long is forgotten; it asks to join again.
+constexpr auto kForgetSpareAfter = Millis(30000);
 /// Entries that a learner may lack when it becomes a voter.
 constexpr auto kCaughtUpEntries = Revision{ 64 };
 
@@ -132,6 +139,96 @@
   }
 }
 
+/// Time since aMember last answered this leader.
+auto
+SilenceOf(const StepContext& aContext, MemberId aMember) -> Millis
+{
+  const auto& state = aContext.mState;
+  if (aMember == state.mVote.mMember) {
+    return Millis(0);
+  }
+  const auto it = state.mProgress.find(aMember);
+  const auto heard = it == state.mProgress.end()
+                       ? state.mLeaderSince
+                       : std::max(it->second.mAckedSend, state.mLeaderSince);
+  return MillisBetween(heard, aContext.mNow);
+}
+
+/// The voter that has been silent for longest, if for too long.
+auto
+FindLostVoter(const StepContext& aContext) -> const Member*
+{
+  const Member* lost = nullptr;
+  auto longest = kReplaceSilentAfter;
+  for (const auto& it : CurrentMembership(aContext.mState).mMembers) {
+    const auto silence = SilenceOf(aContext, it.mId);
+    if (it.mRole == MemberRole::Voter && silence >= longest) {
+      lost = &it;
+      longest = silence;
+    }
+  }
+  return lost;
+}
+
+/// The largest odd number of voters that the members which answer allow.
+auto
+WantedVoters(const StepContext& aContext) -> std::size_t
+{
+  const auto& members = CurrentMembership(aContext.mState).mMembers;
+  const auto live = static_cast<std::size_t>(
+    std::count_if(members.begin(), members.end(), [&](const auto& aItem) {
+      return HasAnsweredLately(aContext, aItem.mId);
+    }));
+  const auto odd = live % 2 == 0 ? live - 1 : live;
+  return std::min(odd, kMaxVoters);
+}
+
+auto
+CountVoters(const Membership& aMembership) -> std::size_t
+{
+  return static_cast<std::size_t>(
+    std::count_if(aMembership.mMembers.begin(),
+                  aMembership.mMembers.end(),
+                  [](const auto& aItem) {
+                    return aItem.mRole == MemberRole::Voter;
+                  }));
+}
+
+/// Makes a spare a learner on its way to a voter's place, or forgets it.
+auto
+AdvanceSpare(StepContext& aContext, const Member& aSpare) -> bool
+{
+  const auto& membership = CurrentMembership(aContext.mState);
+  if (SilenceOf(aContext, aSpare.mId) >= kForgetSpareAfter) {
+    ProposeMembership(aContext,
+                      WithoutMember(membership, aSpare.mId),
+                      aSpare.mId,
+                      "silent spare removed");
+    return true;
+  }
+  const auto* lost = FindLostVoter(aContext);
+  const auto isWanted = CountVoters(membership) < WantedVoters(aContext);
+  const auto mayReplace =
+    lost != nullptr &&
+    HasLiveQuorum(aContext, WithoutMember(membership, lost->mId));
+  if (!IsCaughtUp(aContext, aSpare) || (!mayReplace && !isWanted)) {
+    return false;
+  }
+  auto next = membership;
+  for (auto& it : next.mMembers) {
+    if (it.mId == aSpare.mId) {
+      it.mRole = MemberRole::Learner;
+      it.mReplaces = mayReplace ? lost->mId : 0;
+    }
+  }
+  ProposeMembership(aContext,
+                    next,
+                    aSpare.mId,
+                    mayReplace ? "spare takes a lost voter's place"
+                               : "spare is to become a voter");
+  return true;
+}
+
 } // namespace
 
 auto
@@ -169,6 +266,11 @@
     return;
   }
   const auto& instance = aInput.mMember.mInstance;
+  const auto isAutomatic = aInput.mRule == JoinRule::Automatic;
+  if (isAutomatic && FindMemberOf(membership, instance)) {
+    HandleReplaceMember(aContext, { aInput.mMember });
+    return;
+  }
   if (FindMemberOf(membership, instance)) {
     Refuse(aContext, "the instance is a member with another disk; replace it");
     return;
@@ -176,12 +278,13 @@
   const auto isExpected = std::count(membership.mExpected.begin(),
                                      membership.mExpected.end(),
                                      instance) > 0;
-  if (!aInput.mIsOperator && !isExpected) {
+  if (aInput.mRule == JoinRule::Expected && !isExpected) {
     Refuse(aContext, "the instance is not expected; an operator must add it");
     return;
   }
-  if (membership.mMembers.size() >= kMaxVoters) {
-    Refuse(aContext, "there are seven members already");
+  const auto mayBeSpare = isAutomatic && !isExpected;
+  if (membership.mMembers.size() >= (mayBeSpare ? kMaxMembers : kMaxVoters)) {
+    Refuse(aContext, "there are too many members already");
     return;
   }
   if (!MayChange(aContext)) {
@@ -189,9 +292,13 @@
   }
   auto next = membership;
   next.mMembers.push_back(aInput.mMember);
-  next.mMembers.back().mRole = MemberRole::Learner;
+  next.mMembers.back().mRole =
+    mayBeSpare ? MemberRole::Spare : MemberRole::Learner;
   next.mMembers.back().mReplaces = 0;
-  ProposeMembership(aContext, next, aInput.mMember.mId, "learner added");
+  ProposeMembership(aContext,
+                    next,
+                    aInput.mMember.mId,
+                    mayBeSpare ? "spare added" : "learner added");
 }
 
 auto
@@ -213,7 +320,7 @@
   }
   auto next = membership;
   auto replaced = former->mId;
-  if (former->mRole == MemberRole::Learner) {
+  if (former->mRole != MemberRole::Voter) {
     // NOTE: a learner counts for nothing and can go at once.
     const auto before = former->mReplaces;
     next = WithoutMember(std::move(next), former->mId);
@@ -226,6 +333,9 @@
   next.mMembers.push_back(aInput.mMember);
   next.mMembers.back().mRole = MemberRole::Learner;
   next.mMembers.back().mReplaces = replaced;
+  if (former->mRole == MemberRole::Spare) {
+    next.mMembers.back().mRole = MemberRole::Spare;
+  }
   ProposeMembership(aContext, next, aInput.mMember.mId, "replacement begun");
 }
 
@@ -265,6 +375,11 @@
       return;
     }
   }
+  for (const auto& it : CurrentMembership(state).mMembers) {
+    if (it.mRole == MemberRole::Spare && AdvanceSpare(aContext, it)) {
+      return;
+    }
+  }
 }
 
 } // namespace cuminslip
--- a/src/control/internal/recordcodec.cpp
+++ b/src/control/internal/recordcodec.cpp
@@ -68,7 +68,7 @@
 {
   auto membership = Membership{};
   for (const auto it : aFrom.getMembers()) {
-    RequireValid(it.getRole() <= static_cast<int>(MemberRole::Voter),
+    RequireValid(it.getRole() <= static_cast<int>(MemberRole::Spare),
                  "unknown member role");
     membership.mMembers.push_back({ it.getId(),
                                     { TextOf(it.getInstance()) },
--- a/src/control/internal/statecodec.cpp
+++ b/src/control/internal/statecodec.cpp
@@ -21,6 +21,7 @@
   aTo.setAccount(TextFrom(aFrom.mAccount.mValue));
   aTo.setRevision(aFrom.mRevision);
   aTo.setDocument(DataOf(aFrom.mDocument));
+  aTo.setVersion(aFrom.mVersion);
 }
 
 auto
@@ -28,7 +29,8 @@
 {
   return { { TextOf(aFrom.getAccount()) },
            aFrom.getRevision(),
-           BytesOf(aFrom.getDocument()) };
+           BytesOf(aFrom.getDocument()),
+           aFrom.getVersion() };
 }
 
 auto
--- a/src/control/tests/testcluster.h
+++ b/src/control/tests/testcluster.h
@@ -75,7 +75,7 @@
   auto Join(std::size_t aFirst, std::size_t aEnd) -> void
   {
     for (auto n = aFirst; n < std::min(aEnd, mMembers.size()); ++n) {
-      Feed(0, AddMemberInput{ MemberOf(n), false });
+      Feed(0, AddMemberInput{ MemberOf(n), JoinRule::Expected });
       Run(Seconds(3));
     }
   }
--- a/src/control/types/command.h
+++ b/src/control/types/command.h
@@ -19,6 +19,16 @@
   auto operator==(const PublishCommand&) const -> bool = default;
 };
 
+/// Publishes the routing document if its publisher's number is higher than that
+/// of the present one; a lower or equal number is accepted and changes nothing.
+struct PublishRoutingCommand
+{
+  std::uint64_t mVersion = 0;
+  std::string mDocument;
+
+  auto operator==(const PublishRoutingCommand&) const -> bool = default;
+};
+
 /// Records that a non-idempotent call is about to be sent. mToken names the
 /// attempt: a resend of the same command is granted again, another is not.
 struct ClaimRunCommand
@@ -121,7 +131,8 @@
                              SubmitWorkCommand,
                              TakeWorkCommand,
                              RenewWorkCommand,
-                             FinishWorkCommand>;
+                             FinishWorkCommand,
+                             PublishRoutingCommand>;
 
 enum class CommandStatus : std::uint8_t
 {
--- a/src/control/types/controlstate.h
+++ b/src/control/types/controlstate.h
@@ -14,6 +14,7 @@
 struct ControlBounds
 {
   std::size_t mMaxDocumentBytes = std::size_t{ 256 } * 1024;
+  std::size_t mMaxRoutingBytes = std::size_t{ 4 } * 1024 * 1024;
   std::size_t mMaxAccounts = 4096;
   std::size_t mHistoryPerAccount = 8;
   std::size_t mMaxPublishRecords = 20000;
--- a/src/control/types/coreio.h
+++ b/src/control/types/coreio.h
@@ -47,11 +47,22 @@
   std::vector<Proposal> mProposals;
 };
 
-/// An expected instance asks to join, or an operator adds one.
+enum class JoinRule : std::uint8_t
+{
+  /// Only instances named when the log was founded may join.
+  Expected,
+  /// An operator adds the instance.
+  Operator,
+  /// Any control instance may join, as a spare; one that comes with an emptied
+  /// disk takes its own former place.
+  Automatic
+};
+
+/// An instance asks to join, or an operator adds one.
 struct AddMemberInput
 {
   Member mMember;
-  bool mIsOperator = false;
+  JoinRule mRule = JoinRule::Expected;
 };
 
 /// Puts mMember in the place of the present member of the same instance.
--- a/src/control/types/membership.h
+++ b/src/control/types/membership.h
@@ -11,7 +11,9 @@
 {
   /// Receives the log and counts towards no quorum.
   Learner,
-  Voter
+  Voter,
+  /// A learner that waits to take the place of a voter that is lost.
+  Spare
 };
 
 /// One member of the control log. The same instance with an emptied disk is
--- /dev/null
+++ b/src/directory/internal/endpointtable.cpp
@@ -0,0 +1,176 @@
+#include "directory/endpointtable.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cuminslip::directory {
+
+namespace {
+
+auto
+IsNewer(const EndpointNotice& aLeft, const EndpointNotice& aRight) -> bool
+{
+  return std::tuple(aLeft.mIncarnation, aLeft.mSequence) >
+         std::tuple(aRight.mIncarnation, aRight.mSequence);
+}
+
+auto
+MarkChanged(EndpointTable& aTable, TableEntry& aEntry) -> void
+{
+  aEntry.mChange = ++aTable.mLastChange;
+}
+
+/// True when followers are told the same of both.
+auto
+TellsTheSame(EndpointNotice aLeft, const EndpointNotice& aRight) -> bool
+{
+  aLeft.mSequence = aRight.mSequence;
+  aLeft.mColdTime = aRight.mColdTime;
+  return aLeft == aRight;
+}
+
+auto
+SetGone(EndpointTable& aTable, TableEntry& aEntry) -> void
+{
+  aEntry.mNotice.mState = NoticeState::Gone;
+  const auto holder = aTable.mHolders.find(aEntry.mNotice.mAddress);
+  if (holder != aTable.mHolders.end() &&
+      holder->second == aEntry.mNotice.mId) {
+    aTable.mHolders.erase(holder);
+  }
+  MarkChanged(aTable, aEntry);
+}
+
+/// Gives an address to the later incarnation. False when another endpoint
+/// that started later has it.
+auto
+TakeAddress(EndpointTable& aTable, const EndpointNotice& aNotice) -> bool
+{
+  const auto holder = aTable.mHolders.find(aNotice.mAddress);
+  if (holder != aTable.mHolders.end() && holder->second != aNotice.mId) {
+    auto& other = aTable.mEntries[holder->second];
+    if (other.mNotice.mIncarnation > aNotice.mIncarnation) {
+      return false;
+    }
+    SetGone(aTable, other);
+  }
+  aTable.mHolders[aNotice.mAddress] = aNotice.mId;
+  return true;
+}
+
+auto
+AddEndpoint(EndpointTable& aTable,
+            const EndpointNotice& aNotice,
+            TimePoint aHeard) -> NoticeVerdict
+{
+  if (aTable.mEntries.size() >= aTable.mSettings.mMaxEndpoints) {
+    return NoticeVerdict::Refused;
+  }
+  auto notice = aNotice;
+  if (notice.mState != NoticeState::Gone && !TakeAddress(aTable, notice)) {
+    notice.mState = NoticeState::Gone;
+  }
+  auto& entry = aTable.mEntries[notice.mId];
+  entry.mNotice = notice;
+  entry.mHeard = aHeard;
+  MarkChanged(aTable, entry);
+  return NoticeVerdict::News;
+}
+
+} // namespace
+
+auto
+TakeNotice(EndpointTable& aTable,
+           const EndpointNotice& aNotice,
+           TimePoint aHeard) -> NoticeVerdict
+{
+  const auto it = aTable.mEntries.find(aNotice.mId);
+  if (it == aTable.mEntries.end()) {
+    return AddEndpoint(aTable, aNotice, aHeard);
+  }
+  auto& entry = it->second;
+  if (!IsNewer(aNotice, entry.mNotice)) {
+    return NoticeVerdict::Stale;
+  }
+  const auto isSameStart =
+    aNotice.mIncarnation == entry.mNotice.mIncarnation;
+  if (isSameStart && entry.mNotice.mState == NoticeState::Gone) {
+    return NoticeVerdict::Stale;
+  }
+  if (aNotice.mState == NoticeState::Gone) {
+    entry.mNotice = aNotice;
+    SetGone(aTable, entry);
+    return NoticeVerdict::News;
+  }
+  if (!TakeAddress(aTable, aNotice)) {
+    return NoticeVerdict::Stale;
+  }
+  const auto isNews =
+    entry.mIsSilent || !TellsTheSame(aNotice, entry.mNotice);
+  entry.mNotice = aNotice;
+  entry.mHeard = std::max(entry.mHeard, aHeard);
+  entry.mIsSilent = false;
+  if (isNews) {
+    MarkChanged(aTable, entry);
+  }
+  return isNews ? NoticeVerdict::News : NoticeVerdict::Refreshed;
+}
+
+auto
+TakeLeave(EndpointTable& aTable,
+          const EndpointId& aEndpoint,
+          Incarnation aIncarnation,
+          TimePoint aNow) -> NoticeVerdict
+{
+  const auto it = aTable.mEntries.find(aEndpoint);
+  if (it == aTable.mEntries.end() ||
+      it->second.mNotice.mState == NoticeState::Gone) {
+    return NoticeVerdict::Stale;
+  }
+  if (aIncarnation != 0 && aIncarnation < it->second.mNotice.mIncarnation) {
+    return NoticeVerdict::Stale;
+  }
+  it->second.mHeard = aNow;
+  ++it->second.mNotice.mSequence;
+  SetGone(aTable, it->second);
+  return NoticeVerdict::News;
+}
+
+auto
+TickTable(EndpointTable& aTable, TimePoint aNow) -> bool
+{
+  const auto before = aTable.mLastChange;
+  for (auto it = aTable.mEntries.begin(); it != aTable.mEntries.end();) {
+    auto& entry = it->second;
+    const auto age = aNow - entry.mHeard;
+    const auto isGone = entry.mNotice.mState == NoticeState::Gone;
+    if (age > aTable.mSettings.mForgetAfter) {
+      if (!isGone) {
+        SetGone(aTable, entry);
+      }
+      it = aTable.mEntries.erase(it);
+      continue;
+    }
+    if (!isGone && !entry.mIsSilent && age > aTable.mSettings.mSilentAfter) {
+      entry.mIsSilent = true;
+      MarkChanged(aTable, entry);
+    }
+    ++it;
+  }
+  return aTable.mLastChange != before;
+}
+
+auto
+RowsAfter(const EndpointTable& aTable, ChangeNumber aAfter)
+  -> std::vector<EndpointRow>
+{
+  auto rows = std::vector<EndpointRow>{};
+  for (const auto& [id, it] : aTable.mEntries) {
+    if (it.mChange > aAfter) {
+      rows.push_back({ it.mNotice, it.mIsSilent });
+    }
+  }
+  return rows;
+}
+
+} // namespace cuminslip::directory
--- /dev/null
+++ b/src/forwarding/internal/forwarder.cpp
@@ -0,0 +1,300 @@
+#include "forwarding/forwarder.h"
+
+#include "forwarding/internal/forwarderstate.h"
+#include "forwarding/types/forwardevents.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cuminslip::forwarding {
+
+namespace {
+
+/// When a caller is to come back to an instance that has no document yet.
+constexpr auto kNotReadyRetry = Millis(500);
+
+/// One step of the chain that a request passes before it is placed.
+using AdmissionFilter = auto(*)(Forwarder&, Flight&) -> std::optional<Failure>;
+
+auto
+RequireDocument(Forwarder& aForwarder, Flight& aFlight)
+  -> std::optional<Failure>
+{
+  if (aForwarder.mTable == nullptr) {
+    return Failure{ FailureKind::NotReady, kNotReadyRetry };
+  }
+  aFlight.mTable = aForwarder.mTable;
+  return std::nullopt;
+}
+
+auto
+MatchRoute(Forwarder&, Flight& aFlight) -> std::optional<Failure>
+{
+  const auto& http = aFlight.mRequest.mHttp;
+  aFlight.mRoute =
+    routing::FindRoute(*aFlight.mTable, http.mHost, http.mPath);
+  if (aFlight.mRoute == nullptr) {
+    return Failure{ FailureKind::NoRoute, {} };
+  }
+  if (aFlight.mRequest.mId.mValue.empty()) {
+    return Failure{ FailureKind::BadRequest, {} };
+  }
+  return std::nullopt;
+}
+
+auto
+IdentifyAccount(Forwarder&, Flight& aFlight) -> std::optional<Failure>
+{
+  const auto hasAccounts = !aFlight.mTable->mDocument.mAccounts.empty();
+  if (aFlight.mRoute->mIsPublic || !hasAccounts) {
+    return std::nullopt;
+  }
+  const auto* account =
+    routing::FindAccount(*aFlight.mTable, aFlight.mRequest.mKey);
+  if (account == nullptr) {
+    return Failure{ FailureKind::UnknownKey, {} };
+  }
+  aFlight.mAccount = account->mId;
+  return std::nullopt;
+}
+
+auto
+SetDeadline(Forwarder&, Flight& aFlight) -> std::optional<Failure>
+{
+  const auto timeout = aFlight.mRoute->mTimeout;
+  const auto allowance =
+    std::min(timeout, aFlight.mRequest.mAllowance.value_or(timeout));
+  aFlight.mDeadline = aFlight.mArrived + allowance;
+  if (allowance <= Millis(0)) {
+    return Failure{ FailureKind::TooLate, {} };
+  }
+  return std::nullopt;
+}
+
+auto
+ChooseFlightService(Forwarder& aForwarder, Flight& aFlight)
+  -> std::optional<Failure>
+{
+  const auto& name =
+    routing::ChooseService(*aFlight.mRoute, aFlight.mRequest.mId.mValue);
+  aFlight.mService = routing::FindService(*aFlight.mTable, name);
+  NoteRequest(aForwarder.mBudgets[name],
+              aForwarder.mSettings.mRetryBudget,
+              aForwarder.mPorts.mNow());
+  return std::nullopt;
+}
+
+constexpr auto kAdmission = std::array<AdmissionFilter, 5>{
+  RequireDocument, MatchRoute, IdentifyAccount, SetDeadline, ChooseFlightService
+};
+
+auto
+OnDeadline(Forwarder& aForwarder, FlightId aFlight) -> void
+{
+  auto* flight = FindFlight(aForwarder, aFlight);
+  if (flight == nullptr) {
+    return;
+  }
+  flight->mDeadlineTimer = 0;
+  const auto mayHaveRun =
+    flight->mMayHaveRun || flight->mAttempt.mExchange != 0;
+  FailFlight(aForwarder,
+             *flight,
+             { mayHaveRun ? FailureKind::TimedOut : FailureKind::TooLate, {} });
+}
+
+/// Ends the work of callers that have left.
+auto
+DropLeftCallers(Forwarder& aForwarder) -> void
+{
+  auto left = std::vector<FlightId>{};
+  for (const auto& [id, flight] : aForwarder.mFlights) {
+    if (flight->mCaller.mIsClosed()) {
+      left.push_back(id);
+    }
+  }
+  for (const auto id : left) {
+    auto& flight = *FindFlight(aForwarder, id);
+    ++aForwarder.mCounters.mCallersGone;
+    LogEvent(kForwardCallerGoneEvent,
+             { { "request", flight.mRequest.mId.mValue },
+               { "endpoint", flight.mAttempt.mEndpoint.mValue },
+               { "events", flight.mEvents },
+               { "age_ms",
+                 MillisBetween(flight.mArrived, aForwarder.mPorts.mNow())
+                   .count() } });
+    RemoveFlight(aForwarder, flight);
+  }
+}
+
+auto
+StartTick(Forwarder& aForwarder) -> void
+{
+  if (aForwarder.mTick != 0) {
+    return;
+  }
+  aForwarder.mTick = aForwarder.mPorts.mTimers.mStart(
+    aForwarder.mSettings.mCallerCheckInterval, [&aForwarder] {
+      aForwarder.mTick = 0;
+      DropLeftCallers(aForwarder);
+      SendLoadNotice(aForwarder, false);
+      // NOTE: nothing wakes an idle instance but what comes from outside.
+      if (!aForwarder.mFlights.empty() || aForwarder.mIsNoticeDue) {
+        StartTick(aForwarder);
+      }
+    });
+}
+
+} // namespace
+
+auto
+ForwarderDeleter::operator()(Forwarder* aForwarder) const -> void
+{
+  AbandonRequests(*aForwarder);
+  aForwarder->mPorts.mTimers.mStop(aForwarder->mTick);
+  delete aForwarder;
+}
+
+auto
+CreateForwarder(ForwardSettings aSettings,
+                ForwardPorts aPorts,
+                std::uint64_t aSeed) -> ForwarderPtr
+{
+  auto forwarder = ForwarderPtr(new Forwarder);
+  forwarder->mSettings = std::move(aSettings);
+  forwarder->mPorts = std::move(aPorts);
+  forwarder->mRandom.seed(aSeed);
+  return forwarder;
+}
+
+auto
+ApplyRouting(Forwarder& aForwarder,
+             std::shared_ptr<const routing::RoutingTable> aTable) -> void
+{
+  const auto present = RoutingVersion(aForwarder);
+  if (aTable->mDocument.mVersion <= present) {
+    return;
+  }
+  LogEvent(kRoutingInForceEvent,
+           { { "version", aTable->mDocument.mVersion },
+             { "former_version", present },
+             { "routes", aTable->mDocument.mRoutes.size() },
+             { "services", aTable->mDocument.mServices.size() },
+             { "accounts", aTable->mDocument.mAccounts.size() } });
+  aForwarder.mTable = std::move(aTable);
+}
+
+auto
+RoutingVersion(const Forwarder& aForwarder) -> routing::Version
+{
+  return aForwarder.mTable ? aForwarder.mTable->mDocument.mVersion : 0;
+}
+
+auto
+ApplyEndpoints(Forwarder& aForwarder, const directory::EndpointsUpdate& aUpdate)
+  -> void
+{
+  for (const auto& id : directory::ApplyUpdate(aForwarder.mView, aUpdate)) {
+    const auto& notice = aForwarder.mView.mEntries.at(id).mNotice;
+    LogEvent(kForwardEndpointEvent,
+             { { "endpoint", id.mValue },
+               { "address", notice.mAddress },
+               { "state", static_cast<int>(notice.mState) },
+               { "incarnation", notice.mIncarnation },
+               { "source", aUpdate.mSource } });
+    if (notice.mState == directory::NoticeState::Gone) {
+      aForwarder.mHealth.erase(id);
+    }
+  }
+}
+
+auto
+LoseSource(Forwarder& aForwarder, const std::string& aSource) -> void
+{
+  directory::LoseSource(aForwarder.mView, aSource);
+}
+
+auto
+SetEntries(Forwarder& aForwarder, const std::vector<std::string>& aEntries)
+  -> void
+{
+  aForwarder.mEntries = aEntries;
+}
+
+auto
+HandleRequest(Forwarder& aForwarder,
+              ForwardRequest aRequest,
+              wire::CallerPort aCaller) -> void
+{
+  ++aForwarder.mCounters.mRequests;
+  auto created = std::make_unique<Flight>();
+  auto& flight = *created;
+  flight.mId = aForwarder.mNextFlight++;
+  flight.mRequest = std::move(aRequest);
+  flight.mCaller = std::move(aCaller);
+  flight.mArrived = aForwarder.mPorts.mNow();
+  aForwarder.mFlights.emplace(flight.mId, std::move(created));
+  for (const auto filter : kAdmission) {
+    if (const auto failure = filter(aForwarder, flight)) {
+      FailFlight(aForwarder, flight, *failure);
+      return;
+    }
+  }
+  flight.mDeadlineTimer = aForwarder.mPorts.mTimers.mStart(
+    flight.mDeadline - flight.mArrived,
+    [&aForwarder, id = flight.mId] { OnDeadline(aForwarder, id); });
+  StartTick(aForwarder);
+  PlaceFlight(aForwarder, flight);
+}
+
+auto
+IsIdle(const Forwarder& aForwarder) -> bool
+{
+  return aForwarder.mFlights.empty();
+}
+
+auto
+AbandonRequests(Forwarder& aForwarder) -> void
+{
+  while (!aForwarder.mFlights.empty()) {
+    auto& flight = *aForwarder.mFlights.begin()->second;
+    const auto mayHaveRun =
+      flight.mMayHaveRun || flight.mAttempt.mExchange != 0;
+    FailFlight(
+      aForwarder,
+      flight,
+      { mayHaveRun ? FailureKind::EndpointFailed : FailureKind::NotReady, {} });
+  }
+}
+
+auto
+CountersOf(const Forwarder& aForwarder) -> const ForwardCounters&
+{
+  return aForwarder.mCounters;
+}
+
+auto
+ToText(FailureKind aKind) -> std::string_view
+{
+  switch (aKind) {
+    case FailureKind::BadRequest:
+      return "bad_request";
+    case FailureKind::UnknownKey:
+      return "unknown_key";
+    case FailureKind::NoRoute:
+      return "no_route";
+    case FailureKind::NotReady:
+      return "not_ready";
+    case FailureKind::NoCapacity:
+      return "no_capacity";
+    case FailureKind::EndpointFailed:
+      return "endpoint_failed";
+    case FailureKind::TimedOut:
+      return "timed_out";
+    case FailureKind::TooLate:
+      return "too_late";
+  }
+  return "unknown";
+}
+
+} // namespace cuminslip::forwarding
--- /dev/null
+++ b/src/forwarding/internal/forwarderstate.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "base/digest.h"
+#include "directory/endpointview.h"
+#include "forwarding/eventsplitter.h"
+#include "forwarding/forwarder.h"
+#include "forwarding/loadnotice.h"
+#include "policy/runverdict.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+namespace cuminslip::forwarding {
+
+/// Number of a request under way.
+using FlightId = std::uint64_t;
+
+/// Work that a flight gives to one engine.
+struct GivenWork
+{
+  EndpointId mEngine;
+  bool mIsHelper = false;
+  /// When its part of the prompt is read, by prediction.
+  TimePoint mReadUntil{};
+};
+
+/// One sending of a request.
+struct Attempt
+{
+  wire::ExchangeId mExchange = 0;
+  EndpointId mEndpoint;
+  std::string mAddress;
+  TimePoint mSentAt{};
+  int mStatus = 0;
+  AnswerFacts mAnswer;
+  /// Collects an answer that is passed on whole.
+  std::string mBody;
+  EventSplitter mSplitter;
+  std::vector<GivenWork> mWork;
+};
+
+/// A request under way.
+struct Flight
+{
+  FlightId mId = 0;
+  ForwardRequest mRequest;
+  wire::CallerPort mCaller;
+  std::shared_ptr<const routing::RoutingTable> mTable;
+  const routing::Route* mRoute = nullptr;
+  const routing::Service* mService = nullptr;
+  AccountId mAccount;
+  TimePoint mArrived{};
+  /// When the final answer is due.
+  TimePoint mDeadline{};
+  wire::TimerId mDeadlineTimer = 0;
+  Attempt mAttempt;
+  int mSends = 0;
+  std::set<EndpointId> mTried;
+  /// Some sending may have made it run.
+  bool mMayHaveRun = false;
+  /// The caller has the head of the answer and events up to mLastEvent.
+  bool mHasStarted = false;
+  std::optional<std::uint64_t> mLastEvent;
+  std::uint64_t mEvents = 0;
+  TimePoint mFirstEventAt{};
+};
+
+/// What this instance's own calls to an endpoint came to.
+struct EndpointHealth
+{
+  int mFailuresInRow = 0;
+  TimePoint mEjectedUntil{};
+  std::optional<ReportedLoad> mLoad;
+  TimePoint mLoadAt{};
+};
+
+/// The load of another entry instance.
+struct RemoteLoad
+{
+  std::uint64_t mSequence = 0;
+  TimePoint mHeard{};
+  std::map<std::uint64_t, EngineWork> mWork;
+};
+
+struct Forwarder
+{
+  ForwardSettings mSettings;
+  ForwardPorts mPorts;
+  std::mt19937_64 mRandom;
+  std::shared_ptr<const routing::RoutingTable> mTable;
+  directory::EndpointView mView;
+  std::map<EndpointId, EndpointHealth> mHealth;
+  std::map<FlightId, std::unique_ptr<Flight>> mFlights;
+  FlightId mNextFlight = 1;
+  std::map<std::string, RetryBudget> mBudgets;
+  std::vector<std::string> mEntries;
+  std::map<std::string, RemoteLoad> mRemote;
+  std::uint64_t mNoticeSequence = 0;
+  TimePoint mNoticeSentAt{};
+  /// Work has changed since the last notice.
+  bool mIsNoticeDue = false;
+  wire::TimerId mTick = 0;
+  ForwardCounters mCounters;
+};
+
+/// The flight, or null when it has ended.
+auto
+FindFlight(Forwarder& aForwarder, FlightId aFlight) -> Flight*;
+
+/// Sends a flight to an endpoint, or ends it when there is none.
+auto
+PlaceFlight(Forwarder& aForwarder, Flight& aFlight) -> void;
+
+/// Ends a flight with a final answer of this instance's own, or by cutting a
+/// stream that has begun. The flight is gone afterwards.
+auto
+FailFlight(Forwarder& aForwarder, Flight& aFlight, const Failure& aFailure)
+  -> void;
+
+/// Forgets a flight and closes its exchange.
+auto
+RemoveFlight(Forwarder& aForwarder, Flight& aFlight) -> void;
+
+/// Decides what follows a sending that brought no answer for the caller.
+auto
+RecoverFlight(Forwarder& aForwarder,
+              Flight& aFlight,
+              SendOutcome aOutcome,
+              std::string_view aReason) -> void;
+
+/// Sends a flight to a chosen endpoint.
+auto
+SendFlight(Forwarder& aForwarder, Flight& aFlight, Attempt aAttempt) -> void;
+
+/// Notes how a call to an endpoint went.
+auto
+NoteSuccess(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void;
+
+auto
+NoteFailure(Forwarder& aForwarder,
+            const EndpointId& aEndpoint,
+            std::string_view aReason) -> void;
+
+/// The work that this instance gave to an engine.
+auto
+OwnWorkOn(const Forwarder& aForwarder, const EndpointId& aEngine) -> EngineWork;
+
+/// The work of all instances on an engine, as far as known now.
+auto
+WorkOn(const Forwarder& aForwarder, const EndpointId& aEngine) -> EngineWork;
+
+/// Tells the other entry instances this one's load, at once or when due.
+auto
+SendLoadNotice(Forwarder& aForwarder, bool aIsUrgent) -> void;
+
+} // namespace cuminslip::forwarding
--- /dev/null
+++ b/src/forwarding/internal/health.cpp
@@ -0,0 +1,35 @@
+#include "forwarding/internal/forwarderstate.h"
+#include "forwarding/types/forwardevents.h"
+
+#include <algorithm>
+
+namespace cuminslip::forwarding {
+
+auto
+NoteSuccess(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void
+{
+  auto& health = aForwarder.mHealth[aEndpoint];
+  health.mFailuresInRow = 0;
+  health.mEjectedUntil = {};
+}
+
+auto
+NoteFailure(Forwarder& aForwarder,
+            const EndpointId& aEndpoint,
+            std::string_view aReason) -> void
+{
+  constexpr auto kMostDoublings = 10;
+  auto& health = aForwarder.mHealth[aEndpoint];
+  const auto doublings = std::min(health.mFailuresInRow++, kMostDoublings);
+  const auto pause =
+    std::min(aForwarder.mSettings.mFirstEjection * (1 << doublings),
+             aForwarder.mSettings.mLongestEjection);
+  health.mEjectedUntil = aForwarder.mPorts.mNow() + pause;
+  LogEvent(kForwardEjectedEvent,
+           { { "endpoint", aEndpoint.mValue },
+             { "reason", aReason },
+             { "failures_in_row", health.mFailuresInRow },
+             { "pause_ms", pause.count() } });
+}
+
+} // namespace cuminslip::forwarding
--- /dev/null
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -0,0 +1,52 @@
+#include "forwarding/loadnotice.h"
+
+#include "base/capnpmessage.h"
+#include "forwarding/generated/loadnotice.capnp.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cuminslip::forwarding {
+
+auto
+EncodeLoadNotice(const LoadNotice& aNotice) -> std::string
+{
+  auto message = capnp::MallocMessageBuilder();
+  auto root = message.initRoot<schema::LoadNotice>();
+  root.setInstance(TextFrom(aNotice.mInstance));
+  root.setSequence(aNotice.mSequence);
+  auto shares = root.initShares(static_cast<unsigned>(aNotice.mShares.size()));
+  auto n = 0U;
+  for (const auto& it : aNotice.mShares) {
+    auto to = shares[n++];
+    to.setEngine(it.mEngine);
+    to.setStreams(static_cast<std::uint32_t>(it.mWork.mStreams));
+    to.setLongStreams(static_cast<std::uint32_t>(it.mWork.mLongStreams));
+    to.setContextTokens(static_cast<std::uint64_t>(it.mWork.mContextTokens));
+    to.setReadMillis(
+      static_cast<std::uint32_t>(std::max(it.mWork.mReadMillis, 0.0)));
+  }
+  return BytesOfMessage(message);
+}
+
+auto
+DecodeLoadNotice(std::string_view aBytes) -> leaf::result<LoadNotice>
+{
+  return ReadMessage<schema::LoadNotice, LoadNotice>(
+    aBytes, [](schema::LoadNotice::Reader aItem) {
+      auto notice = LoadNotice{};
+      notice.mInstance = TextOf(aItem.getInstance());
+      notice.mSequence = aItem.getSequence();
+      for (const auto it : aItem.getShares()) {
+        notice.mShares.push_back(
+          { it.getEngine(),
+            { it.getStreams(),
+              static_cast<std::int64_t>(it.getContextTokens()),
+              static_cast<double>(it.getReadMillis()),
+              it.getLongStreams() } });
+      }
+      return notice;
+    });
+}
+
+} // namespace cuminslip::forwarding
--- /dev/null
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -0,0 +1,84 @@
+#include "forwarding/internal/forwarderstate.h"
+#include "forwarding/types/forwardevents.h"
+
+#include <algorithm>
+
+namespace cuminslip::forwarding {
+
+namespace {
+
+auto
+OwnShares(const Forwarder& aForwarder) -> std::vector<EngineShare>
+{
+  auto engines = std::set<EndpointId>{};
+  for (const auto& [id, flight] : aForwarder.mFlights) {
+    for (const auto& it : flight->mAttempt.mWork) {
+      engines.insert(it.mEngine);
+    }
+  }
+  auto shares = std::vector<EngineShare>{};
+  for (const auto& it : engines) {
+    shares.push_back({ Checksum(it.mValue), OwnWorkOn(aForwarder, it) });
+  }
+  return shares;
+}
+
+/// A sequence that grows also over starts of this instance.
+auto
+NextSequence(Forwarder& aForwarder) -> std::uint64_t
+{
+  constexpr auto kNoticesPerMilli = std::uint64_t{ 1000 };
+  const auto first = aForwarder.mSettings.mIncarnation * kNoticesPerMilli;
+  aForwarder.mNoticeSequence = std::max(aForwarder.mNoticeSequence, first) + 1;
+  return aForwarder.mNoticeSequence;
+}
+
+} // namespace
+
+auto
+SendLoadNotice(Forwarder& aForwarder, bool aIsUrgent) -> void
+{
+  const auto now = aForwarder.mPorts.mNow();
+  const auto isDue =
+    aIsUrgent ||
+    now >= aForwarder.mNoticeSentAt + aForwarder.mSettings.mNoticeInterval;
+  if (!aForwarder.mIsNoticeDue || !isDue) {
+    return;
+  }
+  aForwarder.mIsNoticeDue = false;
+  aForwarder.mNoticeSentAt = now;
+  const auto bytes =
+    EncodeLoadNotice({ aForwarder.mSettings.mPeerAddress,
+                       NextSequence(aForwarder),
+                       OwnShares(aForwarder) });
+  for (const auto& it : aForwarder.mEntries) {
+    if (it != aForwarder.mSettings.mPeerAddress) {
+      aForwarder.mPorts.mSendNotice(it, bytes);
+    }
+  }
+}
+
+auto
+TakeLoadNotice(Forwarder& aForwarder, std::string_view aBytes) -> void
+{
+  const auto notice =
+    CollectOutcome<LoadNotice>([&] { return DecodeLoadNotice(aBytes); });
+  if (!notice.mValue) {
+    LogEvent(kLoadNoticeUnreadableEvent,
+             { { "bytes", aBytes.size() },
+               { "findings", FormatFindings(notice.mFindings) } });
+    return;
+  }
+  auto& remote = aForwarder.mRemote[notice.mValue->mInstance];
+  if (notice.mValue->mSequence <= remote.mSequence) {
+    return;
+  }
+  remote.mSequence = notice.mValue->mSequence;
+  remote.mHeard = aForwarder.mPorts.mNow();
+  remote.mWork.clear();
+  for (const auto& it : notice.mValue->mShares) {
+    remote.mWork[it.mEngine] = it.mWork;
+  }
+}
+
+} // namespace cuminslip::forwarding
--- /dev/null
+++ b/src/forwarding/internal/placing.cpp
@@ -0,0 +1,275 @@
+#include "forwarding/internal/forwarderstate.h"
+#include "forwarding/types/forwardevents.h"
+#include "policy/passmodel.h"
+
+#include <algorithm>
+
+namespace cuminslip::forwarding {
+
+namespace {
+
+/// When a caller is to come back after a refusal for want of an endpoint: a
+/// little longer than an endpoint's heartbeat takes to arrive, spread so that
+/// those refused together do not return together.
+constexpr auto kRetryAfter = Millis(400);
+constexpr auto kRetrySpread = Millis(600);
+
+struct Candidate
+{
+  EndpointId mId;
+  const directory::EndpointNotice* mNotice = nullptr;
+};
+
+auto
+RetryAfter(Forwarder& aForwarder) -> Millis
+{
+  auto spread =
+    std::uniform_int_distribution<std::int64_t>(0, kRetrySpread.count());
+  return kRetryAfter + Millis(spread(aForwarder.mRandom));
+}
+
+auto
+IsEjected(const Forwarder& aForwarder, const EndpointId& aEndpoint) -> bool
+{
+  const auto it = aForwarder.mHealth.find(aEndpoint);
+  return it != aForwarder.mHealth.end() &&
+         aForwarder.mPorts.mNow() < it->second.mEjectedUntil;
+}
+
+/// Endpoints of the flight's service that may take it. When all are ejected or
+/// silent these are better than none.
+auto
+ListCandidates(const Forwarder& aForwarder, const Flight& aFlight)
+  -> std::vector<Candidate>
+{
+  auto sound = std::vector<Candidate>{};
+  auto doubtful = std::vector<Candidate>{};
+  for (const auto& [id, entry] : aForwarder.mView.mEntries) {
+    const auto mayTake =
+      entry.mNotice.mState == directory::NoticeState::Ready &&
+      entry.mNotice.mService == aFlight.mService->mName &&
+      !aFlight.mTried.contains(id);
+    if (!mayTake) {
+      continue;
+    }
+    const auto isDoubtful = IsEjected(aForwarder, id) ||
+                            directory::IsSilent(aForwarder.mView, entry);
+    (isDoubtful ? doubtful : sound).push_back({ id, &entry.mNotice });
+  }
+  return sound.empty() ? doubtful : sound;
+}
+
+auto
+StrictestPause(const Flight& aFlight) -> Millis
+{
+  auto strictest = aFlight.mRoute->mPauseTarget;
+  for (const auto& route : aFlight.mTable->mDocument.mRoutes) {
+    const auto isSame =
+      std::any_of(route.mServices.begin(),
+                  route.mServices.end(),
+                  [&](const auto& aItem) {
+                    return aItem.mService == aFlight.mService->mName;
+                  });
+    if (isSame && route.mPauseTarget > Millis(0)) {
+      strictest = std::min(strictest, route.mPauseTarget);
+    }
+  }
+  return strictest;
+}
+
+auto
+ToPromptWork(const Forwarder& aForwarder, const Flight& aFlight) -> PromptWork
+{
+  const auto prompt = aFlight.mRequest.mPrompt.value_or(PromptFacts{});
+  return { prompt.mPromptTokens,
+           prompt.mMaxOutputTokens,
+           aFlight.mRoute->mAnswerTarget,
+           StrictestPause(aFlight),
+           MillisBetween(aForwarder.mPorts.mNow(), aFlight.mDeadline) };
+}
+
+auto
+AddWorkOf(const Forwarder& aForwarder,
+          const Flight& aFlight,
+          const EndpointId& aEngine,
+          EngineWork& aSum) -> void
+{
+  const auto now = aForwarder.mPorts.mNow();
+  for (const auto& given : aFlight.mAttempt.mWork) {
+    if (given.mEngine != aEngine) {
+      continue;
+    }
+    auto work = EngineWork{};
+    if (aFlight.mEvents == 0) {
+      // NOTE: a prompt that is not read yet at its predicted time still is
+      // being read.
+      constexpr auto kOverdueMillis = 30.0;
+      const auto left =
+        std::chrono::duration<double, std::milli>(given.mReadUntil - now);
+      work.mReadMillis = std::max(left.count(), kOverdueMillis);
+    }
+    if (!given.mIsHelper) {
+      const auto& timing = *aFlight.mService->mEngine;
+      const auto prompt = ToPromptWork(aForwarder, aFlight);
+      work.mStreams = 1;
+      work.mContextTokens = prompt.mPromptTokens;
+      work.mLongStreams = IsLongPrompt(timing, prompt) ? 1 : 0;
+    }
+    aSum = AddWork(aSum, work);
+  }
+}
+
+auto
+ListEngines(const Forwarder& aForwarder,
+            const std::vector<Candidate>& aCandidates)
+  -> std::vector<EngineCandidate>
+{
+  auto engines = std::vector<EngineCandidate>{};
+  for (const auto& it : aCandidates) {
+    auto engine = EngineCandidate{};
+    engine.mWork = WorkOn(aForwarder, it.mId);
+    engine.mOrder = Checksum(it.mId.mValue);
+    engine.mIsNear =
+      it.mNotice->mFailureDomain == aForwarder.mSettings.mFailureDomain;
+    engines.push_back(engine);
+  }
+  return engines;
+}
+
+/// The plain endpoint with the least work of this instance for its slots; near
+/// ones first where that is alike.
+auto
+ChoosePlain(Forwarder& aForwarder, const std::vector<Candidate>& aCandidates)
+  -> const Candidate&
+{
+  const auto cost = [&](const Candidate& aItem) {
+    auto own = 0;
+    for (const auto& [id, flight] : aForwarder.mFlights) {
+      own += flight->mAttempt.mEndpoint == aItem.mId ? 1 : 0;
+    }
+    const auto isFar =
+      aItem.mNotice->mFailureDomain != aForwarder.mSettings.mFailureDomain;
+    constexpr auto kFarCost = 0.1;
+    return static_cast<double>(own) /
+             static_cast<double>(
+               std::max<std::int64_t>(aItem.mNotice->mSlots, 1)) +
+           (isFar ? kFarCost : 0.0);
+  };
+  return *std::min_element(aCandidates.begin(),
+                           aCandidates.end(),
+                           [&](const auto& aLeft, const auto& aRight) {
+                             return cost(aLeft) < cost(aRight);
+                           });
+}
+
+auto
+PlaceOnEngines(Forwarder& aForwarder,
+               Flight& aFlight,
+               const std::vector<Candidate>& aCandidates) -> void
+{
+  const auto prompt = ToPromptWork(aForwarder, aFlight);
+  const auto engines = ListEngines(aForwarder, aCandidates);
+  const auto choice = ChooseEngines(*aFlight.mService->mEngine,
+                                    prompt,
+                                    engines,
+                                    aForwarder.mSettings.mLanes);
+  const auto isLate = choice.mFirstEventMillis >=
+                      static_cast<double>(prompt.mAllowance.count());
+  if (!choice.mEngine || isLate) {
+    FailFlight(aForwarder,
+               aFlight,
+               { FailureKind::NoCapacity, RetryAfter(aForwarder) });
+    return;
+  }
+  const auto now = aForwarder.mPorts.mNow();
+  const auto readUntil =
+    now + Micros(static_cast<std::int64_t>(choice.mFirstEventMillis * 1e3));
+  auto attempt = Attempt{};
+  const auto& chosen = aCandidates[*choice.mEngine];
+  attempt.mEndpoint = chosen.mId;
+  attempt.mAddress = chosen.mNotice->mAddress;
+  attempt.mWork.push_back({ chosen.mId, false, readUntil });
+  for (const auto i : choice.mHelpers) {
+    attempt.mWork.push_back({ aCandidates[i].mId, true, readUntil });
+  }
+  const auto& work = engines[*choice.mEngine].mWork;
+  LogEvent(kForwardPlacedEvent,
+           { { "request", aFlight.mRequest.mId.mValue },
+             { "route", aFlight.mRoute->mName },
+             { "account", aFlight.mAccount.mValue },
+             { "endpoint", chosen.mId.mValue },
+             { "reason", ToText(choice.mReason) },
+             { "prompt_tokens", prompt.mPromptTokens },
+             { "helpers", choice.mHelpers.size() },
+             { "first_event_ms", choice.mFirstEventMillis },
+             { "engine_streams", work.mStreams },
+             { "engine_read_ms", work.mReadMillis },
+             { "candidates", aCandidates.size() },
+             { "version", aFlight.mTable->mDocument.mVersion },
+             { "send", aFlight.mSends + 1 } });
+  SendFlight(aForwarder, aFlight, std::move(attempt));
+}
+
+} // namespace
+
+auto
+OwnWorkOn(const Forwarder& aForwarder, const EndpointId& aEngine) -> EngineWork
+{
+  auto work = EngineWork{};
+  for (const auto& [id, flight] : aForwarder.mFlights) {
+    AddWorkOf(aForwarder, *flight, aEngine, work);
+  }
+  return work;
+}
+
+auto
+WorkOn(const Forwarder& aForwarder, const EndpointId& aEngine) -> EngineWork
+{
+  auto work = OwnWorkOn(aForwarder, aEngine);
+  const auto now = aForwarder.mPorts.mNow();
+  const auto key = Checksum(aEngine.mValue);
+  for (const auto& [instance, remote] : aForwarder.mRemote) {
+    const auto age = now - remote.mHeard;
+    const auto it = remote.mWork.find(key);
+    if (it == remote.mWork.end() || age > aForwarder.mSettings.mNoticeAge) {
+      continue;
+    }
+    auto known = it->second;
+    const auto passed = std::chrono::duration<double, std::milli>(age).count();
+    known.mReadMillis = std::max(known.mReadMillis - passed, 0.0);
+    work = AddWork(work, known);
+  }
+  return work;
+}
+
+auto
+PlaceFlight(Forwarder& aForwarder, Flight& aFlight) -> void
+{
+  const auto candidates = ListCandidates(aForwarder, aFlight);
+  if (candidates.empty()) {
+    FailFlight(aForwarder,
+               aFlight,
+               { FailureKind::NoCapacity, RetryAfter(aForwarder) });
+    return;
+  }
+  if (aFlight.mService->mEngine) {
+    PlaceOnEngines(aForwarder, aFlight, candidates);
+    return;
+  }
+  const auto& chosen = ChoosePlain(aForwarder, candidates);
+  auto attempt = Attempt{};
+  attempt.mEndpoint = chosen.mId;
+  attempt.mAddress = chosen.mNotice->mAddress;
+  LogEvent(kForwardPlacedEvent,
+           { { "request", aFlight.mRequest.mId.mValue },
+             { "route", aFlight.mRoute->mName },
+             { "account", aFlight.mAccount.mValue },
+             { "endpoint", chosen.mId.mValue },
+             { "reason", "least_loaded" },
+             { "candidates", candidates.size() },
+             { "version", aFlight.mTable->mDocument.mVersion },
+             { "send", aFlight.mSends + 1 } });
+  SendFlight(aForwarder, aFlight, std::move(attempt));
+}
+
+} // namespace cuminslip::forwarding
--- /dev/null
+++ b/src/forwarding/loadnotice.capnp
@@ -0,0 +1,20 @@
+@0xc3d81f60a7be2495;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("cuminslip::schema");
+
+# The work that one entry instance has given to one engine.
+struct EngineShare {
+  engine @0 :UInt64;
+  streams @1 :UInt32;
+  longStreams @2 :UInt32;
+  contextTokens @3 :UInt64;
+  readMillis @4 :UInt32;
+}
+
+# All work that one entry instance has given to engines, as of its sending.
+struct LoadNotice {
+  instance @0 :Text;
+  sequence @1 :UInt64;
+  shares @2 :List(EngineShare);
+}
--- /dev/null
+++ b/src/forwarding/types/forwardevents.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "base/events.h"
+
+/// Log events of forwarding, 2000-2099.
+namespace cuminslip::forwarding {
+
+inline constexpr auto kRoutingInForceEvent =
+  Event{ 2000, "routing_in_force", Severity::Info };
+inline constexpr auto kForwardRefusedEvent =
+  Event{ 2001, "forward_refused", Severity::Info };
+inline constexpr auto kForwardPlacedEvent =
+  Event{ 2002, "forward_placed", Severity::Info };
+inline constexpr auto kForwardDeliveredEvent =
+  Event{ 2003, "forward_delivered", Severity::Info };
+inline constexpr auto kForwardSendFailedEvent =
+  Event{ 2004, "forward_send_failed", Severity::Warning };
+inline constexpr auto kForwardFailedEvent =
+  Event{ 2005, "forward_failed", Severity::Warning };
+inline constexpr auto kForwardCallerGoneEvent =
+  Event{ 2006, "forward_caller_gone", Severity::Info };
+inline constexpr auto kForwardResumedEvent =
+  Event{ 2007, "forward_resumed", Severity::Info };
+inline constexpr auto kForwardCutEvent =
+  Event{ 2008, "forward_cut", Severity::Warning };
+inline constexpr auto kForwardEndpointEvent =
+  Event{ 2009, "forward_endpoint_changed", Severity::Info };
+inline constexpr auto kForwardEjectedEvent =
+  Event{ 2010, "forward_endpoint_ejected", Severity::Warning };
+inline constexpr auto kLoadNoticeUnreadableEvent =
+  Event{ 2011, "load_notice_unreadable", Severity::Warning };
+
+} // namespace cuminslip::forwarding
--- /dev/null
+++ b/src/forwarding/types/forwardsettings.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/types/ids.h"
+#include "policy/enginelanes.h"
+#include "policy/retrybudget.h"
+
+#include <string>
+
+namespace cuminslip::forwarding {
+
+struct ForwardSettings
+{
+  FailureDomainId mFailureDomain;
+  /// Peer address of this instance; load notices come from there.
+  std::string mPeerAddress;
+  Incarnation mIncarnation = 0;
+  RetryBudgetRules mRetryBudget;
+  LaneRules mLanes;
+  /// Longest time to wait for an endpoint to accept a connection.
+  Millis mConnectTimeout{ 500 };
+  /// How often callers that have left are looked for, while requests run.
+  Millis mCallerCheckInterval{ 100 };
+  /// Shortest pause between load notices that no long prompt asks for.
+  Millis mNoticeInterval{ 200 };
+  /// What another instance told of its load counts for this long.
+  Millis mNoticeAge{ 3000 };
+  /// First pause after a failed call to an endpoint; doubles with each in a
+  /// row, up to the longest.
+  Millis mFirstEjection{ 500 };
+  Millis mLongestEjection{ 8000 };
+
+  auto operator==(const ForwardSettings&) const -> bool = default;
+};
+
+} // namespace cuminslip::forwarding
--- /dev/null
+++ b/src/gateway/internal/gateway.cpp
@@ -0,0 +1,390 @@
+#include "gateway/gateway.h"
+
+#include "gateway/internal/gatewaystate.h"
+#include "gateway/types/gatewayevents.h"
+#include "settings/keys.h"
+#include "settings/settings.h"
+
+#include <random>
+
+namespace cuminslip::gateway {
+
+namespace {
+
+constexpr auto kOk = 200;
+constexpr auto kNotFound = 404;
+constexpr auto kUnavailable = 503;
+constexpr auto kMetricsPath = std::string_view("/metrics");
+/// The platform sends callers for this long after a stop began: two of its
+/// questions, a second apart, and some time to spare.
+constexpr auto kStillSentFor = Millis(3500);
+constexpr auto kStopCheckInterval = Millis(100);
+/// A connection without a request is kept for longer than callers keep theirs.
+constexpr auto kIdleTimeout = Millis(30000);
+
+auto
+MakeIncarnation() -> Incarnation
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<Incarnation>(
+    std::chrono::duration_cast<Millis>(now).count());
+}
+
+auto
+PeerAddressOf(const Settings& aSettings) -> std::string
+{
+  return aSettings.mListen.mPeer ? wire::FormatAddress(*aSettings.mListen.mPeer)
+                                 : std::string{};
+}
+
+auto
+SeedsOf(const Settings& aSettings) -> std::vector<PeerInstance>
+{
+  auto seeds = std::vector<PeerInstance>{};
+  for (const auto& it : aSettings.mDiscovery.mSeeds) {
+    const auto address = wire::FormatAddress(
+      { it.mHost, static_cast<int>(aSettings.mDiscovery.mPeerPort) });
+    seeds.push_back({ { address }, address, {} });
+  }
+  return seeds;
+}
+
+auto
+MakePeerSettings(const Settings& aSettings) -> leaf::result<PeerSettings>
+{
+  BOOST_LEAF_AUTO(key, LoadPeerKey(aSettings));
+  auto peers = PeerSettings{};
+  peers.mPeerKey = key;
+  peers.mAddress = PeerAddressOf(aSettings);
+  // NOTE: the seeds name instances by address only, so that is their id.
+  peers.mInstance = { peers.mAddress };
+  peers.mFailureDomain = aSettings.mFailureDomain;
+  if (HasRole(aSettings, Role::Control)) {
+    peers.mDataFolder = aSettings.mDataFolder;
+  }
+  peers.mControlInstances = SeedsOf(aSettings);
+  peers.mFollowsAllControls = true;
+  peers.mMayFound = aSettings.mDiscovery.mMayFound;
+  peers.mJoinRule = JoinRule::Automatic;
+  // NOTE: a heartbeat may be missed, and the next one late by as much again.
+  constexpr auto kHeartbeatsToSilence = 3;
+  peers.mEndpointTable.mSilentAfter =
+    aSettings.mDiscovery.mHeartbeat * kHeartbeatsToSilence;
+  return peers;
+}
+
+auto
+ApplyTemplates(Gateway& aGateway, const TemplateUpdate& aUpdate) -> void
+{
+  for (const auto& it : aUpdate.mTemplates) {
+    if (it.mAccount != kRoutingAccount) {
+      continue;
+    }
+    auto document = CollectOutcome<routing::RoutingDocument>(
+      [&] { return ReadStoredRouting(aGateway.mAdapter, it); });
+    if (!document.mValue) {
+      LogEvent(kRoutingUnreadableEvent,
+               { { "version", it.mVersion },
+                 { "findings", FormatFindings(document.mFindings) } });
+      continue;
+    }
+    forwarding::ApplyRouting(
+      *aGateway.mForwarder,
+      std::make_shared<const routing::RoutingTable>(
+        routing::BuildRoutingTable(std::move(*document.mValue))));
+  }
+}
+
+auto
+MakePeerCallbacks(Gateway& aGateway) -> PeerCallbacks
+{
+  const auto post = [&aGateway](auto aAction) {
+    wire::PostToLoop(*aGateway.mLoop, std::move(aAction));
+  };
+  auto callbacks = PeerCallbacks{};
+  if (!HasRole(aGateway.mSettings, Role::Entry)) {
+    return callbacks;
+  }
+  callbacks.mOnTemplates = [&aGateway, post](const TemplateUpdate& aUpdate) {
+    post([&aGateway, update = aUpdate] { ApplyTemplates(aGateway, update); });
+  };
+  callbacks.mOnEndpoints =
+    [&aGateway, post](const directory::EndpointsUpdate& aUpdate) {
+      post([&aGateway, update = aUpdate] {
+        forwarding::ApplyEndpoints(*aGateway.mForwarder, update);
+      });
+    };
+  callbacks.mOnSourceLost = [&aGateway, post](const std::string& aSource) {
+    post([&aGateway, source = aSource] {
+      forwarding::LoseSource(*aGateway.mForwarder, source);
+    });
+  };
+  callbacks.mOnEntries = [&aGateway,
+                          post](const std::vector<std::string>& aEntries) {
+    post([&aGateway, entries = aEntries] {
+      forwarding::SetEntries(*aGateway.mForwarder, entries);
+    });
+  };
+  return callbacks;
+}
+
+auto
+MakeForwardPorts(Gateway& aGateway) -> forwarding::ForwardPorts
+{
+  auto ports = forwarding::ForwardPorts{};
+  ports.mNow = MonotonicNow;
+  ports.mCodec = aGateway.mAdapter.mCodec;
+  ports.mExchanges.mStart = [&aGateway](wire::Exchange aExchange,
+                                        wire::ExchangeHandlers aHandlers) {
+    return wire::StartExchange(
+      *aGateway.mPool, std::move(aExchange), std::move(aHandlers));
+  };
+  ports.mExchanges.mCancel = [&aGateway](wire::ExchangeId aExchange) {
+    wire::CancelExchange(*aGateway.mPool, aExchange);
+  };
+  ports.mExchanges.mDropIdle =
+    [&aGateway](const wire::SocketAddress& aAddress) {
+      wire::DropIdle(*aGateway.mPool, aAddress);
+    };
+  ports.mTimers.mStart = [&aGateway](Micros aDelay,
+                                     std::function<void()> aAction) {
+    return wire::StartTimer(*aGateway.mLoop, aDelay, std::move(aAction));
+  };
+  ports.mTimers.mStop = [&aGateway](wire::TimerId aTimer) {
+    wire::StopTimer(*aGateway.mLoop, aTimer);
+  };
+  ports.mSendNotice = [&aGateway](const std::string& aAddress,
+                                  const std::string& aBytes) {
+    // NOTE: a notice that is lost is made up for by the next one.
+    if (const auto address = wire::ParseAddress(aAddress)) {
+      wire::SendDatagram(*aGateway.mDatagrams, *address, aBytes);
+    }
+  };
+  return ports;
+}
+
+auto
+MakeForwarder(Gateway& aGateway) -> forwarding::ForwarderPtr
+{
+  const auto& settings = aGateway.mSettings;
+  auto forward = forwarding::ForwardSettings{};
+  forward.mFailureDomain = settings.mFailureDomain;
+  forward.mPeerAddress = PeerAddressOf(settings);
+  forward.mIncarnation = aGateway.mIncarnation;
+  forward.mRetryBudget.mRatio = settings.mRetries.mRatio;
+  forward.mRetryBudget.mSlack = static_cast<double>(settings.mRetries.mSlack);
+  forward.mRetryBudget.mWindow = settings.mRetries.mWindow;
+  return forwarding::CreateForwarder(
+    std::move(forward), MakeForwardPorts(aGateway), std::random_device{}());
+}
+
+auto
+IsReady(const Gateway& aGateway) -> bool
+{
+  return !aGateway.mIsStopping && aGateway.mPeers->Status().mIsReady &&
+         (!aGateway.mForwarder ||
+          forwarding::RoutingVersion(*aGateway.mForwarder) > 0);
+}
+
+auto
+HandlePlatformCall(Gateway& aGateway,
+                   const wire::HttpRequest& aRequest,
+                   const wire::ResponderPtr& aResponder) -> void
+{
+  if (aRequest.mPath == kMetricsPath) {
+    wire::SendResponse(aResponder, { kOk, {}, MetricsText(aGateway) });
+    return;
+  }
+  if (aRequest.mPath != aGateway.mAdapter.mReadyPath) {
+    wire::SendResponse(aResponder, { kNotFound, {}, "" });
+    return;
+  }
+  const auto isReady = IsReady(aGateway);
+  if (isReady && !aGateway.mWasReady) {
+    aGateway.mWasReady = true;
+    LogEvent(kGatewayReadyEvent,
+             { { "version",
+                 forwarding::RoutingVersion(*aGateway.mForwarder) } });
+  }
+  wire::SendResponse(aResponder, { isReady ? kOk : kUnavailable, {}, "" });
+}
+
+auto
+HandleCaller(Gateway& aGateway,
+             const wire::HttpRequest& aRequest,
+             const wire::ResponderPtr& aResponder) -> void
+{
+  forwarding::HandleRequest(*aGateway.mForwarder,
+                            aGateway.mAdapter.mReadRequest(aRequest),
+                            wire::PortOf(aResponder));
+}
+
+using Handler = auto(*)(Gateway&,
+                        const wire::HttpRequest&,
+                        const wire::ResponderPtr&) -> void;
+
+auto
+StartListener(Gateway& aGateway,
+              const std::optional<wire::SocketAddress>& aAddress,
+              Handler aHandler) -> leaf::result<wire::HttpServerPtr>
+{
+  if (!aAddress) {
+    return wire::HttpServerPtr{};
+  }
+  auto limits = wire::ListenerLimits{};
+  limits.mMaxBodyBytes =
+    static_cast<std::size_t>(aGateway.mSettings.mLimits.mMaxBodyBytes);
+  limits.mMaxConnections =
+    static_cast<std::size_t>(aGateway.mSettings.mLimits.mMaxConnections);
+  limits.mRequestTimeout = kIdleTimeout;
+  return wire::StartHttpServer(
+    *aGateway.mLoop,
+    *aAddress,
+    limits,
+    [&aGateway, aHandler](const wire::HttpRequest& aRequest,
+                          const wire::ResponderPtr& aResponder) {
+      if (aGateway.mIsClosed) {
+        wire::SendResponse(aResponder, { kUnavailable, {}, "" });
+        return;
+      }
+      aHandler(aGateway, aRequest, aResponder);
+    });
+}
+
+auto
+StartListeners(Gateway& aGateway) -> leaf::result<void>
+{
+  const auto& listen = aGateway.mSettings.mListen;
+  BOOST_LEAF_ASSIGN(aGateway.mCallerServer,
+                    StartListener(aGateway, listen.mCaller, HandleCaller));
+  BOOST_LEAF_ASSIGN(
+    aGateway.mOperatorServer,
+    StartListener(aGateway, listen.mOperator, HandleControlCall));
+  BOOST_LEAF_ASSIGN(
+    aGateway.mPlatformServer,
+    StartListener(aGateway, listen.mPlatform, HandlePlatformCall));
+  return {};
+}
+
+auto
+StartFront(Gateway& aGateway) -> leaf::result<void>
+{
+  if (!HasRole(aGateway.mSettings, Role::Entry)) {
+    return {};
+  }
+  aGateway.mPool = wire::CreateConnectionPool(*aGateway.mLoop, {});
+  aGateway.mForwarder = MakeForwarder(aGateway);
+  BOOST_LEAF_ASSIGN(aGateway.mDatagrams,
+                    wire::OpenDatagrams(*aGateway.mLoop,
+                                        *aGateway.mSettings.mListen.mPeer,
+                                        [&aGateway](std::string_view aBytes) {
+                                          forwarding::TakeLoadNotice(
+                                            *aGateway.mForwarder, aBytes);
+                                        }));
+  return {};
+}
+
+auto
+CheckStopped(Gateway& aGateway) -> void
+{
+  const auto age = MillisBetween(aGateway.mStopBegan, MonotonicNow());
+  const auto isLate = age >= aGateway.mSettings.mLimits.mStopTime;
+  const auto isIdle =
+    !aGateway.mForwarder ||
+    (age >= kStillSentFor && forwarding::IsIdle(*aGateway.mForwarder));
+  if (!isIdle && !isLate) {
+    wire::StartTimer(*aGateway.mLoop, kStopCheckInterval, [&aGateway] {
+      CheckStopped(aGateway);
+    });
+    return;
+  }
+  if (aGateway.mForwarder) {
+    forwarding::AbandonRequests(*aGateway.mForwarder);
+  }
+  wire::StopLoop(*aGateway.mLoop);
+}
+
+} // namespace
+
+auto
+GatewayDeleter::operator()(Gateway* aGateway) const -> void
+{
+  // NOTE: closing the listeners runs the loop, which may bring more requests;
+  // their handlers must not reach the peer task any more.
+  aGateway->mIsClosed = true;
+  aGateway->mPeers.reset();
+  aGateway->mCallerServer.reset();
+  aGateway->mOperatorServer.reset();
+  aGateway->mPlatformServer.reset();
+  aGateway->mForwarder.reset();
+  delete aGateway;
+}
+
+auto
+StartGateway(Settings aSettings, Adapter aAdapter) -> leaf::result<GatewayPtr>
+{
+  auto gateway = GatewayPtr(new Gateway);
+  gateway->mSettings = std::move(aSettings);
+  gateway->mAdapter = std::move(aAdapter);
+  gateway->mIncarnation = MakeIncarnation();
+  gateway->mLoop = wire::CreateEventLoop();
+  if (auto front = StartFront(*gateway); !front) {
+    return front.error();
+  }
+  BOOST_LEAF_AUTO(peers, MakePeerSettings(gateway->mSettings));
+  BOOST_LEAF_ASSIGN(
+    gateway->mPeers,
+    StartPeerTask(std::move(peers), MakePeerCallbacks(*gateway)));
+  if (auto listening = StartListeners(*gateway); !listening) {
+    return listening.error();
+  }
+  LogEvent(kGatewayStartedEvent,
+           { { "failure_domain", gateway->mSettings.mFailureDomain.mValue },
+             { "region", gateway->mSettings.mRegion.mValue },
+             { "incarnation", gateway->mIncarnation },
+             { "is_control", HasRole(gateway->mSettings, Role::Control) } });
+  return gateway;
+}
+
+auto
+RunGateway(Gateway& aGateway) -> void
+{
+  wire::RunLoop(*aGateway.mLoop);
+  LogEvent(kGatewayStopEndedEvent, {});
+}
+
+auto
+StopGateway(Gateway& aGateway) -> void
+{
+  wire::PostToLoop(*aGateway.mLoop, [&aGateway] {
+    if (std::exchange(aGateway.mIsStopping, true)) {
+      return;
+    }
+    LogEvent(kGatewayStopBeganEvent, {});
+    aGateway.mStopBegan = MonotonicNow();
+    if (aGateway.mCallerServer) {
+      wire::CloseAfterAnswers(*aGateway.mCallerServer);
+    }
+    CheckStopped(aGateway);
+  });
+}
+
+auto
+ReloadGateway(Gateway& aGateway, const std::string& aPath) -> void
+{
+  wire::PostToLoop(*aGateway.mLoop, [&aGateway, aPath] {
+    const auto settings =
+      CollectOutcome<Settings>([&] { return LoadSettings(aPath); });
+    if (!settings.mValue) {
+      LogEvent(kSeedsRefusedEvent,
+               { { "findings", FormatFindings(settings.mFindings) } });
+      return;
+    }
+    aGateway.mSettings.mDiscovery = settings.mValue->mDiscovery;
+    const auto seeds = SeedsOf(aGateway.mSettings);
+    LogEvent(kSeedsChangedEvent, { { "seeds", seeds.size() } });
+    aGateway.mPeers->AddControls(seeds);
+  });
+}
+
+} // namespace cuminslip::gateway
--- /dev/null
+++ b/src/peers/internal/controlwatcher.cpp
@@ -0,0 +1,177 @@
+#include "peers/internal/controlwatcher.h"
+
+#include "peers/internal/rpcparts.h"
+#include "peers/types/peersevents.h"
+
+#include <algorithm>
+
+namespace cuminslip {
+
+namespace {
+
+/// How long a source keeps a watch open without news.
+constexpr auto kWatchWait = Millis(1500);
+/// A connection that has gone silent is found out after this long: a watch and
+/// a second for the way and a busy source.
+constexpr auto kWatchLimit = Millis(2500);
+/// Pause before a source that failed is asked again; doubles three times.
+constexpr auto kFailurePause = Millis(250);
+/// Pause between looks for sources that are not watched yet.
+constexpr auto kLookPause = Millis(500);
+/// A source heard from the quorum more recently than this.
+constexpr auto kFreshAge = Millis(5000);
+
+} // namespace
+
+ControlWatcher::ControlWatcher(PeerContext& aContext)
+  : mContext(aContext)
+{
+}
+
+auto
+ControlWatcher::Start() -> void
+{
+  mContext.mTasks.add(WatchNew());
+}
+
+auto
+ControlWatcher::Pause(Millis aTime) -> kj::Promise<void>
+{
+  return mContext.mTimer.afterDelay(aTime.count() * kj::MILLISECONDS);
+}
+
+auto
+ControlWatcher::WatchNew() -> kj::Promise<void>
+{
+  // NOTE: a control instance has the control log and shares endpoints with the
+  // others itself.
+  if (!mContext.mControl) {
+    for (auto& address : OtherControls(mContext)) {
+      if (mSources.emplace(address, Source{}).second) {
+        mContext.mTasks.add(Watch(std::move(address)));
+      }
+    }
+  }
+  return Pause(kLookPause).then([this] { return WatchNew(); });
+}
+
+auto
+ControlWatcher::Watch(std::string aAddress) -> kj::Promise<void>
+{
+  auto& source = mSources[aAddress];
+  auto request = mContext.mLinks.SessionAt(aAddress).watchRequest();
+  request.setHaveRevision(source.mPages.empty()
+                            ? mContext.mCache.mRevision
+                            : source.mPages.back().mRevision);
+  request.setEpoch(source.mEpoch);
+  request.setHaveChange(source.mChange);
+  request.setEntriesDigest(source.mEntriesDigest);
+  request.setWaitMillis(
+    source.mIsReached ? static_cast<std::uint32_t>(kWatchWait.count()) : 0);
+  request.setAddress(ToText(mContext.mSettings.mAddress));
+  kj::Promise<WatchResponse> sent = request.send();
+  return mContext.mLinks.WithLimit(aAddress, kWatchLimit, kj::mv(sent))
+    .then(
+      [this, aAddress, sentAt = mContext.mNow()](WatchResponse aResponse)
+        -> kj::Promise<void> {
+        TakeResponse(aAddress, aResponse, sentAt);
+        return kj::READY_NOW;
+      },
+      [this, aAddress](kj::Exception&& aException) -> kj::Promise<void> {
+        LoseSource(aAddress, aException);
+        const auto failures = std::min(mSources[aAddress].mFailures++, 3);
+        return Pause(kFailurePause * (1 << failures));
+      })
+    .then([this, aAddress] { return Watch(aAddress); });
+}
+
+auto
+ControlWatcher::LoseSource(const std::string& aAddress,
+                           const kj::Exception& aReason) -> void
+{
+  auto& source = mSources[aAddress];
+  source.mPages.clear();
+  if (!std::exchange(source.mIsReached, false)) {
+    return;
+  }
+  LogEvent(
+    kControlLostEvent,
+    { { "address", aAddress }, { "reason", aReason.getDescription().cStr() } });
+  if (mContext.mCallbacks.mOnSourceLost) {
+    mContext.mCallbacks.mOnSourceLost(aAddress);
+  }
+}
+
+auto
+ControlWatcher::TakeResponse(const std::string& aAddress,
+                             const WatchResponse& aResponse,
+                             TimePoint aSentAt) -> void
+{
+  auto& source = mSources[aAddress];
+  source.mFailures = 0;
+  if (!std::exchange(source.mIsReached, true)) {
+    LogEvent(kControlWatchedEvent,
+             { { "address", aAddress },
+               { "quorum_age_ms", aResponse.getQuorumAgeMillis() } });
+  }
+  for (auto& it : ReadPulled(aResponse.getTemplates())) {
+    source.mPages.push_back(std::move(it));
+  }
+  if (!aResponse.getMore()) {
+    PutInForce(mContext, std::exchange(source.mPages, {}));
+  }
+  TakeEndpoints(aAddress, aResponse);
+  TakeInstances(aResponse);
+  const auto age = Millis(aResponse.getQuorumAgeMillis());
+  if (age.count() >= 0) {
+    const auto contact = aSentAt - age;
+    mContext.mQuorumContact =
+      std::max(mContext.mQuorumContact.value_or(contact), contact);
+  }
+  const auto isFresh = age.count() >= 0 && age < kFreshAge;
+  if (isFresh && !aResponse.getMore() && !mContext.mIsReady) {
+    mContext.mIsReady = true;
+    LogEvent(kInstanceReadyEvent,
+             { { "revision", mContext.mCache.mRevision } });
+  }
+}
+
+auto
+ControlWatcher::TakeEndpoints(const std::string& aAddress,
+                              const WatchResponse& aResponse) -> void
+{
+  auto& source = mSources[aAddress];
+  auto update = directory::EndpointsUpdate{};
+  update.mSource = aAddress;
+  update.mIsWhole = source.mEpoch != aResponse.getEpoch();
+  source.mEpoch = aResponse.getEpoch();
+  source.mChange = aResponse.getChange();
+  for (const auto it : aResponse.getEndpoints()) {
+    if (auto row = ReadRow(it)) {
+      update.mRows.push_back(std::move(*row));
+    }
+  }
+  const auto hasNews = update.mIsWhole || !update.mRows.empty();
+  if (hasNews && mContext.mCallbacks.mOnEndpoints) {
+    mContext.mCallbacks.mOnEndpoints(update);
+  }
+  source.mEntriesDigest = aResponse.getEntriesDigest();
+}
+
+auto
+ControlWatcher::TakeInstances(const WatchResponse& aResponse) -> void
+{
+  for (const auto it : aResponse.getControls()) {
+    const auto control = ReadJoiner(it).mInstance;
+    mContext.mLearntControls[control.mAddress] = control;
+  }
+  auto entries = std::vector<std::string>{};
+  for (const auto it : aResponse.getEntries()) {
+    entries.push_back({ it.cStr(), it.size() });
+  }
+  if (!entries.empty() && mContext.mCallbacks.mOnEntries) {
+    mContext.mCallbacks.mOnEntries(entries);
+  }
+}
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/peers/internal/controlwatcher.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "peers/internal/peercontext.h"
+
+namespace cuminslip {
+
+/// Follows every control instance that is known, each by one open call, and
+/// takes templates, endpoints and the names of other instances from all of
+/// them. So no single control instance that is cut off or silent keeps news
+/// away. Peer thread only.
+class ControlWatcher
+{
+public:
+  explicit ControlWatcher(PeerContext& aContext);
+
+  /// Begins to watch; goes on until destroyed.
+  auto Start() -> void;
+
+private:
+  /// What one control instance has told.
+  struct Source
+  {
+    std::uint64_t mEpoch = 0;
+    std::uint64_t mChange = 0;
+    std::uint64_t mEntriesDigest = 0;
+    bool mIsReached = false;
+    int mFailures = 0;
+    /// Pages of an update that is not complete yet.
+    std::vector<StoredTemplate> mPages;
+  };
+
+  using WatchResponse = capnp::Response<schema::Session::WatchResults>;
+
+  /// Watches those that are not watched yet.
+  auto WatchNew() -> kj::Promise<void>;
+  auto Watch(std::string aAddress) -> kj::Promise<void>;
+  auto TakeResponse(const std::string& aAddress,
+                    const WatchResponse& aResponse,
+                    TimePoint aSentAt) -> void;
+  auto TakeEndpoints(const std::string& aAddress,
+                     const WatchResponse& aResponse) -> void;
+  auto TakeInstances(const WatchResponse& aResponse) -> void;
+  auto LoseSource(const std::string& aAddress, const kj::Exception& aReason)
+    -> void;
+  auto Pause(Millis aTime) -> kj::Promise<void>;
+
+  PeerContext& mContext;
+  std::map<std::string, Source> mSources;
+};
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/peers/internal/endpointdirectory.cpp
@@ -0,0 +1,222 @@
+#include "peers/internal/endpointdirectory.h"
+
+#include "base/digest.h"
+#include "peers/internal/rpcparts.h"
+#include "peers/types/peersevents.h"
+
+namespace cuminslip {
+
+namespace {
+
+using directory::EndpointNotice;
+using directory::NoticeState;
+using directory::NoticeVerdict;
+
+/// Heartbeats heard here reach the other control instances after this long at
+/// most. A quarter of the shortest heartbeat interval in use.
+constexpr auto kShareInterval = Millis(300);
+constexpr auto kShareLimit = Millis(1500);
+/// An entry instance that has not asked for this long is not counted. Two
+/// watches and their limit.
+constexpr auto kEntryAge = Millis(6000);
+
+auto
+StateName(NoticeState aState) -> std::string_view
+{
+  switch (aState) {
+    case NoticeState::Ready:
+      return "ready";
+    case NoticeState::Draining:
+      return "draining";
+    case NoticeState::Gone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+auto
+LogNews(const EndpointNotice& aNotice, std::string_view aSource) -> void
+{
+  LogEvent(kEndpointNoticeEvent,
+           { { "endpoint", aNotice.mId.mValue },
+             { "service", aNotice.mService },
+             { "address", aNotice.mAddress },
+             { "state", StateName(aNotice.mState) },
+             { "incarnation", aNotice.mIncarnation },
+             { "sequence", aNotice.mSequence },
+             { "heard", aSource } });
+}
+
+auto
+ShareNow(PeerContext& aContext) -> void
+{
+  aContext.mSharedAt = aContext.mNow();
+  const auto notices = std::exchange(aContext.mUnshared, {});
+  if (notices.empty()) {
+    return;
+  }
+  for (const auto& address : OtherControls(aContext)) {
+    auto request = aContext.mLinks.SessionAt(address).shareRequest();
+    auto rows =
+      request.initEndpoints(static_cast<unsigned>(notices.size()));
+    auto n = 0U;
+    for (const auto& it : notices) {
+      WriteRow(rows[n++], { it, false });
+    }
+    aContext.mTasks.add(
+      aContext.mLinks
+        .WithLimit(address, kShareLimit, request.send().ignoreResult())
+        // NOTE: what was lost is said again by the next heartbeat, and the
+        // failed connection is logged where it is dropped.
+        .catch_([](kj::Exception&&) {}));
+  }
+}
+
+/// The peer addresses of the entry instances that watch this one, in order.
+auto
+LiveEntries(const PeerContext& aContext) -> std::vector<std::string>
+{
+  auto entries = std::vector<std::string>{};
+  for (const auto& [instance, it] : aContext.mSubscribers) {
+    const auto age = MillisBetween(it.mHeard, aContext.mNow());
+    if (!it.mAddress.empty() && age < kEntryAge) {
+      entries.push_back(it.mAddress);
+    }
+  }
+  return entries;
+}
+
+auto
+DigestOf(const std::vector<std::string>& aTexts) -> std::uint64_t
+{
+  auto joined = std::string{};
+  for (const auto& it : aTexts) {
+    joined += it + "\n";
+  }
+  return Checksum(joined);
+}
+
+} // namespace
+
+auto
+HearNotice(PeerContext& aContext, const EndpointNotice& aNotice) -> bool
+{
+  const auto now = aContext.mNow();
+  // NOTE: an endpoint that leaves names only itself.
+  const auto isBare =
+    aNotice.mState == NoticeState::Gone && aNotice.mAddress.empty();
+  const auto verdict =
+    isBare ? TakeLeave(
+                 aContext.mEndpoints, aNotice.mId, aNotice.mIncarnation, now)
+           : TakeNotice(aContext.mEndpoints, aNotice, now);
+  if (verdict == NoticeVerdict::Stale || verdict == NoticeVerdict::Refused) {
+    LogEvent(kEndpointNoticeDroppedEvent,
+             { { "endpoint", aNotice.mId.mValue },
+               { "reason",
+                 verdict == NoticeVerdict::Stale ? "older than what is known"
+                                                 : "too many endpoints" },
+               { "incarnation", aNotice.mIncarnation },
+               { "sequence", aNotice.mSequence } });
+    return verdict == NoticeVerdict::Stale;
+  }
+  const auto entry = aContext.mEndpoints.mEntries.find(aNotice.mId);
+  aContext.mUnshared.push_back(entry->second.mNotice);
+  if (verdict == NoticeVerdict::News) {
+    LogNews(entry->second.mNotice, "directly");
+    ShareNow(aContext);
+    WakeWatches(aContext);
+  }
+  return true;
+}
+
+auto
+TakeShared(PeerContext& aContext,
+           capnp::List<schema::EndpointRow>::Reader aRows) -> void
+{
+  auto hasNews = false;
+  for (const auto it : aRows) {
+    const auto row = ReadRow(it);
+    if (!row) {
+      continue;
+    }
+    const auto verdict =
+      TakeNotice(aContext.mEndpoints, row->mNotice, aContext.mNow());
+    if (verdict == NoticeVerdict::News) {
+      LogNews(row->mNotice, "by a control instance");
+      hasNews = true;
+    }
+  }
+  if (hasNews) {
+    WakeWatches(aContext);
+  }
+}
+
+auto
+TickEndpoints(PeerContext& aContext) -> void
+{
+  if (TickTable(aContext.mEndpoints, aContext.mNow())) {
+    WakeWatches(aContext);
+  }
+  if (aContext.mNow() >= aContext.mSharedAt + kShareInterval) {
+    ShareNow(aContext);
+  }
+}
+
+auto
+NoteEntry(PeerContext& aContext,
+          const InstanceId& aInstance,
+          const std::string& aAddress) -> void
+{
+  const auto it = aContext.mSubscribers.find(aInstance);
+  if (it != aContext.mSubscribers.end()) {
+    it->second.mAddress = aAddress;
+  }
+}
+
+auto
+HasWatchNews(const PeerContext& aContext, const WatchParams& aParams) -> bool
+{
+  return aContext.mCache.mRevision > aParams.getHaveRevision() ||
+         aContext.mEndpointsEpoch != aParams.getEpoch() ||
+         aContext.mEndpoints.mLastChange > aParams.getHaveChange();
+}
+
+auto
+WriteWatched(const PeerContext& aContext,
+             const WatchParams& aParams,
+             WatchResults& aResults) -> void
+{
+  const auto isKnown = aParams.getEpoch() == aContext.mEndpointsEpoch;
+  const auto rows = RowsAfter(aContext.mEndpoints,
+                              isKnown ? aParams.getHaveChange() : 0);
+  aResults.setEpoch(aContext.mEndpointsEpoch);
+  aResults.setChange(aContext.mEndpoints.mLastChange);
+  auto to = aResults.initEndpoints(static_cast<unsigned>(rows.size()));
+  auto n = 0U;
+  for (const auto& it : rows) {
+    WriteRow(to[n++], it);
+  }
+  const auto entries = LiveEntries(aContext);
+  const auto known = KnownControls(aContext);
+  auto places = entries;
+  for (const auto& it : known) {
+    places.push_back("control " + it.mAddress);
+  }
+  const auto digest = DigestOf(places);
+  aResults.setEntriesDigest(digest);
+  if (digest == aParams.getEntriesDigest()) {
+    return;
+  }
+  auto names = aResults.initEntries(static_cast<unsigned>(entries.size()));
+  n = 0;
+  for (const auto& it : entries) {
+    names.set(n++, ToText(it));
+  }
+  auto controls = aResults.initControls(static_cast<unsigned>(known.size()));
+  n = 0;
+  for (const auto& it : known) {
+    WriteJoiner(controls[n++], { 0, it });
+  }
+}
+
+} // namespace cuminslip
--- a/src/peers/internal/joining.cpp
+++ b/src/peers/internal/joining.cpp
@@ -11,6 +11,9 @@
 
 constexpr auto kAskLimit = Millis(1000);
 constexpr auto kJoinPause = Millis(300);
+/// A member that heard from no leader for this long asks to join again. Longer
+/// than an election takes.
+constexpr auto kRejoinAfter = Millis(4000);
 constexpr auto kDescribeRetries = 3;
 constexpr auto kChangeLimit = Millis(6000);
 
@@ -66,6 +69,17 @@
     });
 }
 
+/// True when the settings name this instance among the control instances.
+auto
+IsNamedControl(const PeerContext& aContext) -> bool
+{
+  const auto& controls = aContext.mSettings.mControlInstances;
+  return std::any_of(
+    controls.begin(), controls.end(), [&](const PeerInstance& aItem) {
+      return aContext.mSettings.mInstance == aItem.mInstance;
+    });
+}
+
 auto
 FoundLog(PeerContext& aContext) -> void
 {
@@ -117,7 +131,9 @@
     return AskToJoin(aContext, aSurvey.mWithLog);
   }
   const auto others = OtherControls(aContext).size();
-  if (aSurvey.mAnswers == others && IsFirstByName(aContext)) {
+  const auto mayFound =
+    aContext.mSettings.mMayFound && IsNamedControl(aContext);
+  if (mayFound && aSurvey.mAnswers == others && IsFirstByName(aContext)) {
     FoundLog(aContext);
   }
   return kj::READY_NOW;
@@ -152,7 +168,7 @@
             aRequest.mAction == MembershipAction::Replace;
           const auto input = isReplacing
                                ? CoreInput(ReplaceMemberInput{ member })
-                               : CoreInput(AddMemberInput{ member, true });
+                               : CoreInput(AddMemberInput{ member, JoinRule::Operator });
           aReply->Send({ aContext.mControl->ChangeMembership(input) });
         },
         [&aContext, aRequest, aReply, aTriesLeft](kj::Exception&&) {
@@ -169,14 +185,39 @@
         }));
 }
 
+/// A member that was removed while it was away asks to come back; it hears
+/// from no leader, since none sends to it.
+auto
+RejoinWhenForgotten(PeerContext& aContext) -> kj::Promise<void>
+{
+  const auto& core = aContext.mControl->Core();
+  const auto silence = MillisBetween(core.mLeaderContact, aContext.mNow());
+  const auto isForgotten = core.mRole != CoreRole::Leader &&
+                           core.mRole != CoreRole::Halted &&
+                           silence > kRejoinAfter;
+  auto asked = isForgotten ? AskToJoin(aContext, OtherControls(aContext))
+                           : kj::Promise<void>(kj::READY_NOW);
+  return asked
+    .then([&aContext] {
+      return aContext.mTimer.afterDelay(kRejoinAfter.count() *
+                                        kj::MILLISECONDS);
+    })
+    .then([&aContext] { return RejoinWhenForgotten(aContext); });
+}
+
 } // namespace
 
 auto
 JoinControlLog(PeerContext& aContext) -> kj::Promise<void>
 {
-  if (!aContext.mControl || aContext.mControl->Core().mVote.mCluster != 0) {
+  if (!aContext.mControl) {
     return kj::READY_NOW;
   }
+  if (aContext.mControl->Core().mVote.mCluster != 0) {
+    return aContext.mSettings.mJoinRule == JoinRule::Automatic
+             ? RejoinWhenForgotten(aContext)
+             : kj::Promise<void>(kj::READY_NOW);
+  }
   auto survey = std::make_shared<JoinSurvey>();
   return AskControls(aContext, survey)
     .then([&aContext, survey] { return TakeSurvey(aContext, *survey); })
--- a/src/peers/internal/peercontext.cpp
+++ b/src/peers/internal/peercontext.cpp
@@ -33,6 +33,37 @@
   for (auto& it : waiting) {
     it->fulfill();
   }
+  WakeWatches(aContext);
+}
+
+auto
+WakeWatches(PeerContext& aContext) -> void
+{
+  auto waiting = std::move(aContext.mWaitingWatches);
+  aContext.mWaitingWatches.clear();
+  for (auto& it : waiting) {
+    it->fulfill();
+  }
+}
+
+auto
+KnownControls(const PeerContext& aContext) -> std::vector<PeerInstance>
+{
+  auto byAddress = aContext.mLearntControls;
+  if (aContext.mSettings.mFollowsAllControls && aContext.mControl) {
+    for (const auto& it :
+         CurrentMembership(aContext.mControl->Core()).mMembers) {
+      byAddress[it.mAddress] = { it.mInstance, it.mAddress, it.mFailureDomain };
+    }
+  }
+  auto known = aContext.mSettings.mControlInstances;
+  for (const auto& it : known) {
+    byAddress.erase(it.mAddress);
+  }
+  for (auto& [address, it] : byAddress) {
+    known.push_back(std::move(it));
+  }
+  return known;
 }
 
 auto
@@ -71,7 +102,7 @@
   const auto& settings = aContext.mSettings;
   auto own = std::vector<std::string>{};
   auto others = std::vector<std::string>{};
-  for (const auto& it : settings.mControlInstances) {
+  for (const auto& it : KnownControls(aContext)) {
     if (it.mInstance == settings.mInstance) {
       continue;
     }
--- a/src/peers/internal/peercontext.h
+++ b/src/peers/internal/peercontext.h
@@ -3,6 +3,7 @@
 #include "peers/internal/controlnode.h"
 #include "peers/internal/peerlinks.h"
 #include "peers/internal/templatecache.h"
+#include "directory/endpointtable.h"
 #include "peers/peertask.h"
 
 #include <list>
@@ -13,6 +14,8 @@
 /// What another instance said when it last pulled templates.
 struct Subscriber
 {
+  /// Peer address of an entry instance that watches this one; may be empty.
+  std::string mAddress;
   FailureDomainId mFailureDomain;
   Revision mRevision = 0;
   TimePoint mHeard{};
@@ -35,6 +38,17 @@
   std::map<InstanceId, Subscriber> mSubscribers;
   /// Wakes the pulls that wait for a higher revision.
   std::list<kj::Own<kj::PromiseFulfiller<void>>> mWaiting;
+  /// Endpoints as heard here; used on control instances.
+  directory::EndpointTable mEndpoints;
+  /// Tells followers that mEndpoints began anew.
+  std::uint64_t mEndpointsEpoch = 0;
+  /// Heard here since the other control instances were last told.
+  std::vector<directory::EndpointNotice> mUnshared;
+  TimePoint mSharedAt{};
+  /// Wakes the watches that wait for news.
+  std::list<kj::Own<kj::PromiseFulfiller<void>>> mWaitingWatches;
+  /// Control instances learnt from others, by address.
+  std::map<std::string, PeerInstance> mLearntControls;
   /// When a quorum was last known to be reached; none if never.
   std::optional<TimePoint> mQuorumContact;
   TimePoint mStarted{};
@@ -65,6 +79,15 @@
 auto
 TakesPartInControl(const PeerContext& aContext) -> bool;
 
+/// The control instances known here: those of the settings, the members of the
+/// control log and those learnt from others.
+auto
+KnownControls(const PeerContext& aContext) -> std::vector<PeerInstance>;
+
+/// Answers the watches that wait.
+auto
+WakeWatches(PeerContext& aContext) -> void;
+
 /// Addresses of the control instances but this one; the ones of the own
 /// failure domain first.
 auto
--- a/src/peers/internal/peertask.cpp
+++ b/src/peers/internal/peertask.cpp
@@ -1,6 +1,7 @@
 #include "peers/peertask.h"
 
 #include "control/controlcodec.h"
+#include "peers/internal/endpointdirectory.h"
 #include "peers/internal/joining.h"
 #include "peers/internal/peerthread.h"
 #include "peers/internal/proposer.h"
@@ -101,6 +102,25 @@
                    PeerContext& aItem) { FetchFromLeader(aItem, key, reply); });
   }
 
+  auto TakeNotice(directory::EndpointNotice aNotice,
+                  std::function<void(bool)> aReply) -> void override
+  {
+    mThread.Post([notice = std::move(aNotice),
+                  reply = MakeOnceReply<bool>(std::move(aReply), false)](
+                   PeerContext& aItem) {
+      reply->Send(HearNotice(aItem, notice));
+    });
+  }
+
+  auto AddControls(std::vector<PeerInstance> aControls) -> void override
+  {
+    mThread.Post([controls = std::move(aControls)](PeerContext& aItem) {
+      for (const auto& it : controls) {
+        aItem.mLearntControls.emplace(it.mAddress, it);
+      }
+    });
+  }
+
   auto ChangeMembership(MembershipRequest aRequest,
                         std::function<void(const MembershipReply&)> aReply)
     -> void override
--- a/src/peers/internal/peerthread.cpp
+++ b/src/peers/internal/peerthread.cpp
@@ -1,6 +1,8 @@
 #include "peers/internal/peerthread.h"
 
 #include "control/controlcodec.h"
+#include "peers/internal/controlwatcher.h"
+#include "peers/internal/endpointdirectory.h"
 #include "peers/internal/joining.h"
 #include "peers/internal/rpcparts.h"
 #include "peers/internal/sessionserver.h"
@@ -11,6 +13,7 @@
 
 #include <cstring>
 #include <future>
+#include <random>
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -19,7 +22,11 @@
 
 namespace {
 
+/// How often a control instance looks at its deadlines; an eighth of the
+/// interval of heartbeats in the control log.
 constexpr auto kTick = Millis(50);
+/// How often an instance without a disk brings its standing up to date.
+constexpr auto kEntryTick = Millis(250);
 
 /// Swallows the failure of a task; each handles its own.
 class TaskErrors final : public kj::TaskSet::ErrorHandler
@@ -40,6 +47,14 @@
   return { { { { aPlace }, "", std::move(aProblem), aExpected } } };
 }
 
+auto
+RandomNumber() -> std::uint64_t
+{
+  auto device = std::random_device();
+  constexpr auto kHalf = 32U;
+  return (std::uint64_t{ device() } << kHalf) | device() | 1U;
+}
+
 /// Accepts connections until it fails.
 auto
 AcceptForever(kj::ConnectionReceiver& aListener, capnp::TwoPartyServer& aServer)
@@ -173,9 +188,11 @@
 {
   if (aContext.mControl) {
     aContext.mControl->Tick();
+    TickEndpoints(aContext);
   }
   UpdateStanding(aContext);
-  return aContext.mTimer.afterDelay(kTick.count() * kj::MILLISECONDS)
+  const auto tick = aContext.mControl ? kTick : kEntryTick;
+  return aContext.mTimer.afterDelay(tick.count() * kj::MILLISECONDS)
     .then([this, &aContext] { return TickForever(aContext); });
 }
 
@@ -230,13 +247,18 @@
   auto server = capnp::TwoPartyServer(MakePeerServer(aContext));
   auto wakeUp = aIo.lowLevelProvider->wrapInputFd(mWakeRead);
   auto follower = TemplateFollower(aContext);
+  auto watcher = ControlWatcher(aContext);
   auto stop = kj::newPromiseAndFulfiller<void>();
   mStop = kj::mv(stop.fulfiller);
   aContext.mTasks.add(AcceptForever(*listener, server));
   aContext.mTasks.add(DrainMailbox(aContext, *wakeUp));
   aContext.mTasks.add(TickForever(aContext));
   aContext.mTasks.add(JoinControlLog(aContext));
-  follower.Start();
+  if (mSettings.mFollowsAllControls) {
+    watcher.Start();
+  } else {
+    follower.Start();
+  }
   LogEvent(kPeerTaskStartedEvent,
            { { "address", mSettings.mAddress },
              { "is_control", aContext.mControl != nullptr } });
@@ -259,6 +281,8 @@
   auto context = PeerContext{ mSettings, mCallbacks, io.provider->getTimer(),
                               *tasks,    links,      MonotonicNow };
   context.mStarted = MonotonicNow();
+  context.mEndpoints.mSettings = mSettings.mEndpointTable;
+  context.mEndpointsEpoch = RandomNumber();
   auto findings = Findings{};
   auto problem = kj::runCatchingExceptions(
     [&] { findings = Serve(context, io, tasks, aOnStarted); });
--- a/src/peers/internal/rpcparts.cpp
+++ b/src/peers/internal/rpcparts.cpp
@@ -40,6 +40,7 @@
     pulled.setAccount(ToText(it.mAccount.mValue));
     pulled.setRevision(it.mRevision);
     pulled.setDocument(ToData(it.mDocument));
+    pulled.setVersion(it.mVersion);
   }
 }
 
@@ -50,11 +51,50 @@
   for (const auto it : aFrom) {
     templates.push_back({ { FromText(it.getAccount()) },
                           it.getRevision(),
-                          FromData(it.getDocument()) });
+                          FromData(it.getDocument()),
+                          it.getVersion() });
   }
   return templates;
 }
 
+auto
+WriteRow(schema::EndpointRow::Builder aTo, const directory::EndpointRow& aFrom)
+  -> void
+{
+  const auto& notice = aFrom.mNotice;
+  aTo.setId(ToText(notice.mId.mValue));
+  aTo.setService(ToText(notice.mService));
+  aTo.setAddress(ToText(notice.mAddress));
+  aTo.setFailureDomain(ToText(notice.mFailureDomain.mValue));
+  aTo.setSlots(static_cast<std::uint32_t>(notice.mSlots));
+  aTo.setState(static_cast<std::uint8_t>(notice.mState));
+  aTo.setIncarnation(notice.mIncarnation);
+  aTo.setSequence(notice.mSequence);
+  aTo.setColdMillis(notice.mColdTime.count());
+  aTo.setSilent(aFrom.mIsSilent);
+}
+
+auto
+ReadRow(schema::EndpointRow::Reader aFrom)
+  -> std::optional<directory::EndpointRow>
+{
+  if (aFrom.getState() > static_cast<int>(directory::NoticeState::Gone)) {
+    return std::nullopt;
+  }
+  auto row = directory::EndpointRow{};
+  row.mNotice = { { FromText(aFrom.getId()) },
+                  FromText(aFrom.getService()),
+                  FromText(aFrom.getAddress()),
+                  { FromText(aFrom.getFailureDomain()) },
+                  aFrom.getSlots(),
+                  static_cast<directory::NoticeState>(aFrom.getState()),
+                  aFrom.getIncarnation(),
+                  aFrom.getSequence(),
+                  Millis(aFrom.getColdMillis()) };
+  row.mIsSilent = aFrom.getSilent();
+  return row;
+}
+
 auto
 ToSchema(LeaderOutcome aOutcome) -> schema::LeaderOutcome
 {
--- a/src/peers/internal/rpcparts.h
+++ b/src/peers/internal/rpcparts.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "control/types/storedtemplate.h"
+#include "directory/types/endpointnotice.h"
 #include "peers/generated/peer.capnp.h"
 #include "peers/types/leaderoutcome.h"
 #include "peers/types/peerreports.h"
 
 #include <kj/async-io.h>
 
+#include <optional>
 #include <string>
 
 /// Conversions between the RPC schema and plain values.
@@ -33,6 +35,17 @@
 auto
 ReadPulled(PulledTemplates::Reader aFrom) -> std::vector<StoredTemplate>;
 
+using EndpointRows = capnp::List<schema::EndpointRow>;
+
+auto
+WriteRow(schema::EndpointRow::Builder aTo, const directory::EndpointRow& aFrom)
+  -> void;
+
+/// No value when the row can't be from this version.
+auto
+ReadRow(schema::EndpointRow::Reader aFrom)
+  -> std::optional<directory::EndpointRow>;
+
 auto
 ToSchema(LeaderOutcome aOutcome) -> schema::LeaderOutcome;
 
--- a/src/peers/internal/sessionserver.cpp
+++ b/src/peers/internal/sessionserver.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "control/controlcodec.h"
+#include "peers/internal/endpointdirectory.h"
 #include "peers/internal/joining.h"
 #include "peers/internal/revisionreports.h"
 #include "peers/internal/rpcparts.h"
@@ -110,6 +111,13 @@
   }
 
   auto join(JoinContext aCall) -> kj::Promise<void> override;
+  auto watch(WatchContext aCall) -> kj::Promise<void> override;
+
+  auto share(ShareContext aCall) -> kj::Promise<void> override
+  {
+    TakeShared(mContext, aCall.getParams().getEndpoints());
+    return kj::READY_NOW;
+  }
 
 private:
   /// Says whether the call is served here, and who leads.
@@ -125,6 +133,7 @@
   }
 
   auto AnswerPull(PullContext aCall) -> void;
+  auto AnswerWatch(WatchContext aCall) -> void;
 
   PeerContext& mContext;
   InstanceId mFrom;
@@ -191,6 +200,43 @@
     .then([this, aCall] { AnswerPull(aCall); });
 }
 
+auto
+SessionServer::AnswerWatch(WatchContext aCall) -> void
+{
+  const auto params = aCall.getParams();
+  const auto page =
+    PageAfter(mContext.mCache, params.getHaveRevision(), kMaxPullBytes);
+  auto results = aCall.getResults();
+  const auto age = QuorumAgeNow(mContext);
+  results.setQuorumAgeMillis(age ? age->count() : -1);
+  WritePulled(
+    results.initTemplates(static_cast<unsigned>(page.mTemplates.size())),
+    page.mTemplates);
+  results.setMore(page.mHasMore);
+  WriteWatched(mContext, params, results);
+}
+
+auto
+SessionServer::watch(WatchContext aCall) -> kj::Promise<void>
+{
+  const auto params = aCall.getParams();
+  const auto wait =
+    std::min<std::int64_t>(params.getWaitMillis(), kMaxPullWait.count());
+  NoteSubscriber(mContext, mFrom, mDomain, params.getHaveRevision());
+  NoteEntry(mContext, mFrom, FromText(params.getAddress()));
+  if (wait == 0 || HasWatchNews(mContext, params)) {
+    AnswerWatch(aCall);
+    return kj::READY_NOW;
+  }
+  mContext.mWaitingWatches.remove_if(
+    [](auto& aItem) { return !aItem->isWaiting(); });
+  auto pair = kj::newPromiseAndFulfiller<void>();
+  mContext.mWaitingWatches.push_back(kj::mv(pair.fulfiller));
+  return mContext.mTimer.afterDelay(wait * kj::MILLISECONDS)
+    .exclusiveJoin(kj::mv(pair.promise))
+    .then([this, aCall]() mutable { AnswerWatch(aCall); });
+}
+
 auto
 SessionServer::changeMembership(ChangeMembershipContext aCall)
   -> kj::Promise<void>
@@ -236,7 +282,7 @@
                               MemberRole::Learner,
                               0 };
   const auto problem =
-    mContext.mControl->ChangeMembership(AddMemberInput{ member, false });
+    mContext.mControl->ChangeMembership(AddMemberInput{ member, mContext.mSettings.mJoinRule });
   results.setProblem(ToText(problem));
   return kj::READY_NOW;
 }
--- a/src/peers/peer.capnp
+++ b/src/peers/peer.capnp
@@ -7,6 +7,22 @@
   account @0 :Text;
   revision @1 :UInt64;
   document @2 :Data;
+  version @3 :UInt64;
+}
+
+# An endpoint as a control instance knows it.
+struct EndpointRow {
+  id @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  failureDomain @3 :Text;
+  slots @4 :UInt32;
+  state @5 :UInt8;
+  incarnation @6 :UInt64;
+  sequence @7 :UInt64;
+  coldMillis @8 :Int64;
+  ageMillis @9 :Int64;
+  silent @10 :Bool;
 }
 
 struct Joiner {
@@ -55,4 +71,11 @@
   describe @9 () -> (cluster :UInt64, member :UInt64, isControl :Bool);
   join @10 (joiner :Joiner)
     -> (outcome :LeaderOutcome, leader :Text, problem :Text);
+  watch @11 (haveRevision :UInt64, epoch :UInt64, haveChange :UInt64,
+             entriesDigest :UInt64, waitMillis :UInt32, address :Text)
+    -> (quorumAgeMillis :Int64, templates :List(PulledTemplate),
+        epoch :UInt64, change :UInt64, endpoints :List(EndpointRow),
+        entriesDigest :UInt64, entries :List(Text),
+        controls :List(Joiner), more :Bool);
+  share @12 (endpoints :List(EndpointRow)) -> ();
 }
--- a/src/peers/peertask.h
+++ b/src/peers/peertask.h
@@ -18,6 +18,13 @@
   /// Templates in force here rose. The first call may bring a full set; the
   /// revision never falls.
   std::function<void(const TemplateUpdate&)> mOnTemplates;
+  /// A control instance told news of endpoints.
+  std::function<void(const directory::EndpointsUpdate&)> mOnEndpoints;
+  /// A control instance can no longer be reached: what it told of silence is
+  /// void.
+  std::function<void(const std::string& aSource)> mOnSourceLost;
+  /// The peer addresses of the entry instances, this one included.
+  std::function<void(const std::vector<std::string>&)> mOnEntries;
   /// A message sent by SendToPeer of another instance.
   std::function<void(const InstanceId& aFrom, const std::string& aBytes)>
     mOnPeerMessage;
@@ -60,6 +67,14 @@
                          std::string aWork,
                          CommandReply aReply) -> void = 0;
 
+  /// Tells the control instances what an endpoint said. Replies once this one
+  /// has taken it; false when it is of no use here.
+  virtual auto TakeNotice(directory::EndpointNotice aNotice,
+                          std::function<void(bool)> aReply) -> void = 0;
+
+  /// Names control instances besides those of the settings.
+  virtual auto AddControls(std::vector<PeerInstance> aControls) -> void = 0;
+
   virtual auto ChangeMembership(
     MembershipRequest aRequest,
     std::function<void(const MembershipReply&)> aReply) -> void = 0;
--- a/src/peers/types/peersettings.h
+++ b/src/peers/types/peersettings.h
@@ -2,6 +2,8 @@
 
 #include "base/clock.h"
 #include "base/types/ids.h"
+#include "control/types/coreio.h"
+#include "directory/endpointtable.h"
 
 #include <optional>
 #include <vector>
@@ -33,6 +35,14 @@
   std::vector<PeerInstance> mControlInstances;
   /// Instances of the own failure domain, this one may be included.
   std::vector<PeerInstance> mDomainInstances;
+  /// The control instances above are only where to begin: more are learnt from
+  /// them, and this instance follows all that it knows.
+  bool mFollowsAllControls = false;
+  /// A control log may be founded when no control instance has one.
+  bool mMayFound = true;
+  /// Who may join the control log without an operator.
+  JoinRule mJoinRule = JoinRule::Expected;
+  directory::TableSettings mEndpointTable;
   /// Longest time for which a proposal is tried.
   Millis mProposalTime{ 5000 };
 
--- a/src/peers/types/peersevents.h
+++ b/src/peers/types/peersevents.h
@@ -24,4 +24,13 @@
 inline constexpr auto kInstanceReadyEvent =
   Event{ 1408, "instance_caught_up", Severity::Info };
 
+inline constexpr auto kEndpointNoticeEvent =
+  Event{ 1409, "endpoint_notice", Severity::Info };
+inline constexpr auto kEndpointNoticeDroppedEvent =
+  Event{ 1410, "endpoint_notice_dropped", Severity::Debug };
+inline constexpr auto kControlWatchedEvent =
+  Event{ 1411, "control_watched", Severity::Info };
+inline constexpr auto kControlLostEvent =
+  Event{ 1412, "control_lost", Severity::Warning };
+
 } // namespace cuminslip
--- /dev/null
+++ b/src/policy/internal/runverdict.cpp
@@ -0,0 +1,30 @@
+#include "policy/runverdict.h"
+
+namespace cuminslip {
+
+auto
+JudgeRun(SendOutcome aOutcome) -> RunVerdict
+{
+  switch (aOutcome) {
+    case SendOutcome::NotConnected:
+    case SendOutcome::RefusedNotRun:
+      return RunVerdict::NotRun;
+    case SendOutcome::Answered:
+      return RunVerdict::Ran;
+    case SendOutcome::Unanswered:
+    case SendOutcome::NotAnAnswer:
+      break;
+  }
+  return RunVerdict::MayHaveRun;
+}
+
+auto
+MayRepeat(const RepeatFacts& aFacts) -> bool
+{
+  const auto isHarmless = aFacts.mRule == RepeatRule::Always ||
+                          JudgeRun(aFacts.mOutcome) == RunVerdict::NotRun;
+  return isHarmless && aFacts.mSends < aFacts.mMaxSends && aFacts.mHasTime &&
+         aFacts.mHasBudget;
+}
+
+} // namespace cuminslip
--- a/src/program/internal/handlers.cpp
+++ b/src/program/internal/handlers.cpp
@@ -20,26 +20,6 @@
   return { aStatus, { { "content-type", "text/plain" } }, std::move(aText) };
 }
 
-auto
-PortOf(const wire::ResponderPtr& aResponder) -> requests::CallerPort
-{
-  auto port = requests::CallerPort{};
-  port.mRespond = [aResponder](const wire::HttpResponse& aResponse) {
-    wire::SendResponse(aResponder, aResponse);
-  };
-  port.mStartStream = [aResponder](int aStatus, const wire::Headers& aHeaders) {
-    wire::StartStream(aResponder, aStatus, aHeaders);
-  };
-  port.mSendPiece = [aResponder](std::string_view aPiece) {
-    wire::SendPiece(aResponder, aPiece);
-  };
-  port.mFinish = [aResponder] { wire::FinishStream(aResponder); };
-  port.mAbort = [aResponder] { wire::AbortStream(aResponder); };
-  port.mIsClosed = [aResponder] { return wire::IsClosed(aResponder); };
-  port.mUnsentBytes = [aResponder] { return wire::UnsentBytes(aResponder); };
-  return port;
-}
-
 } // namespace
 
 auto
@@ -48,7 +28,7 @@
              const wire::ResponderPtr& aResponder) -> void
 {
   requests::HandleCallerRequest(
-    *aInstance.mFront, aRequest, PortOf(aResponder));
+    *aInstance.mFront, aRequest, wire::PortOf(aResponder));
 }
 
 auto
--- a/src/program/internal/serve.cpp
+++ b/src/program/internal/serve.cpp
@@ -1,11 +1,14 @@
 #include "program/serve.h"
 
+#include "gateway/gateway.h"
+#include "platform/platform.h"
 #include "program/instance.h"
 #include "program/internal/reload.h"
 #include "settings/settings.h"
 
 #include <atomic>
 #include <csignal>
+#include <functional>
 #include <ostream>
 #include <thread>
 
@@ -27,23 +30,71 @@
   return signals;
 }
 
-/// Waits for signals in a thread of its own and passes them on to the front
-/// task, until one of them is a stop. Precondition: they are blocked in every
-/// thread.
+/// Waits for signals in a thread of its own and calls aOnReload and aOnStop
+/// there, until one of them is a stop. Precondition: the signals are blocked in
+/// every thread.
 auto
-WatchSignals(Instance& aInstance, const std::string& aPath) -> std::jthread
+WatchSignals(std::function<void()> aOnReload, std::function<void()> aOnStop)
+  -> std::jthread
 {
-  return std::jthread([&aInstance, aPath] {
-    const auto signals = WatchedSignals();
-    auto number = 0;
-    while (sigwait(&signals, &number) == 0 && number == SIGHUP) {
-      wire::PostToLoop(*aInstance.mLoop, [&aInstance, aPath] {
-        ReloadSettings(aInstance, aPath);
+  return std::jthread(
+    [onReload = std::move(aOnReload), onStop = std::move(aOnStop)] {
+      const auto signals = WatchedSignals();
+      auto number = 0;
+      while (sigwait(&signals, &number) == 0 && number == SIGHUP) {
+        onReload();
+      }
+      onStop();
+    });
+}
+
+auto
+ServeInstance(const Settings& aSettings,
+              const std::string& aPath,
+              std::ostream& aErrors) -> int
+{
+  auto started = CollectOutcome<std::unique_ptr<Instance>>(
+    [&] { return StartInstance(aSettings); });
+  if (!started.mValue) {
+    aErrors << FormatFindings(started.mFindings);
+    return kExitStart;
+  }
+  auto& instance = **started.mValue;
+  const auto watcher = WatchSignals(
+    [&instance, aPath] {
+      wire::PostToLoop(*instance.mLoop, [&instance, aPath] {
+        ReloadSettings(instance, aPath);
       });
-    }
-    wire::PostToLoop(*aInstance.mLoop,
-                     [&aInstance] { BeginGracefulStop(aInstance); });
+    },
+    [&instance] {
+      wire::PostToLoop(*instance.mLoop,
+                       [&instance] { BeginGracefulStop(instance); });
+    });
+  RunInstance(instance);
+  // NOTE: wakes the watcher when the stop came from elsewhere.
+  kill(getpid(), SIGTERM);
+  return 0;
+}
+
+auto
+ServeGateway(const Settings& aSettings,
+             const std::string& aPath,
+             std::ostream& aErrors) -> int
+{
+  auto started = CollectOutcome<gateway::GatewayPtr>([&] {
+    return gateway::StartGateway(aSettings, platform::MakeAdapter());
   });
+  if (!started.mValue) {
+    aErrors << FormatFindings(started.mFindings);
+    return kExitStart;
+  }
+  auto& gateway = **started.mValue;
+  const auto watcher =
+    WatchSignals([&gateway, aPath] { ReloadGateway(gateway, aPath); },
+                 [&gateway] { StopGateway(gateway); });
+  gateway::RunGateway(gateway);
+  kill(getpid(), SIGTERM);
+  return 0;
 }
 
 } // namespace
@@ -60,19 +111,9 @@
   }
   const auto& log = settings.mValue->mLog;
   StartLog(settings.mValue->mInstance.mValue, log.mFile, log.mLowest);
-  auto instance = CollectOutcome<std::unique_ptr<Instance>>(
-    [&] { return StartInstance(*settings.mValue); });
-  if (!instance.mValue) {
-    aErrors << FormatFindings(instance.mFindings);
-    return kExitStart;
-  }
-  {
-    const auto watcher = WatchSignals(**instance.mValue, aPath);
-    RunInstance(**instance.mValue);
-    // NOTE: wakes the watcher when the stop came from elsewhere.
-    kill(getpid(), SIGTERM);
-  }
-  return 0;
+  return settings.mValue->mAdapter == AdapterKind::Platform
+           ? ServeGateway(*settings.mValue, aPath, aErrors)
+           : ServeInstance(*settings.mValue, aPath, aErrors);
 }
 
 } // namespace cuminslip::program
--- a/src/requests/types/ports.h
+++ b/src/requests/types/ports.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "control/types/command.h"
 #include "wire/httpclient.h"
+#include "wire/types/callerport.h"
 #include "wire/types/httpmessage.h"
 
 #include <functional>
@@ -12,18 +13,7 @@
 /// that tests stand in for it. All run on the front task.
 namespace cuminslip::requests {
 
-/// The response side of one caller's request. After mAbort or mFinish, and
-/// once the caller is gone, the others do nothing.
-struct CallerPort
-{
-  std::function<void(const wire::HttpResponse&)> mRespond;
-  std::function<void(int aStatus, const wire::Headers&)> mStartStream;
-  std::function<void(std::string_view aPiece)> mSendPiece;
-  std::function<void()> mFinish;
-  std::function<void()> mAbort;
-  std::function<bool()> mIsClosed;
-  std::function<std::size_t()> mUnsentBytes;
-};
+using wire::CallerPort;
 
 /// Calls to endpoints; the contract is that of wire/httpclient.h.
 struct EndpointPort
--- a/src/settings/internal/settings.cpp
+++ b/src/settings/internal/settings.cpp
@@ -51,6 +51,9 @@
   settings.mFencing = settings::ReadFencing(aRoot);
   settings.mWeightStore = settings::ReadWeightStore(aRoot);
   settings.mPolicy = settings::ReadPolicy(aRoot);
+  settings.mAdapter = settings::ReadAdapter(aRoot);
+  settings.mDiscovery = settings::ReadDiscovery(aRoot);
+  settings.mRetries = settings::ReadRetries(aRoot);
   settings.mLog = settings::ReadLog(aRoot);
   documents::CloseSection(aRoot);
   return settings;
--- a/src/settings/internal/settingschecks.cpp
+++ b/src/settings/internal/settingschecks.cpp
@@ -68,7 +68,9 @@
   if (HasRole(aSettings, Role::Entry)) {
     const auto reason = std::string("the instance has the entry role");
     RequireListener(aRoot, "caller", listen.mCaller, reason);
-    RequireListener(aRoot, "endpoint", listen.mEndpoint, reason);
+    if (aSettings.mAdapter == AdapterKind::None) {
+      RequireListener(aRoot, "endpoint", listen.mEndpoint, reason);
+    }
   }
   RequireListener(
     aRoot, "platform", listen.mPlatform, "the platform asks for liveness");
@@ -116,9 +118,34 @@
   }
 }
 
+/// With discovery the control instances are not listed.
+auto
+CheckDiscovery(Section& aRoot, const Settings& aSettings) -> void
+{
+  RequireListener(
+    aRoot, "peer", aSettings.mListen.mPeer, "there are seeds to talk to");
+  if (!aSettings.mControlInstances.empty()) {
+    AddProblem(aRoot,
+               "control_instances",
+               "given beside discovery.seeds",
+               "one of the two");
+  }
+  const auto& peer = aSettings.mListen.mPeer;
+  if (peer && peer->mPort != aSettings.mDiscovery.mPeerPort) {
+    AddProblem(aRoot,
+               "listen",
+               "peer has another port than discovery.peer_port",
+               "the port that all instances use");
+  }
+}
+
 auto
 CheckControlInstances(Section& aRoot, const Settings& aSettings) -> void
 {
+  if (!aSettings.mDiscovery.mSeeds.empty()) {
+    CheckDiscovery(aRoot, aSettings);
+    return;
+  }
   const auto& instances = aSettings.mControlInstances;
   const auto isControl = HasRole(aSettings, Role::Control);
   const auto* self = FindSelf(aSettings);
--- a/src/settings/internal/settingssections.cpp
+++ b/src/settings/internal/settingssections.cpp
@@ -38,6 +38,11 @@
   Choice<QueuePolicy>{ "first_come", QueuePolicy::FirstCome },
 };
 
+constexpr auto kAdapterChoices = std::array{
+  Choice<AdapterKind>{ "none", AdapterKind::None },
+  Choice<AdapterKind>{ "platform", AdapterKind::Platform },
+};
+
 constexpr auto kLevelChoices = std::array{
   Choice<Severity>{ "debug", Severity::Debug },
   Choice<Severity>{ "info", Severity::Info },
@@ -275,6 +280,54 @@
   return policy;
 }
 
+auto
+ReadAdapter(Section& aRoot) -> AdapterKind
+{
+  return documents::ReadChoice(
+    aRoot, "adapter", AdapterKind::None, kAdapterChoices);
+}
+
+auto
+ReadDiscovery(Section& aRoot) -> DiscoverySettings
+{
+  auto section = OpenSection(aRoot, "discovery");
+  const auto base = DiscoverySettings{};
+  auto discovery = DiscoverySettings{};
+  for (const auto& text : documents::ReadTexts(section, "seeds")) {
+    const auto address = wire::ParseAddress(text);
+    if (!address) {
+      AddProblem(section, "seeds", "has \"" + text + "\"", kAddressForm);
+      continue;
+    }
+    discovery.mSeeds.push_back(*address);
+  }
+  discovery.mPeerPort =
+    documents::ReadInteger(section, "peer_port", base.mPeerPort, { 1, 65535 });
+  discovery.mMayFound =
+    documents::ReadBool(section, "may_found", base.mMayFound);
+  discovery.mHeartbeat =
+    documents::ReadDuration(section, "heartbeat", base.mHeartbeat);
+  if (!discovery.mSeeds.empty() && discovery.mPeerPort == 0) {
+    AddProblem(section, "peer_port", "missing", "a port, since there are seeds");
+  }
+  CloseSection(section);
+  return discovery;
+}
+
+auto
+ReadRetries(Section& aRoot) -> RetryBudgetSettings
+{
+  auto section = OpenSection(aRoot, "retries");
+  const auto base = RetryBudgetSettings{};
+  auto retries = RetryBudgetSettings{};
+  retries.mRatio = documents::ReadNumber(section, "ratio", base.mRatio, { 0, 1 });
+  retries.mSlack = documents::ReadInteger(
+    section, "slack", base.mSlack, { 0, kHighestCount });
+  retries.mWindow = documents::ReadDuration(section, "window", base.mWindow);
+  CloseSection(section);
+  return retries;
+}
+
 auto
 ReadLog(Section& aRoot) -> LogSettings
 {
--- a/src/settings/internal/settingssections.h
+++ b/src/settings/internal/settingssections.h
@@ -34,6 +34,15 @@
 auto
 ReadPolicy(documents::Section& aRoot) -> PolicySettings;
 
+auto
+ReadAdapter(documents::Section& aRoot) -> AdapterKind;
+
+auto
+ReadDiscovery(documents::Section& aRoot) -> DiscoverySettings;
+
+auto
+ReadRetries(documents::Section& aRoot) -> RetryBudgetSettings;
+
 auto
 ReadLog(documents::Section& aRoot) -> LogSettings;
 
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -144,6 +144,44 @@
   auto operator==(const PolicySettings&) const -> bool = default;
 };
 
+/// Whose interfaces the instance speaks towards callers, operators and
+/// endpoints.
+enum class AdapterKind : std::uint8_t
+{
+  /// The product's own, docs/INTERFACES.md.
+  None,
+  /// The users' platform, docs/design/platform.md.
+  Platform
+};
+
+/// How control instances are found that the settings do not list.
+struct DiscoverySettings
+{
+  /// Addresses at which control instances are called from outside. Their hosts
+  /// are where control instances are; empty turns discovery off.
+  std::vector<wire::SocketAddress> mSeeds;
+  /// Port at which every instance listens for its peers.
+  std::int64_t mPeerPort = 0;
+  /// The control log may be founded: the whole system starts for the first
+  /// time.
+  bool mMayFound = false;
+  /// Interval at which endpoints send heartbeats.
+  Millis mHeartbeat{ 1000 };
+
+  auto operator==(const DiscoverySettings&) const -> bool = default;
+};
+
+/// The budget for repeated sends that all instances share; see
+/// policy/retrybudget.h.
+struct RetryBudgetSettings
+{
+  double mRatio = 0.2;
+  std::int64_t mSlack = 0;
+  Millis mWindow{ 10000 };
+
+  auto operator==(const RetryBudgetSettings&) const -> bool = default;
+};
+
 struct LogSettings
 {
   /// Empty for standard error.
@@ -171,6 +209,9 @@
   FencingSettings mFencing;
   WeightStoreSettings mWeightStore;
   PolicySettings mPolicy;
+  AdapterKind mAdapter = AdapterKind::None;
+  DiscoverySettings mDiscovery;
+  RetryBudgetSettings mRetries;
   LogSettings mLog;
 
   auto operator==(const Settings&) const -> bool = default;
--- /dev/null
+++ b/src/wire/connectionpool.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "wire/eventloop.h"
+#include "wire/types/httpmessage.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+/// HTTP/1.1 client that keeps connections between exchanges. It frames answers
+/// itself, on h2o's sockets, so that a cut answer is told from a whole one and
+/// an answer to another request is never taken for the one awaited. All
+/// functions are for the loop's thread.
+namespace cuminslip::wire {
+
+/// How an exchange ended.
+enum class ExchangeEnd : std::uint8_t
+{
+  /// The answer was received whole.
+  Complete,
+  /// No connection was made; no byte of the request was sent.
+  NotConnected,
+  /// The connection ended before the answer was whole.
+  Broken,
+  /// The bytes received are no HTTP answer, or its head is too large.
+  Malformed
+};
+
+/// One request and how to send it. The request's headers are sent as they are,
+/// with a content-length for its body.
+struct Exchange
+{
+  SocketAddress mAddress;
+  HttpRequest mRequest;
+  /// A header that the answer repeats. An answer with another value belongs to
+  /// an earlier request and is dropped. Not checked when the name is empty.
+  Header mEcho;
+  /// Never uses a kept connection, whose server may be closing it.
+  bool mNeedsNewConnection = false;
+  Millis mConnectTimeout{ 1000 };
+
+  auto operator==(const Exchange&) const -> bool = default;
+};
+
+struct ExchangeResult
+{
+  ExchangeEnd mEnd = ExchangeEnd::Complete;
+  /// The request went over a connection that had served another before.
+  bool mWasKept = false;
+
+  auto operator==(const ExchangeResult&) const -> bool = default;
+};
+
+/// mOnEnd comes exactly once unless the exchange is cancelled; after it, and
+/// after a cancel, nothing more comes. None runs before StartExchange returns.
+struct ExchangeHandlers
+{
+  std::function<void(int aStatus, const Headers& aHeaders)> mOnHead;
+  std::function<void(std::string_view aPiece)> mOnPiece;
+  std::function<void(const ExchangeResult& aResult)> mOnEnd;
+};
+
+struct PoolSettings
+{
+  /// Idle connections kept for each address.
+  std::size_t mMaxIdlePerAddress = 8;
+  /// Idle connections are not used after this long, or after the time that the
+  /// server stated, less a margin.
+  Millis mMaxIdleTime{ 4000 };
+  /// A peer that acknowledges nothing for this long is taken as lost.
+  Millis mSilenceTimeout{ 2000 };
+  std::size_t mMaxHeadBytes = std::size_t{ 32 } * 1024;
+
+  auto operator==(const PoolSettings&) const -> bool = default;
+};
+
+struct PoolCounters
+{
+  std::uint64_t mConnectionsOpened = 0;
+  std::uint64_t mForeignAnswers = 0;
+  std::uint64_t mStrayBytes = 0;
+
+  auto operator==(const PoolCounters&) const -> bool = default;
+};
+
+struct ConnectionPool;
+struct ConnectionPoolDeleter
+{
+  auto operator()(ConnectionPool* aPool) const -> void;
+};
+using ConnectionPoolPtr =
+  std::unique_ptr<ConnectionPool, ConnectionPoolDeleter>;
+
+/// Number of a started exchange; 0 is never one.
+using ExchangeId = std::uint64_t;
+
+/// Creates a pool. Destroying it cancels its exchanges. Precondition: aLoop
+/// outlives it.
+auto
+CreateConnectionPool(EventLoop& aLoop, PoolSettings aSettings)
+  -> ConnectionPoolPtr;
+
+/// Sends a request, over a kept connection if there is one.
+auto
+StartExchange(ConnectionPool& aPool,
+              Exchange aExchange,
+              ExchangeHandlers aHandlers) -> ExchangeId;
+
+/// Closes the exchange's connection. One that has ended, or 0, is ignored.
+auto
+CancelExchange(ConnectionPool& aPool, ExchangeId aExchange) -> void;
+
+/// Closes the idle connections to an address.
+auto
+DropIdle(ConnectionPool& aPool, const SocketAddress& aAddress) -> void;
+
+auto
+CountersOf(const ConnectionPool& aPool) -> const PoolCounters&;
+
+} // namespace cuminslip::wire
--- a/src/wire/httpserver.h
+++ b/src/wire/httpserver.h
@@ -3,6 +3,7 @@
 #include "base/findings.h"
 #include "wire/eventloop.h"
 #include "wire/tls.h"
+#include "wire/types/callerport.h"
 #include "wire/types/httpmessage.h"
 
 #include <cstddef>
@@ -59,6 +60,10 @@
 auto
 StopAccepting(HttpServer& aServer) -> void;
 
+/// Makes each later answer the last one of its connection.
+auto
+CloseAfterAnswers(HttpServer& aServer) -> void;
+
 /// Number of connections open now.
 auto
 CountConnections(const HttpServer& aServer) -> std::size_t;
@@ -102,4 +107,8 @@
 SetCloseHandler(const ResponderPtr& aResponder, std::function<void()> aAction)
   -> void;
 
+/// The responder as a port.
+auto
+PortOf(const ResponderPtr& aResponder) -> CallerPort;
+
 } // namespace cuminslip::wire
--- /dev/null
+++ b/src/wire/internal/answerparser.cpp
@@ -0,0 +1,206 @@
+#include "wire/internal/answerparser.h"
+
+#include <sys/types.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string>
+
+// NOTE: libh2o exports its copy of picohttpparser without a header.
+struct phr_header
+{
+  const char* mName;
+  std::size_t mNameSize;
+  const char* mValue;
+  std::size_t mValueSize;
+};
+
+extern "C"
+{
+  // NOLINTBEGIN(readability-identifier-naming)
+  auto phr_parse_response(const char* aBytes,
+                          std::size_t aSize,
+                          int* aMinorVersion,
+                          int* aStatus,
+                          const char** aReason,
+                          std::size_t* aReasonSize,
+                          phr_header* aHeaders,
+                          std::size_t* aHeaderCount,
+                          std::size_t aLastSize) -> int;
+  auto phr_decode_chunked(cuminslip::wire::ChunkDecoder* aDecoder,
+                          char* aBytes,
+                          std::size_t* aSize) -> ssize_t;
+  // NOLINTEND(readability-identifier-naming)
+}
+
+namespace cuminslip::wire {
+
+namespace {
+
+constexpr auto kMaxHeaders = std::size_t{ 100 };
+constexpr auto kIncomplete = -2;
+constexpr auto kFirstFinalStatus = 200;
+constexpr auto kNoContent = 204;
+constexpr auto kNotModified = 304;
+
+auto
+ToLower(std::string_view aText) -> std::string
+{
+  auto text = std::string(aText);
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char a) {
+    return a >= 'A' && a <= 'Z' ? static_cast<char>(a - 'A' + 'a')
+                                : static_cast<char>(a);
+  });
+  return text;
+}
+
+auto
+ReadNumber(std::string_view aText) -> std::optional<std::size_t>
+{
+  auto number = std::size_t{ 0 };
+  const auto* end = aText.data() + aText.size();
+  const auto [rest, ec] = std::from_chars(aText.data(), end, number);
+  if (ec != std::errc{} || rest != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+auto
+ReadKeepAlive(const Headers& aHeaders) -> std::optional<int>
+{
+  constexpr auto kKey = std::string_view("timeout=");
+  const auto value = ToLower(FindHeader(aHeaders, "keep-alive").value_or(""));
+  const auto begin = value.find(kKey);
+  if (begin == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto digits = value.substr(begin + kKey.size());
+  const auto size = digits.find_first_not_of("0123456789");
+  const auto number = ReadNumber(std::string_view(digits).substr(0, size));
+  return number ? std::optional(static_cast<int>(*number)) : std::nullopt;
+}
+
+/// Sets the phase for the body that follows aHead.
+auto
+EnterBody(AnswerParser& aParser, const AnswerHead& aHead) -> void
+{
+  const auto coding =
+    ToLower(FindHeader(aHead.mHeaders, "transfer-encoding").value_or(""));
+  const auto length = FindHeader(aHead.mHeaders, "content-length");
+  if (aHead.mStatus == kNoContent || aHead.mStatus == kNotModified) {
+    aParser.mPhase = AnswerPhase::Done;
+  } else if (coding == "chunked") {
+    aParser.mPhase = AnswerPhase::ChunkedBody;
+    aParser.mChunks = {};
+  } else if (!coding.empty()) {
+    aParser.mPhase = AnswerPhase::Failed;
+  } else if (length) {
+    const auto number = ReadNumber(*length);
+    aParser.mBodyLeft = number.value_or(0);
+    aParser.mPhase = !number        ? AnswerPhase::Failed
+                     : *number == 0 ? AnswerPhase::Done
+                                    : AnswerPhase::LengthBody;
+  } else {
+    aParser.mPhase = AnswerPhase::OpenBody;
+  }
+}
+
+auto
+ParseHead(AnswerParser& aParser, const char* aBytes, std::size_t aSize)
+  -> ParsedPart
+{
+  auto headers = std::array<phr_header, kMaxHeaders>{};
+  auto count = headers.size();
+  auto minor = 0;
+  auto head = AnswerHead{};
+  const char* reason = nullptr;
+  auto reasonSize = std::size_t{ 0 };
+  const auto used = phr_parse_response(aBytes,
+                                       aSize,
+                                       &minor,
+                                       &head.mStatus,
+                                       &reason,
+                                       &reasonSize,
+                                       headers.data(),
+                                       &count,
+                                       0);
+  if (used == kIncomplete && aSize <= aParser.mMaxHeadBytes) {
+    return {};
+  }
+  if (used < 0) {
+    aParser.mPhase = AnswerPhase::Failed;
+    return {};
+  }
+  for (auto i = std::size_t{ 0 }; i < count; ++i) {
+    const auto& it = headers.at(i);
+    head.mHeaders.push_back({ ToLower({ it.mName, it.mNameSize }),
+                              { it.mValue, it.mValueSize } });
+  }
+  const auto connection =
+    ToLower(FindHeader(head.mHeaders, "connection").value_or(""));
+  head.mIsPersistent =
+    minor == 0 ? connection == "keep-alive" : connection != "close";
+  head.mKeepAliveSeconds = ReadKeepAlive(head.mHeaders);
+  auto part = ParsedPart{};
+  part.mConsumed = static_cast<std::size_t>(used);
+  part.mLeft = aSize - part.mConsumed;
+  // NOTE: an interim answer is followed by the final one.
+  if (head.mStatus >= kFirstFinalStatus) {
+    EnterBody(aParser, head);
+    part.mHead = std::move(head);
+  }
+  return part;
+}
+
+auto
+ParseChunks(AnswerParser& aParser, char* aBytes, std::size_t aSize)
+  -> ParsedPart
+{
+  auto decoded = aSize;
+  const auto left = phr_decode_chunked(&aParser.mChunks, aBytes, &decoded);
+  if (left == -1) {
+    aParser.mPhase = AnswerPhase::Failed;
+    return {};
+  }
+  auto part = ParsedPart{};
+  part.mPiece = { aBytes, decoded };
+  if (left == kIncomplete) {
+    part.mConsumed = aSize;
+    return part;
+  }
+  // NOTE: the bytes behind the body now stand behind the decoded ones.
+  aParser.mPhase = AnswerPhase::Done;
+  part.mConsumed = decoded;
+  part.mLeft = static_cast<std::size_t>(left);
+  return part;
+}
+
+} // namespace
+
+auto
+ParseAnswer(AnswerParser& aParser, char* aBytes, std::size_t aSize)
+  -> ParsedPart
+{
+  if (aParser.mPhase == AnswerPhase::Head) {
+    return ParseHead(aParser, aBytes, aSize);
+  }
+  if (aParser.mPhase == AnswerPhase::ChunkedBody) {
+    return ParseChunks(aParser, aBytes, aSize);
+  }
+  auto part = ParsedPart{};
+  part.mConsumed = aSize;
+  if (aParser.mPhase == AnswerPhase::LengthBody) {
+    part.mConsumed = std::min(aSize, aParser.mBodyLeft);
+    aParser.mBodyLeft -= part.mConsumed;
+    if (aParser.mBodyLeft == 0) {
+      aParser.mPhase = AnswerPhase::Done;
+    }
+  }
+  part.mPiece = { aBytes, part.mConsumed };
+  part.mLeft = aSize - part.mConsumed;
+  return part;
+}
+
+} // namespace cuminslip::wire
--- /dev/null
+++ b/src/wire/internal/connectionpool.cpp
@@ -0,0 +1,454 @@
+#include "wire/connectionpool.h"
+
+#include "wire/internal/answerparser.h"
+#include "wire/internal/eventloopstate.h"
+#include "wire/internal/socketaddress.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace cuminslip::wire {
+
+namespace {
+
+using ConnectionId = std::uint64_t;
+
+/// A kept connection is not used when its server may close it this soon.
+constexpr auto kKeepAliveMargin = Millis(1000);
+/// Probes of a connection that waits for an answer: seconds until the first,
+/// and between them.
+constexpr auto kProbeSeconds = 1;
+constexpr auto kProbeCount = 2;
+
+struct Connection
+{
+  ConnectionPool* mPool = nullptr;
+  ConnectionId mId = 0;
+  SocketAddress mAddress;
+  h2o_socket_t* mSocket = nullptr;
+  bool mIsConnected = false;
+  bool mIsWriting = false;
+  /// The server keeps the connection, and nothing odd was seen on it.
+  bool mIsReusable = true;
+  bool mWasKept = false;
+  /// 0 while idle.
+  ExchangeId mExchange = 0;
+  Exchange mRequest;
+  /// Shared with the call under way, which may cancel the exchange.
+  std::shared_ptr<ExchangeHandlers> mHandlers;
+  std::string mOutput;
+  AnswerParser mParser;
+  /// The answer being received belongs to an earlier request.
+  bool mIsForeign = false;
+  TimerId mConnectTimer = 0;
+  TimePoint mIdleSince{};
+  Millis mIdleTime{ 0 };
+};
+
+} // namespace
+
+struct ConnectionPool
+{
+  EventLoop* mLoop = nullptr;
+  PoolSettings mSettings;
+  PoolCounters mCounters;
+  std::uint64_t mNextId = 1;
+  std::map<ConnectionId, std::unique_ptr<Connection>> mConnections;
+  std::map<ExchangeId, ConnectionId> mExchanges;
+  /// Most recently used last.
+  std::map<SocketAddress, std::vector<ConnectionId>> mIdle;
+};
+
+namespace {
+
+auto
+FormatRequest(const HttpRequest& aRequest) -> std::string
+{
+  auto text = aRequest.mMethod + " " + aRequest.mPath;
+  if (!aRequest.mQuery.empty()) {
+    text += "?" + aRequest.mQuery;
+  }
+  text += " HTTP/1.1\r\n";
+  for (const auto& it : aRequest.mHeaders) {
+    text += it.mName + ": " + it.mValue + "\r\n";
+  }
+  const auto hasBody =
+    !aRequest.mBody.empty() ||
+    (aRequest.mMethod != "GET" && aRequest.mMethod != "HEAD");
+  if (hasBody) {
+    text +=
+      "content-length: " + std::to_string(aRequest.mBody.size()) + "\r\n";
+  }
+  text += "\r\n";
+  text += aRequest.mBody;
+  return text;
+}
+
+auto
+FindConnection(ConnectionPool& aPool, ConnectionId aId) -> Connection*
+{
+  const auto it = aPool.mConnections.find(aId);
+  return it == aPool.mConnections.end() ? nullptr : it->second.get();
+}
+
+auto
+RemoveIdle(ConnectionPool& aPool, const Connection& aConnection) -> void
+{
+  const auto it = aPool.mIdle.find(aConnection.mAddress);
+  if (it == aPool.mIdle.end()) {
+    return;
+  }
+  std::erase(it->second, aConnection.mId);
+  if (it->second.empty()) {
+    aPool.mIdle.erase(it);
+  }
+}
+
+/// Closes and forgets a connection; its handlers are not called.
+auto
+CloseConnection(ConnectionPool& aPool, Connection& aConnection) -> void
+{
+  StopTimer(*aPool.mLoop, aConnection.mConnectTimer);
+  aPool.mExchanges.erase(aConnection.mExchange);
+  RemoveIdle(aPool, aConnection);
+  if (aConnection.mSocket != nullptr) {
+    aConnection.mSocket->data = nullptr;
+    h2o_socket_close(aConnection.mSocket);
+  }
+  aPool.mConnections.erase(aConnection.mId);
+}
+
+/// Ends the exchange of a connection that can't be used again.
+auto
+FailConnection(Connection& aConnection, ExchangeEnd aEnd) -> void
+{
+  auto& pool = *aConnection.mPool;
+  const auto isActive = aConnection.mExchange != 0;
+  const auto handlers = aConnection.mHandlers;
+  const auto result = ExchangeResult{ aEnd, aConnection.mWasKept };
+  CloseConnection(pool, aConnection);
+  if (isActive && handlers->mOnEnd) {
+    handlers->mOnEnd(result);
+  }
+}
+
+/// Keeps a connection whose answer was received whole, or closes it.
+auto
+CompleteExchange(Connection& aConnection, std::size_t aBytesLeft) -> void
+{
+  auto& pool = *aConnection.mPool;
+  pool.mCounters.mStrayBytes += aBytesLeft;
+  const auto isKept =
+    aConnection.mIsReusable && !aConnection.mIsWriting && aBytesLeft == 0 &&
+    pool.mIdle[aConnection.mAddress].size() <
+      pool.mSettings.mMaxIdlePerAddress;
+  if (!isKept) {
+    FailConnection(aConnection, ExchangeEnd::Complete);
+    return;
+  }
+  const auto handlers = std::move(aConnection.mHandlers);
+  const auto result =
+    ExchangeResult{ ExchangeEnd::Complete, aConnection.mWasKept };
+  pool.mExchanges.erase(std::exchange(aConnection.mExchange, 0));
+  aConnection.mRequest = {};
+  aConnection.mOutput = {};
+  aConnection.mIdleSince = MonotonicNow();
+  pool.mIdle[aConnection.mAddress].push_back(aConnection.mId);
+  if (handlers->mOnEnd) {
+    handlers->mOnEnd(result);
+  }
+}
+
+/// Notes what a head says of the connection, and passes it on.
+auto
+TakeHead(Connection& aConnection, const AnswerHead& aHead) -> void
+{
+  const auto& pool = *aConnection.mPool;
+  aConnection.mIsReusable = aConnection.mIsReusable && aHead.mIsPersistent;
+  aConnection.mIdleTime = pool.mSettings.mMaxIdleTime;
+  if (aHead.mKeepAliveSeconds) {
+    const auto stated = Millis(Seconds(*aHead.mKeepAliveSeconds));
+    aConnection.mIdleTime =
+      std::min(aConnection.mIdleTime, stated - kKeepAliveMargin);
+  }
+  const auto& echo = aConnection.mRequest.mEcho;
+  const auto answered = FindHeader(aHead.mHeaders, echo.mName);
+  aConnection.mIsForeign =
+    !echo.mName.empty() && answered && *answered != echo.mValue;
+  if (aConnection.mIsForeign) {
+    ++aConnection.mPool->mCounters.mForeignAnswers;
+    aConnection.mIsReusable = false;
+    return;
+  }
+  const auto handlers = aConnection.mHandlers;
+  if (handlers->mOnHead) {
+    handlers->mOnHead(aHead.mStatus, aHead.mHeaders);
+  }
+}
+
+/// Takes one part of the input. False when the connection needs more bytes or
+/// is gone.
+auto
+TakePart(ConnectionPool& aPool, ConnectionId aId) -> bool
+{
+  auto* connection = FindConnection(aPool, aId);
+  if (connection == nullptr) {
+    return false;
+  }
+  auto& input = connection->mSocket->input;
+  if (input->size == 0) {
+    return false;
+  }
+  if (connection->mExchange == 0) {
+    aPool.mCounters.mStrayBytes += input->size;
+    CloseConnection(aPool, *connection);
+    return false;
+  }
+  const auto part = ParseAnswer(connection->mParser, input->bytes, input->size);
+  if (connection->mParser.mPhase == AnswerPhase::Failed) {
+    FailConnection(*connection, ExchangeEnd::Malformed);
+    return false;
+  }
+  if (part.mConsumed == 0 && !part.mHead) {
+    return false;
+  }
+  if (part.mHead) {
+    TakeHead(*connection, *part.mHead);
+  } else if (!part.mPiece.empty() && !connection->mIsForeign) {
+    const auto handlers = connection->mHandlers;
+    if (handlers->mOnPiece) {
+      handlers->mOnPiece(part.mPiece);
+    }
+  }
+  // NOTE: a handler may have cancelled the exchange.
+  connection = FindConnection(aPool, aId);
+  if (connection == nullptr) {
+    return false;
+  }
+  auto& rest = connection->mSocket->input;
+  h2o_buffer_consume(&rest, part.mConsumed);
+  rest->size = part.mLeft;
+  if (connection->mParser.mPhase != AnswerPhase::Done) {
+    return true;
+  }
+  if (connection->mIsForeign) {
+    connection->mParser = {};
+    connection->mIsForeign = false;
+    return true;
+  }
+  CompleteExchange(*connection, part.mLeft);
+  return false;
+}
+
+auto
+OnRead(h2o_socket_t* aSocket, const char* aError) -> void
+{
+  auto* connection = static_cast<Connection*>(aSocket->data);
+  if (connection == nullptr) {
+    return;
+  }
+  auto& pool = *connection->mPool;
+  const auto id = connection->mId;
+  while (TakePart(pool, id)) {
+  }
+  connection = FindConnection(pool, id);
+  if (connection == nullptr || aError == nullptr) {
+    return;
+  }
+  const auto isWhole = aError == h2o_socket_error_closed &&
+                       connection->mParser.mPhase == AnswerPhase::OpenBody &&
+                       !connection->mIsForeign && connection->mExchange != 0;
+  FailConnection(*connection,
+                 isWhole ? ExchangeEnd::Complete : ExchangeEnd::Broken);
+}
+
+auto
+OnWritten(h2o_socket_t* aSocket, const char* aError) -> void
+{
+  auto* connection = static_cast<Connection*>(aSocket->data);
+  if (connection == nullptr) {
+    return;
+  }
+  connection->mIsWriting = false;
+  // NOTE: after a failed write the answer may still be there to be read.
+  if (aError != nullptr) {
+    connection->mIsReusable = false;
+  }
+}
+
+auto
+SendRequest(Connection& aConnection) -> void
+{
+  aConnection.mParser = {};
+  aConnection.mParser.mMaxHeadBytes =
+    aConnection.mPool->mSettings.mMaxHeadBytes;
+  aConnection.mIsForeign = false;
+  aConnection.mOutput = FormatRequest(aConnection.mRequest.mRequest);
+  aConnection.mIsWriting = true;
+  auto buf = h2o_iovec_init(aConnection.mOutput.data(),
+                            aConnection.mOutput.size());
+  h2o_socket_write(aConnection.mSocket, &buf, 1, OnWritten);
+}
+
+auto
+SetOptions(const Connection& aConnection) -> void
+{
+  const auto fd = h2o_socket_get_fd(aConnection.mSocket);
+  const auto silence = static_cast<unsigned>(
+    aConnection.mPool->mSettings.mSilenceTimeout.count());
+  const auto on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence, sizeof(silence));
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(
+    fd, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeSeconds, sizeof(kProbeSeconds));
+  setsockopt(
+    fd, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeSeconds, sizeof(kProbeSeconds));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kProbeCount, sizeof(kProbeCount));
+}
+
+auto
+OnConnected(h2o_socket_t* aSocket, const char* aError) -> void
+{
+  auto* connection = static_cast<Connection*>(aSocket->data);
+  if (connection == nullptr) {
+    return;
+  }
+  StopTimer(*connection->mPool->mLoop,
+            std::exchange(connection->mConnectTimer, 0));
+  if (aError != nullptr) {
+    FailConnection(*connection, ExchangeEnd::NotConnected);
+    return;
+  }
+  connection->mIsConnected = true;
+  SetOptions(*connection);
+  h2o_socket_read_start(connection->mSocket, OnRead);
+  SendRequest(*connection);
+}
+
+auto
+Connect(ConnectionPool& aPool, Connection& aConnection) -> void
+{
+  ++aPool.mCounters.mConnectionsOpened;
+  if (auto address = ToSystemAddress(aConnection.mAddress)) {
+    aConnection.mSocket =
+      h2o_socket_connect(aPool.mLoop->mLoop,
+                         reinterpret_cast<sockaddr*>(&*address),
+                         sizeof(*address),
+                         OnConnected);
+  }
+  const auto fail = [&aPool, id = aConnection.mId] {
+    if (auto* connection = FindConnection(aPool, id)) {
+      connection->mConnectTimer = 0;
+      FailConnection(*connection, ExchangeEnd::NotConnected);
+    }
+  };
+  if (aConnection.mSocket == nullptr) {
+    aConnection.mConnectTimer = StartTimer(*aPool.mLoop, Micros(0), fail);
+    return;
+  }
+  aConnection.mSocket->data = &aConnection;
+  aConnection.mConnectTimer = StartTimer(
+    *aPool.mLoop, aConnection.mRequest.mConnectTimeout, fail);
+}
+
+/// The idle connection used last, or null. Closes those idle for too long.
+auto
+TakeIdle(ConnectionPool& aPool, const SocketAddress& aAddress) -> Connection*
+{
+  const auto now = MonotonicNow();
+  while (true) {
+    const auto it = aPool.mIdle.find(aAddress);
+    if (it == aPool.mIdle.end() || it->second.empty()) {
+      return nullptr;
+    }
+    auto* connection = FindConnection(aPool, it->second.back());
+    if (connection->mIdleSince + connection->mIdleTime > now) {
+      RemoveIdle(aPool, *connection);
+      return connection;
+    }
+    CloseConnection(aPool, *connection);
+  }
+}
+
+} // namespace
+
+auto
+ConnectionPoolDeleter::operator()(ConnectionPool* aPool) const -> void
+{
+  while (!aPool->mConnections.empty()) {
+    CloseConnection(*aPool, *aPool->mConnections.begin()->second);
+  }
+  delete aPool;
+}
+
+auto
+CreateConnectionPool(EventLoop& aLoop, PoolSettings aSettings)
+  -> ConnectionPoolPtr
+{
+  auto pool = ConnectionPoolPtr(new ConnectionPool);
+  pool->mLoop = &aLoop;
+  pool->mSettings = aSettings;
+  return pool;
+}
+
+auto
+StartExchange(ConnectionPool& aPool,
+              Exchange aExchange,
+              ExchangeHandlers aHandlers) -> ExchangeId
+{
+  const auto id = aPool.mNextId++;
+  auto* connection = aExchange.mNeedsNewConnection
+                       ? nullptr
+                       : TakeIdle(aPool, aExchange.mAddress);
+  const auto isKept = connection != nullptr;
+  if (!isKept) {
+    auto created = std::make_unique<Connection>();
+    connection = created.get();
+    connection->mPool = &aPool;
+    connection->mId = aPool.mNextId++;
+    connection->mAddress = aExchange.mAddress;
+    aPool.mConnections.emplace(connection->mId, std::move(created));
+  }
+  connection->mWasKept = isKept;
+  connection->mExchange = id;
+  connection->mRequest = std::move(aExchange);
+  connection->mHandlers =
+    std::make_shared<ExchangeHandlers>(std::move(aHandlers));
+  aPool.mExchanges.emplace(id, connection->mId);
+  if (isKept) {
+    SendRequest(*connection);
+  } else {
+    Connect(aPool, *connection);
+  }
+  return id;
+}
+
+auto
+CancelExchange(ConnectionPool& aPool, ExchangeId aExchange) -> void
+{
+  const auto it = aPool.mExchanges.find(aExchange);
+  if (it != aPool.mExchanges.end()) {
+    CloseConnection(aPool, *FindConnection(aPool, it->second));
+  }
+}
+
+auto
+DropIdle(ConnectionPool& aPool, const SocketAddress& aAddress) -> void
+{
+  auto it = aPool.mIdle.find(aAddress);
+  while (it != aPool.mIdle.end() && !it->second.empty()) {
+    CloseConnection(aPool, *FindConnection(aPool, it->second.back()));
+    it = aPool.mIdle.find(aAddress);
+  }
+}
+
+auto
+CountersOf(const ConnectionPool& aPool) -> const PoolCounters&
+{
+  return aPool.mCounters;
+}
+
+} // namespace cuminslip::wire
--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -1,9 +1,9 @@
 #include "wire/httpserver.h"
 
 #include "wire/internal/eventloopstate.h"
+#include "wire/internal/socketaddress.h"
 #include "wire/internal/tlscontext.h"
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -20,6 +20,8 @@
 
 struct Responder
 {
+  /// Outlives mRequest.
+  const HttpServer* mServer = nullptr;
   h2o_req_t* mRequest = nullptr;
   struct Generator* mGenerator = nullptr;
   std::string mPending;
@@ -57,6 +59,8 @@
   TlsContextPtr mTls;
   ListenerLimits mLimits;
   RequestHandler mHandler;
+  /// Each answer closes its connection.
+  bool mIsClosing = false;
   std::shared_ptr<std::set<h2o_socket_t*>> mConnections =
     std::make_shared<std::set<h2o_socket_t*>>();
   std::vector<std::weak_ptr<Responder>> mResponders;
@@ -98,6 +102,7 @@
       { ToString(*header.name), ToString(header.value) });
   }
   request.mBody = ToString(aRequest.entity);
+  request.mHost = ToString(aRequest.input.authority);
   return request;
 }
 
@@ -200,6 +205,7 @@
 {
   auto* server = reinterpret_cast<ServerHandler*>(aHandler)->mServer;
   const auto responder = AttachResponder(aRequest);
+  responder->mServer = server;
   RememberResponder(*server, responder);
   server->mHandler(ToHttpRequest(*aRequest), responder);
   return 0;
@@ -246,16 +252,16 @@
 auto
 OpenListener(const SocketAddress& aAddress) -> leaf::result<int>
 {
-  auto address = sockaddr_in{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(aAddress.mPort));
-  if (inet_pton(AF_INET, aAddress.mHost.c_str(), &address.sin_addr) != 1) {
+  const auto address = ToSystemAddress(aAddress);
+  if (!address) {
     return leaf::new_error(AddressFinding(aAddress, "not an IPv4 address"));
   }
   const auto fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const auto on = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
+  if (bind(fd,
+           reinterpret_cast<const sockaddr*>(&*address),
+           sizeof(*address)) != 0 ||
       listen(fd, kBacklog) != 0) {
     const auto problem = std::string("cannot listen: ") + std::strerror(errno);
     close(fd);
@@ -295,18 +301,23 @@
 }
 
 auto
-SetResponseHead(h2o_req_t& aRequest, int aStatus, const Headers& aHeaders)
-  -> void
+SetResponseHead(const Responder& aResponder,
+                int aStatus,
+                const Headers& aHeaders) -> void
 {
-  aRequest.res.status = aStatus;
-  aRequest.res.reason = "status";
+  auto& request = *aResponder.mRequest;
+  if (aResponder.mServer->mIsClosing) {
+    request.http1_is_persistent = 0;
+  }
+  request.res.status = aStatus;
+  request.res.reason = "status";
   for (const auto& header : aHeaders) {
     const auto name =
-      h2o_strdup(&aRequest.pool, header.mName.data(), header.mName.size());
+      h2o_strdup(&request.pool, header.mName.data(), header.mName.size());
     const auto value =
-      h2o_strdup(&aRequest.pool, header.mValue.data(), header.mValue.size());
-    h2o_add_header_by_str(&aRequest.pool,
-                          &aRequest.res.headers,
+      h2o_strdup(&request.pool, header.mValue.data(), header.mValue.size());
+    h2o_add_header_by_str(&request.pool,
+                          &request.res.headers,
                           name.base,
                           name.len,
                           1,
@@ -394,6 +405,12 @@
   aServer.mListener = nullptr;
 }
 
+auto
+CloseAfterAnswers(HttpServer& aServer) -> void
+{
+  aServer.mIsClosing = true;
+}
+
 auto
 CountConnections(const HttpServer& aServer) -> std::size_t
 {
@@ -408,7 +425,7 @@
     return;
   }
   auto& request = *aResponder->mRequest;
-  SetResponseHead(request, aResponse.mStatus, aResponse.mHeaders);
+  SetResponseHead(*aResponder, aResponse.mStatus, aResponse.mHeaders);
   request.res.content_length = aResponse.mBody.size();
   aResponder->mHasStarted = true;
   h2o_start_response(&request, &aResponder->mGenerator->mBase);
@@ -426,7 +443,7 @@
     return;
   }
   auto& request = *aResponder->mRequest;
-  SetResponseHead(request, aStatus, aHeaders);
+  SetResponseHead(*aResponder, aStatus, aHeaders);
   aResponder->mHasStarted = true;
   h2o_start_response(&request, &aResponder->mGenerator->mBase);
   // NOTE: an empty piece makes h2o write the head at once.
@@ -508,4 +525,24 @@
   aResponder->mOnClose = std::move(aAction);
 }
 
+auto
+PortOf(const ResponderPtr& aResponder) -> CallerPort
+{
+  auto port = CallerPort{};
+  port.mRespond = [aResponder](const HttpResponse& aResponse) {
+    SendResponse(aResponder, aResponse);
+  };
+  port.mStartStream = [aResponder](int aStatus, const Headers& aHeaders) {
+    StartStream(aResponder, aStatus, aHeaders);
+  };
+  port.mSendPiece = [aResponder](std::string_view aPiece) {
+    SendPiece(aResponder, aPiece);
+  };
+  port.mFinish = [aResponder] { FinishStream(aResponder); };
+  port.mAbort = [aResponder] { AbortStream(aResponder); };
+  port.mIsClosed = [aResponder] { return IsClosed(aResponder); };
+  port.mUnsentBytes = [aResponder] { return UnsentBytes(aResponder); };
+  return port;
+}
+
 } // namespace cuminslip::wire
--- a/src/wire/types/httpmessage.h
+++ b/src/wire/types/httpmessage.h
@@ -27,6 +27,8 @@
   std::string mQuery;
   Headers mHeaders;
   std::string mBody;
+  /// Host that the caller named, as it came; not sent by the client.
+  std::string mHost;
 
   auto operator==(const HttpRequest&) const -> bool = default;
 };
