End an aborted answer with its connection

Ruled out: the endpoints' bytes; the answers were cut by this side after a resumption was refused.

The socket is closed first, so that h2o can't write the half chunk.

--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -488,14 +488,15 @@
   aResponder->mPending.clear();
   auto* request = aResponder->mRequest;
   request->http1_is_persistent = 0;
+  // NOTE: h2o ends a chunked body that fails with half a chunk, which no caller
+  // can read; on a closed connection it can't write that.
+  auto* sock = request->conn->callbacks->get_socket(request->conn);
+  shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+  // NOTE: while a piece is being written h2o finds the broken connection
+  // itself.
   if (!aResponder->mIsSending) {
     h2o_send(request, nullptr, 0, H2O_SEND_STATE_ERROR);
-    return;
   }
-  // NOTE: a piece is still being written; closing both directions lets h2o find
-  // the broken connection itself, since it owns the socket.
-  auto* sock = request->conn->callbacks->get_socket(request->conn);
-  shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
 }
 
 auto
