--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -137,6 +137,8 @@
     aForwarder.mSettings.mCallerCheckInterval, [&aForwarder] {
       aForwarder.mTick = 0;
       DropLeftCallers(aForwarder);
+      RenewHolds(aForwarder);
+      SchedulePlacement(aForwarder, true);
       SendLoadNotice(aForwarder, false);
       // NOTE: nothing wakes an idle instance but what comes from outside.
       if (!aForwarder.mFlights.empty() || aForwarder.mIsNoticeDue) {
@@ -152,6 +154,7 @@
 {
   AbandonRequests(*aForwarder);
   aForwarder->mPorts.mTimers.mStop(aForwarder->mTick);
+  aForwarder->mPorts.mTimers.mStop(aForwarder->mPlacementTimer);
   delete aForwarder;
 }
 
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -21,9 +21,14 @@
 struct GivenWork
 {
   EndpointId mEngine;
+  std::string mAddress;
   bool mIsHelper = false;
   /// When its part of the prompt is read, by prediction.
   TimePoint mReadUntil{};
+  /// Memory asked for there; without id none is.
+  HoldingId mHolding;
+  std::int64_t mHoldTokens = 0;
+  bool mIsHeld = false;
 };
 
 /// One sending of a request.
@@ -62,9 +67,16 @@
   bool mMayHaveRun = false;
   /// The caller has the head of the answer and events up to mLastEvent.
   bool mHasStarted = false;
+  /// No engine can take it now; it is looked at again when one may.
+  bool mIsWaiting = false;
+  /// Ends the wait for memory at engines.
+  wire::TimerId mHoldTimer = 0;
+  TimePoint mHoldsRenewed{};
   std::optional<std::uint64_t> mLastEvent;
   std::uint64_t mEvents = 0;
   TimePoint mFirstEventAt{};
+  TimePoint mLastEventAt{};
+  Millis mLongestPause{ 0 };
 };
 
 /// What this instance's own calls to an endpoint came to.
@@ -98,10 +110,12 @@
   std::vector<std::string> mEntries;
   std::map<std::string, RemoteLoad> mRemote;
   std::uint64_t mNoticeSequence = 0;
+  std::uint64_t mLastHolding = 0;
   TimePoint mNoticeSentAt{};
   /// Work has changed since the last notice.
   bool mIsNoticeDue = false;
   wire::TimerId mTick = 0;
+  wire::TimerId mPlacementTimer = 0;
   ForwardCounters mCounters;
 };
 
@@ -130,6 +144,23 @@
               SendOutcome aOutcome,
               std::string_view aReason) -> void;
 
+/// Looks at the waiting flights again, soon or after a short random pause.
+auto
+SchedulePlacement(Forwarder& aForwarder, bool aIsAtOnce) -> void;
+
+/// Asks the engines of the flight's attempt for memory and sends the flight
+/// once all have set it aside.
+auto
+BeginHolds(Forwarder& aForwarder, Flight& aFlight) -> void;
+
+/// Gives back the memory of an attempt.
+auto
+ReleaseHolds(Forwarder& aForwarder, const Attempt& aAttempt) -> void;
+
+/// Asks again for memory that flights still use.
+auto
+RenewHolds(Forwarder& aForwarder) -> void;
+
 /// Sends a flight to a chosen endpoint.
 auto
 SendFlight(Forwarder& aForwarder, Flight& aFlight, Attempt aAttempt) -> void;
--- a/src/forwarding/internal/loadnotice.cpp
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -25,6 +25,11 @@
     to.setContextTokens(static_cast<std::uint64_t>(it.mWork.mContextTokens));
     to.setReadMillis(
       static_cast<std::uint32_t>(std::max(it.mWork.mReadMillis, 0.0)));
+    to.setUnread(static_cast<std::uint32_t>(it.mWork.mUnread));
+    to.setUnreadLong(static_cast<std::uint32_t>(it.mWork.mUnreadLong));
+    if (it.mWork.mPauseMillis < kAnyPauseMillis) {
+      to.setPauseMillis(static_cast<std::uint32_t>(it.mWork.mPauseMillis));
+    }
   }
   return BytesOfMessage(message);
 }
@@ -43,7 +48,12 @@
             { it.getStreams(),
               static_cast<std::int64_t>(it.getContextTokens()),
               static_cast<double>(it.getReadMillis()),
-              it.getLongStreams() } });
+              it.getLongStreams(),
+              it.getPauseMillis() == 0
+                ? kAnyPauseMillis
+                : static_cast<double>(it.getPauseMillis()),
+              it.getUnread(),
+              it.getUnreadLong() } });
       }
       return notice;
     });
--- a/src/forwarding/internal/loadsharing.cpp
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -39,9 +39,9 @@
 SendLoadNotice(Forwarder& aForwarder, bool aIsUrgent) -> void
 {
   const auto now = aForwarder.mPorts.mNow();
-  const auto isDue =
-    aIsUrgent ||
-    now >= aForwarder.mNoticeSentAt + aForwarder.mSettings.mNoticeInterval;
+  const auto interval =
+    aForwarder.mSettings.mNoticeIntervalEach * aForwarder.mEntries.size();
+  const auto isDue = aIsUrgent || now >= aForwarder.mNoticeSentAt + interval;
   if (!aForwarder.mIsNoticeDue || !isDue) {
     return;
   }
@@ -79,6 +79,7 @@
   for (const auto& it : notice.mValue->mShares) {
     remote.mWork[it.mEngine] = it.mWork;
   }
+  SchedulePlacement(aForwarder, false);
 }
 
 } // namespace cuminslip::forwarding
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -3,6 +3,7 @@
 #include "policy/passmodel.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cuminslip::forwarding {
 
@@ -13,6 +14,9 @@
 /// those refused together do not return together.
 constexpr auto kRetryAfter = Millis(400);
 constexpr auto kRetrySpread = Millis(600);
+/// Time over which instances spread their looks at an engine that became free;
+/// some twenty times what a notice takes between failure domains.
+constexpr auto kPlacementSpread = Millis(30);
 
 struct Candidate
 {
@@ -81,11 +85,20 @@
 ToPromptWork(const Forwarder& aForwarder, const Flight& aFlight) -> PromptWork
 {
   const auto prompt = aFlight.mRequest.mPrompt.value_or(PromptFacts{});
+  const auto now = aForwarder.mPorts.mNow();
   return { prompt.mPromptTokens,
            prompt.mMaxOutputTokens,
            aFlight.mRoute->mAnswerTarget,
            StrictestPause(aFlight),
-           MillisBetween(aForwarder.mPorts.mNow(), aFlight.mDeadline) };
+           MillisBetween(aFlight.mArrived, now),
+           MillisBetween(now, aFlight.mDeadline) };
+}
+
+auto
+ToMicros(double aMillis) -> Micros
+{
+  constexpr auto kMicrosPerMilli = 1e3;
+  return Micros(static_cast<std::int64_t>(aMillis * kMicrosPerMilli));
 }
 
 auto
@@ -100,20 +113,29 @@
       continue;
     }
     auto work = EngineWork{};
-    if (aFlight.mEvents == 0) {
-      // NOTE: a prompt that is not read yet at its predicted time still is
-      // being read.
-      constexpr auto kOverdueMillis = 30.0;
-      const auto left =
-        std::chrono::duration<double, std::milli>(given.mReadUntil - now);
-      work.mReadMillis = std::max(left.count(), kOverdueMillis);
+    // NOTE: what is not read at its predicted time may still be read for a
+    // while; that a prompt is not read whole says little of one helper.
+    constexpr auto kOverdueMillis = 30.0;
+    const auto left =
+      std::chrono::duration<double, std::milli>(given.mReadUntil - now).count();
+    const auto isUnread =
+      aFlight.mEvents == 0 && (!given.mIsHelper || left > -kOverdueMillis);
+    if (isUnread) {
+      work.mReadMillis = std::max(left, kOverdueMillis);
+      work.mUnreadLong = given.mIsHelper ? 1 : 0;
     }
     if (!given.mIsHelper) {
       const auto& timing = *aFlight.mService->mEngine;
       const auto prompt = ToPromptWork(aForwarder, aFlight);
       work.mStreams = 1;
+      work.mUnread = aFlight.mEvents == 0 ? 1 : 0;
       work.mContextTokens = prompt.mPromptTokens;
       work.mLongStreams = IsLongPrompt(timing, prompt) ? 1 : 0;
+      const auto pause = aFlight.mRoute->mPauseTarget;
+      work.mUnreadLong = work.mUnread * work.mLongStreams;
+      if (pause > Millis(0) && work.mLongStreams > 0) {
+        work.mPauseMillis = static_cast<double>(pause.count());
+      }
     }
     aSum = AddWork(aSum, work);
   }
@@ -173,24 +195,43 @@
                                     prompt,
                                     engines,
                                     aForwarder.mSettings.mLanes);
-  const auto isLate = choice.mFirstEventMillis >=
-                      static_cast<double>(prompt.mAllowance.count());
-  if (!choice.mEngine || isLate) {
+  if (choice.mReason == LaneReason::Wait) {
+    if (!std::exchange(aFlight.mIsWaiting, true)) {
+      LogEvent(kForwardWaitsEvent,
+               { { "request", aFlight.mRequest.mId.mValue },
+                 { "route", aFlight.mRoute->mName },
+                 { "prompt_tokens", prompt.mPromptTokens },
+                 { "candidates", aCandidates.size() } });
+    }
+    return;
+  }
+  if (!choice.mEngine) {
     FailFlight(aForwarder,
                aFlight,
                { FailureKind::NoCapacity, RetryAfter(aForwarder) });
     return;
   }
   const auto now = aForwarder.mPorts.mNow();
-  const auto readUntil =
-    now + Micros(static_cast<std::int64_t>(choice.mFirstEventMillis * 1e3));
+  const auto readUntil = now + ToMicros(choice.mFirstEventMillis);
   auto attempt = Attempt{};
   const auto& chosen = aCandidates[*choice.mEngine];
   attempt.mEndpoint = chosen.mId;
   attempt.mAddress = chosen.mNotice->mAddress;
-  attempt.mWork.push_back({ chosen.mId, false, readUntil });
-  for (const auto i : choice.mHelpers) {
-    attempt.mWork.push_back({ aCandidates[i].mId, true, readUntil });
+  attempt.mWork.push_back(
+    { chosen.mId, attempt.mAddress, false, readUntil, {}, 0, false });
+  auto needsMemory = false;
+  auto helperNames = std::string{};
+  for (const auto& helper : choice.mHelpers) {
+    const auto& it = aCandidates[helper.mEngine];
+    attempt.mWork.push_back({ it.mId,
+                              it.mNotice->mAddress,
+                              true,
+                              now + ToMicros(helper.mReadMillis),
+                              {},
+                              helper.mHoldTokens,
+                              false });
+    needsMemory |= helper.mHoldTokens > 0;
+    helperNames += (helperNames.empty() ? "" : " ") + it.mId.mValue;
   }
   const auto& work = engines[*choice.mEngine].mWork;
   LogEvent(kForwardPlacedEvent,
@@ -201,17 +242,66 @@
              { "reason", ToText(choice.mReason) },
              { "prompt_tokens", prompt.mPromptTokens },
              { "helpers", choice.mHelpers.size() },
+             { "helper_ids", helperNames },
              { "first_event_ms", choice.mFirstEventMillis },
              { "engine_streams", work.mStreams },
              { "engine_read_ms", work.mReadMillis },
              { "candidates", aCandidates.size() },
              { "version", aFlight.mTable->mDocument.mVersion },
              { "send", aFlight.mSends + 1 } });
+  if (needsMemory) {
+    aFlight.mAttempt = std::move(attempt);
+    BeginHolds(aForwarder, aFlight);
+    return;
+  }
   SendFlight(aForwarder, aFlight, std::move(attempt));
 }
 
+/// Places the waiting flights: those that can still be on time first, then by
+/// arrival.
+auto
+PlaceWaiting(Forwarder& aForwarder) -> void
+{
+  const auto now = aForwarder.mPorts.mNow();
+  auto waiting = std::vector<std::tuple<bool, TimePoint, FlightId>>{};
+  for (const auto& [id, flight] : aForwarder.mFlights) {
+    if (flight->mIsWaiting) {
+      const auto isLate =
+        now >= flight->mArrived + flight->mRoute->mAnswerTarget;
+      waiting.emplace_back(isLate, flight->mArrived, id);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const auto& [isLate, arrived, id] : waiting) {
+    if (auto* flight = FindFlight(aForwarder, id)) {
+      PlaceFlight(aForwarder, *flight);
+    }
+  }
+}
+
 } // namespace
 
+auto
+SchedulePlacement(Forwarder& aForwarder, bool aIsAtOnce) -> void
+{
+  const auto hasWaiting = std::any_of(
+    aForwarder.mFlights.begin(),
+    aForwarder.mFlights.end(),
+    [](const auto& aItem) { return aItem.second->mIsWaiting; });
+  if (!hasWaiting || aForwarder.mPlacementTimer != 0) {
+    return;
+  }
+  // NOTE: all instances hear of a free engine at once; whoever is first tells
+  // the others within this time.
+  auto spread = std::uniform_int_distribution<std::int64_t>(
+    0, aIsAtOnce ? 0 : Micros(kPlacementSpread).count());
+  aForwarder.mPlacementTimer = aForwarder.mPorts.mTimers.mStart(
+    Micros(spread(aForwarder.mRandom)), [&aForwarder] {
+      aForwarder.mPlacementTimer = 0;
+      PlaceWaiting(aForwarder);
+    });
+}
+
 auto
 OwnWorkOn(const Forwarder& aForwarder, const EndpointId& aEngine) -> EngineWork
 {
--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -16,6 +16,9 @@
 /// others at once.
 constexpr auto kRefusedRetry = Millis(500);
 constexpr auto kFailedRetry = Millis(250);
+/// Work of a prompt from this length on is told to other instances at once: it
+/// holds an engine for longer than the pause between notices.
+constexpr auto kUrgentTokens = std::int64_t{ 25000 };
 
 auto
 RepeatRuleOf(const routing::Route& aRoute) -> RepeatRule
@@ -44,6 +47,20 @@
   return MayRepeat(facts);
 }
 
+/// Tells of changed work, at once where it is a long prompt's, and lets others
+/// that wait have what became free.
+auto
+NoteWorkChanged(Forwarder& aForwarder, const Flight& aFlight) -> void
+{
+  if (aFlight.mAttempt.mWork.empty()) {
+    return;
+  }
+  const auto prompt = aFlight.mRequest.mPrompt.value_or(PromptFacts{});
+  aForwarder.mIsNoticeDue = true;
+  SendLoadNotice(aForwarder, prompt.mPromptTokens >= kUrgentTokens);
+  SchedulePlacement(aForwarder, true);
+}
+
 auto
 LogDelivered(const Forwarder& aForwarder, const Flight& aFlight) -> void
 {
@@ -58,6 +75,7 @@
         aFlight.mEvents == 0
           ? -1
           : MillisBetween(aFlight.mArrived, aFlight.mFirstEventAt).count() },
+      { "longest_pause_ms", aFlight.mLongestPause.count() },
       { "total_ms", MillisBetween(aFlight.mArrived, now).count() },
       { "sends", aFlight.mSends } });
 }
@@ -101,10 +119,15 @@
     aFlight.mCaller.mStartStream(aFlight.mAttempt.mStatus,
                                  aFlight.mAttempt.mAnswer.mHeaders);
   }
+  const auto now = aForwarder.mPorts.mNow();
   if (aFlight.mEvents++ == 0) {
-    aFlight.mFirstEventAt = aForwarder.mPorts.mNow();
-    aForwarder.mIsNoticeDue = true;
+    aFlight.mFirstEventAt = now;
+    NoteWorkChanged(aForwarder, aFlight);
+  } else {
+    aFlight.mLongestPause = std::max(
+      aFlight.mLongestPause, MillisBetween(aFlight.mLastEventAt, now));
   }
+  aFlight.mLastEventAt = now;
   aFlight.mCaller.mSendPiece(aEvent.mBytes);
   if (aEvent.mId) {
     aFlight.mLastEvent = aEvent.mId;
@@ -281,17 +304,15 @@
 }
 
 auto
-HelperAddresses(const Forwarder& aForwarder, const Attempt& aAttempt)
-  -> std::vector<std::string>
+ListHelpers(const Attempt& aAttempt) -> std::vector<HelperAddress>
 {
-  auto addresses = std::vector<std::string>{};
+  auto helpers = std::vector<HelperAddress>{};
   for (const auto& it : aAttempt.mWork) {
     if (it.mIsHelper) {
-      addresses.push_back(
-        aForwarder.mView.mEntries.at(it.mEngine).mNotice.mAddress);
+      helpers.push_back({ it.mAddress, it.mHolding });
     }
   }
-  return addresses;
+  return helpers;
 }
 
 /// The kind of a failure that promises nothing about whether it ran.
@@ -318,8 +339,10 @@
   aForwarder.mPorts.mExchanges.mCancel(
     std::exchange(aFlight.mAttempt.mExchange, 0));
   aForwarder.mPorts.mTimers.mStop(aFlight.mDeadlineTimer);
-  aForwarder.mIsNoticeDue |= !aFlight.mAttempt.mWork.empty();
-  aForwarder.mFlights.erase(aFlight.mId);
+  aForwarder.mPorts.mTimers.mStop(aFlight.mHoldTimer);
+  ReleaseHolds(aForwarder, aFlight.mAttempt);
+  const auto flight = std::move(aForwarder.mFlights.extract(aFlight.mId).mapped());
+  NoteWorkChanged(aForwarder, *flight);
 }
 
 auto
@@ -373,7 +396,7 @@
   facts.mAllowance = MillisBetween(now, aFlight.mDeadline);
   facts.mLastEvent = aFlight.mHasStarted ? aFlight.mLastEvent
                                          : aFlight.mRequest.mLastEvent;
-  facts.mHelpers = HelperAddresses(aForwarder, aFlight.mAttempt);
+  facts.mHelpers = ListHelpers(aFlight.mAttempt);
   auto exchange = wire::Exchange{};
   exchange.mAddress =
     wire::ParseAddress(aFlight.mAttempt.mAddress).value_or(wire::SocketAddress{});
@@ -384,13 +407,8 @@
   exchange.mConnectTimeout = aForwarder.mSettings.mConnectTimeout;
   aFlight.mAttempt.mExchange = aForwarder.mPorts.mExchanges.mStart(
     std::move(exchange), MakeHandlers(aForwarder, aFlight.mId));
-  if (!aFlight.mAttempt.mWork.empty()) {
-    const auto isLong = aFlight.mAttempt.mWork.size() > 1 ||
-                        WorkOn(aForwarder, aFlight.mAttempt.mEndpoint)
-                            .mLongStreams > 0;
-    aForwarder.mIsNoticeDue = true;
-    SendLoadNotice(aForwarder, isLong);
-  }
+  aFlight.mIsWaiting = false;
+  NoteWorkChanged(aForwarder, aFlight);
 }
 
 auto
@@ -429,11 +447,12 @@
              { { "request", aFlight.mRequest.mId.mValue },
                { "after_event", aFlight.mLastEvent.value_or(0) } });
   }
+  ReleaseHolds(aForwarder, aFlight.mAttempt);
+  aFlight.mAttempt.mWork.clear();
   if (mayRepeat) {
     PlaceFlight(aForwarder, aFlight);
     return;
   }
-  aFlight.mAttempt.mWork.clear();
   const auto kind = aFlight.mMayHaveRun ? FailureKind::EndpointFailed
                                         : FailureKind::NoCapacity;
   const auto retry = isRefused ? kRefusedRetry : kFailedRetry;
--- a/src/forwarding/loadnotice.capnp
+++ b/src/forwarding/loadnotice.capnp
@@ -10,6 +10,10 @@
   longStreams @2 :UInt32;
   contextTokens @3 :UInt64;
   readMillis @4 :UInt32;
+  # The shortest pause that a stream there allows; 0 when there is none.
+  pauseMillis @5 :UInt32;
+  unread @6 :UInt32;
+  unreadLong @7 :UInt32;
 }
 
 # All work that one entry instance has given to engines, as of its sending.
--- a/src/forwarding/types/forwardevents.h
+++ b/src/forwarding/types/forwardevents.h
@@ -30,4 +30,11 @@
 inline constexpr auto kLoadNoticeUnreadableEvent =
   Event{ 2011, "load_notice_unreadable", Severity::Warning };
 
+inline constexpr auto kForwardWaitsEvent =
+  Event{ 2012, "forward_waits", Severity::Info };
+inline constexpr auto kHoldRefusedEvent =
+  Event{ 2013, "hold_refused", Severity::Warning };
+inline constexpr auto kHoldsReadyEvent =
+  Event{ 2014, "holds_ready", Severity::Info };
+
 } // namespace cuminslip::forwarding
--- a/src/forwarding/types/forwardports.h
+++ b/src/forwarding/types/forwardports.h
@@ -21,6 +21,11 @@
   std::function<AnswerFacts(int aStatus, const wire::Headers&)> mReadAnswer;
   std::function<wire::HttpResponse(const ForwardRequest&, const Failure&)>
     mWriteFailure;
+  /// The order as the engine at an address takes it.
+  std::function<wire::HttpRequest(const HoldOrder&, const std::string& aAddress)>
+    mWriteHold;
+  /// True when the answer says that the memory is set aside.
+  std::function<bool(int aStatus)> mIsHeld;
 };
 
 /// The contract is that of wire/connectionpool.h.
--- a/src/forwarding/types/forwardrequest.h
+++ b/src/forwarding/types/forwardrequest.h
@@ -38,6 +38,28 @@
   auto operator==(const ForwardRequest&) const -> bool = default;
 };
 
+/// Asks an engine to set memory aside, for as long as it is asked again, or to
+/// give it back.
+struct HoldOrder
+{
+  HoldingId mId;
+  std::int64_t mTokens = 0;
+  /// Time after which the engine frees the memory by itself; 0 gives it back.
+  Millis mLease{ 0 };
+
+  auto operator==(const HoldOrder&) const -> bool = default;
+};
+
+/// An engine that reads a part of the prompt.
+struct HelperAddress
+{
+  std::string mAddress;
+  /// Memory set aside there for the prompt; empty when it only reads.
+  HoldingId mHolding;
+
+  auto operator==(const HelperAddress&) const -> bool = default;
+};
+
 /// What goes with one sending of a request.
 struct SendFacts
 {
@@ -47,8 +69,7 @@
   Millis mAllowance{ 0 };
   /// Go on after this event.
   std::optional<std::uint64_t> mLastEvent;
-  /// Addresses of engines that read parts of the prompt.
-  std::vector<std::string> mHelpers;
+  std::vector<HelperAddress> mHelpers;
 
   auto operator==(const SendFacts&) const -> bool = default;
 };
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -18,6 +18,10 @@
 /// The platform sends callers for this long after a stop began: two of its
 /// questions, a second apart, and some time to spare.
 constexpr auto kStillSentFor = Millis(3500);
+/// What comes later than this after a stop began is refused: its answer might
+/// not end before the process does, and the caller can go elsewhere at once.
+constexpr auto kTakesFor = Millis(2500);
+constexpr auto kStoppingRetry = Millis(50);
 constexpr auto kStopCheckInterval = Millis(100);
 /// A connection without a request is kept for longer than callers keep theirs.
 constexpr auto kIdleTimeout = Millis(30000);
@@ -214,9 +218,19 @@
              const wire::HttpRequest& aRequest,
              const wire::ResponderPtr& aResponder) -> void
 {
-  forwarding::HandleRequest(*aGateway.mForwarder,
-                            aGateway.mAdapter.mReadRequest(aRequest),
-                            wire::PortOf(aResponder));
+  const auto isLeaving =
+    aGateway.mIsStopping &&
+    MonotonicNow() >= aGateway.mStopBegan + kTakesFor;
+  const auto request = aGateway.mAdapter.mReadRequest(aRequest);
+  if (isLeaving) {
+    wire::SendResponse(
+      aResponder,
+      aGateway.mAdapter.mCodec.mWriteFailure(
+        request, { forwarding::FailureKind::NotReady, kStoppingRetry }));
+    return;
+  }
+  forwarding::HandleRequest(
+    *aGateway.mForwarder, request, wire::PortOf(aResponder));
 }
 
 using Handler = auto(*)(Gateway&,
--- a/src/policy/enginelanes.h
+++ b/src/policy/enginelanes.h
@@ -11,12 +11,17 @@
 #include <vector>
 
 /// Places prompts of unlike lengths on engines whose batches read and write by
-/// turns. While a long prompt is read, every stream on that engine pauses; so
-/// short prompts are packed on as few engines as serve them in time, from one
-/// end of an order that all instances share, and long ones are spread from the
-/// other end, over several engines where one alone would be late. Pure.
+/// turns. Whatever an engine reads, all its streams pause for; so a prompt goes
+/// where no stream pauses for longer than it may. Short prompts are packed on
+/// as few engines as serve them in time, from one end of an order that all
+/// instances share; long ones are read in parts by many engines, those whose
+/// streams lose least by it, and wait while that costs more than it gains.
+/// Pure.
 namespace cuminslip {
 
+/// A pause that no stream minds.
+inline constexpr auto kAnyPauseMillis = 1e9;
+
 /// What runs on an engine, as far as an instance knows.
 struct EngineWork
 {
@@ -27,6 +32,14 @@
   double mReadMillis = 0;
   /// Those of mStreams whose prompt is long.
   std::int64_t mLongStreams = 0;
+  /// The shortest pause that one of the long streams allows.
+  double mPauseMillis = kAnyPauseMillis;
+  /// Those of mStreams whose prompt is still read there. Parts of other prompts
+  /// would be read before it.
+  std::int64_t mUnread = 0;
+  /// Long prompts of which something is still read there. An engine reads the
+  /// newest part first, so that one more puts off all of them.
+  std::int64_t mUnreadLong = 0;
 
   auto operator==(const EngineWork&) const -> bool = default;
 };
@@ -42,8 +55,6 @@
   EngineWork mWork;
   /// Position in the order that all instances share.
   std::uint64_t mOrder = 0;
-  /// The engine's own state: leaving, failing or unreachable ones take nothing.
-  bool mIsUsable = true;
   /// Is in the failure domain of this instance.
   bool mIsNear = false;
   /// Above 1 for an engine that was found slow.
@@ -59,7 +70,8 @@
   Millis mAnswerTarget{ 0 };
   /// The shortest pause that any stream of the service allows.
   Millis mStrictestPause{ 0 };
-  /// Time that the request has left.
+  /// Time since the request came, and time that it has left.
+  Millis mWaited{ 0 };
   Millis mAllowance{ 0 };
 
   auto operator==(const PromptWork&) const -> bool = default;
@@ -69,12 +81,26 @@
 {
   /// Streams that a packed engine is filled to, as a share of its slots. Above
   /// it, prompts that arrive together wait for a slot.
-  double mPackShare = 0.65;
-  /// Share of the answer's target that reading may take on one engine before
-  /// others help.
-  double mReadShare = 0.4;
-  /// Engines that read one prompt.
-  std::size_t mMaxReaders = 6;
+  double mPackShare = 0.8;
+  /// Parts of a prompt are not made shorter than this: each costs its engine a
+  /// pass.
+  Millis mShortestPart{ 150 };
+  /// A prompt waits for a better place for this share of its answer's target.
+  double mGatherShare = 0.4;
+  /// What a placement may cost while there is time to wait for a better one, in
+  /// short requests that would be late.
+  double mEasyCost = 0.9;
+  /// Prompt tokens that are worth as much as one short request.
+  double mTokensPerValue = 8000;
+  /// Part of its value that a late request loses.
+  double mLateLoss = 0.75;
+  /// Engines that read one prompt, the first one included.
+  std::size_t mMaxReaders = 17;
+  /// Share of an engine's memory that one prompt may take, so that the others
+  /// there are not preempted.
+  double mMemoryShare = 0.92;
+  /// Share of its whole time that a prompt waits for engines.
+  double mWaitShare = 0.5;
   /// Two engines' times count as equal within this.
   Millis mTie{ 15 };
 
@@ -87,27 +113,39 @@
   Packed,
   /// A short prompt outside it, since that was full.
   Spilled,
-  /// A long prompt on an engine without other work.
-  Idle,
-  /// A long prompt behind other work.
-  Queued,
-  /// No engine is usable.
-  None,
-  /// Larger than the memory of the engines that may read it.
-  TooLarge
+  /// A long prompt that one engine reads.
+  Alone,
+  /// A long prompt that several engines read.
+  Together,
+  /// No engine can take it now without harm to others.
+  Wait,
+  /// No engine could take it in its time.
+  Refuse
 };
 
 /// Name for logs. Thread safe.
 auto
 ToText(LaneReason aReason) -> std::string_view;
 
+/// An engine that helps with a prompt.
+struct Helper
+{
+  /// Position in the candidates.
+  std::size_t mEngine = 0;
+  /// Memory to be set aside there for the prompt; 0 when it only reads.
+  std::int64_t mHoldTokens = 0;
+  /// Predicted time until its part is read.
+  double mReadMillis = 0;
+
+  auto operator==(const Helper&) const -> bool = default;
+};
+
 struct LaneChoice
 {
   /// Position in the candidates.
   std::optional<std::size_t> mEngine;
-  /// Engines that read parts of the prompt besides.
-  std::vector<std::size_t> mHelpers;
-  LaneReason mReason = LaneReason::None;
+  std::vector<Helper> mHelpers;
+  LaneReason mReason = LaneReason::Refuse;
   /// Predicted time to the first event.
   double mFirstEventMillis = 0;
 
@@ -115,12 +153,12 @@
 };
 
 /// True when reading the prompt would hold up the streams beside it for longer
-/// than the strictest of them allows.
+/// than the strictest of them allows. Thread safe.
 auto
 IsLongPrompt(const routing::EngineTiming& aTiming, const PromptWork& aPrompt)
   -> bool;
 
-/// Chooses engines for a prompt. Thread safe.
+/// Chooses engines for a prompt, among those that are usable. Thread safe.
 auto
 ChooseEngines(const routing::EngineTiming& aTiming,
               const PromptWork& aPrompt,
--- a/src/policy/internal/enginelanes.cpp
+++ b/src/policy/internal/enginelanes.cpp
@@ -20,16 +20,14 @@
   return static_cast<double>(aTime.count());
 }
 
-/// Positions of the usable engines in the shared order.
+/// Positions of the engines in the shared order.
 auto
-OrderUsable(std::span<const EngineCandidate> aEngines)
+ListInOrder(std::span<const EngineCandidate> aEngines)
   -> std::vector<std::size_t>
 {
-  auto order = std::vector<std::size_t>{};
-  for (auto i = std::size_t{ 0 }; i < aEngines.size(); ++i) {
-    if (aEngines[i].mIsUsable) {
-      order.push_back(i);
-    }
+  auto order = std::vector<std::size_t>(aEngines.size());
+  for (auto i = std::size_t{ 0 }; i < order.size(); ++i) {
+    order[i] = i;
   }
   std::sort(order.begin(), order.end(), [&](auto aLeft, auto aRight) {
     return aEngines[aLeft].mOrder < aEngines[aRight].mOrder;
@@ -37,27 +35,21 @@
   return order;
 }
 
-auto
-ShortStreams(const EngineWork& aWork) -> std::int64_t
-{
-  return std::max<std::int64_t>(aWork.mStreams - aWork.mLongStreams, 0);
-}
-
-/// Number of engines that the short prompts under way and this one need.
+/// Number of engines that the short prompts under way and one more need.
 auto
 CountPacked(const EngineTiming& aTiming,
             std::span<const EngineCandidate> aEngines,
-            std::size_t aUsable,
             const LaneRules& aRules) -> std::size_t
 {
   auto streams = std::int64_t{ 1 };
   for (const auto& it : aEngines) {
-    streams += ShortStreams(it.mWork);
+    streams += std::max<std::int64_t>(
+      it.mWork.mStreams - it.mWork.mLongStreams, 0);
   }
   const auto each =
     std::max(1.0, static_cast<double>(aTiming.mSlots) * aRules.mPackShare);
   const auto needed = std::ceil(static_cast<double>(streams) / each);
-  return std::min(static_cast<std::size_t>(needed), aUsable);
+  return std::min(static_cast<std::size_t>(needed), aEngines.size());
 }
 
 /// Time to the first event on one engine; waits for a slot where all are taken.
@@ -69,25 +61,46 @@
   const auto& work = aEngine.mWork;
   const auto pass = PassMillis(aTiming, work.mStreams + 1, work.mContextTokens);
   const auto over = work.mStreams + 1 - aTiming.mSlots;
-  const auto wait = over > 0 ? static_cast<double>(over) * pass * 2 : 0.0;
+  // NOTE: with all slots taken one is free after a few passes; a stream has
+  // some thirty of them, and the slots are at different ones.
+  constexpr auto kPassesToAFreeSlot = 3.0;
+  const auto wait =
+    over > 0 ? static_cast<double>(over) * pass * kPassesToAFreeSlot : 0.0;
   return (work.mReadMillis + aReadMillis + pass + wait) * aEngine.mPace;
 }
 
-/// The engine of aPlaces with the earliest first event; near ones, then those
-/// first in aPlaces, where times are alike.
+/// Longest pause of the streams on an engine while it reads aReadMillis more.
+auto
+PauseMillis(const EngineTiming& aTiming,
+            const EngineCandidate& aEngine,
+            double aReadMillis) -> double
+{
+  const auto& work = aEngine.mWork;
+  const auto pass = PassMillis(aTiming, work.mStreams + 1, work.mContextTokens);
+  return (work.mReadMillis + aReadMillis + pass) * aEngine.mPace;
+}
+
+struct Place
+{
+  std::size_t mEngine = 0;
+  double mMillis = kNever;
+};
+
+/// The engine of aPlaces with the earliest first event; near ones where times
+/// are alike.
 auto
 FindEarliest(const EngineTiming& aTiming,
              std::span<const EngineCandidate> aEngines,
              std::span<const std::size_t> aPlaces,
              double aReadMillis,
-             const LaneRules& aRules) -> std::pair<std::size_t, double>
+             const LaneRules& aRules) -> Place
 {
-  auto best = std::pair{ aPlaces.front(), kNever };
+  auto best = Place{ aPlaces.front(), kNever };
   for (const auto i : aPlaces) {
     const auto distance = aEngines[i].mIsNear ? 0.0 : ToMillis(aRules.mTie);
     const auto time =
       FirstEventMillis(aTiming, aEngines[i], aReadMillis) + distance;
-    if (time < best.second) {
+    if (time < best.mMillis) {
       best = { i, time };
     }
   }
@@ -100,32 +113,222 @@
            std::span<const EngineCandidate> aEngines,
            const LaneRules& aRules) -> LaneChoice
 {
-  auto order = OrderUsable(aEngines);
+  const auto order = ListInOrder(aEngines);
   const auto read = ReadMillis(aTiming, aPrompt.mPromptTokens);
-  const auto packed = CountPacked(aTiming, aEngines, order.size(), aRules);
+  const auto packed = CountPacked(aTiming, aEngines, aRules);
   const auto places = std::span(order);
-  const auto [inside, insideTime] = FindEarliest(
-    aTiming, aEngines, places.last(packed), read, aRules);
-  if (insideTime <= ToMillis(aPrompt.mAnswerTarget) ||
-      packed == order.size()) {
-    return { inside, {}, LaneReason::Packed, insideTime };
+  const auto inside =
+    FindEarliest(aTiming, aEngines, places.last(packed), read, aRules);
+  const auto target = ToMillis(aPrompt.mAnswerTarget - aPrompt.mWaited);
+  if (inside.mMillis <= target || packed == order.size()) {
+    return { inside.mEngine, {}, LaneReason::Packed, inside.mMillis };
   }
-  const auto [any, anyTime] =
-    FindEarliest(aTiming, aEngines, places, read, aRules);
-  return { any, {}, LaneReason::Spilled, anyTime };
+  const auto any = FindEarliest(aTiming, aEngines, places, read, aRules);
+  return { any.mEngine, {}, LaneReason::Spilled, any.mMillis };
 }
 
-/// Readers with which reading takes no more than its share of the target.
+/// Memory of an engine that a prompt may take.
 auto
-CountReaders(const EngineTiming& aTiming,
-             const PromptWork& aPrompt,
-             const LaneRules& aRules) -> std::size_t
+FreeTokens(const EngineTiming& aTiming,
+           const EngineCandidate& aEngine,
+           const LaneRules& aRules) -> std::int64_t
+{
+  const auto usable = static_cast<std::int64_t>(
+    static_cast<double>(aTiming.mMemoryTokens) * aRules.mMemoryShare);
+  return std::max<std::int64_t>(usable - aEngine.mWork.mContextTokens, 0);
+}
+
+/// Engines that read a prompt together, when the first event comes, and what
+/// that costs others and itself, in short requests that are late.
+struct Gang
+{
+  std::vector<std::size_t> mEngines;
+  double mPartMillis = 0;
+  double mFirstEventMillis = kNever;
+  double mCost = kNever;
+};
+
+/// What streams on an engine lose while it reads a part.
+auto
+HarmOf(const EngineTiming& aTiming,
+       const PromptWork& aPrompt,
+       const EngineCandidate& aEngine,
+       double aPartMillis) -> double
+{
+  const auto& work = aEngine.mWork;
+  const auto pause = PauseMillis(aTiming, aEngine, aPartMillis);
+  const auto isLongForShort = pause > ToMillis(aPrompt.mStrictestPause);
+  const auto harmed =
+    (isLongForShort ? std::max<std::int64_t>(
+                        work.mStreams - work.mLongStreams, 0)
+                    : 0) +
+    work.mUnread;
+  // NOTE: a long stream that pauses for too long has lost what several engines
+  // read for it; one that is not read yet is put off by each part.
+  constexpr auto kLongStreamValue = 10.0;
+  constexpr auto kUnreadLongValue = 8.0;
+  const auto harmedLong = pause > work.mPauseMillis
+                            ? static_cast<double>(work.mLongStreams)
+                            : 0.0;
+  return static_cast<double>(harmed) + harmedLong * kLongStreamValue +
+         static_cast<double>(work.mUnreadLong) * kUnreadLongValue;
+}
+
+auto
+ValueOf(const PromptWork& aPrompt, const LaneRules& aRules) -> double
+{
+  return std::max(
+    1.0, static_cast<double>(aPrompt.mPromptTokens) / aRules.mTokensPerValue);
+}
+
+/// What the prompt itself loses by a first event at that time.
+auto
+LatenessOf(const PromptWork& aPrompt, double aMillis, const LaneRules& aRules)
+  -> double
+{
+  // NOTE: among times that are early enough the earlier one is a little better.
+  constexpr auto kEarlyShare = 0.1;
+  const auto target = ToMillis(aPrompt.mAnswerTarget);
+  const auto sum = ToMillis(aPrompt.mWaited) + aMillis;
+  const auto share = std::min(sum / std::max(target, 1.0), 1.0) * kEarlyShare;
+  return sum > target ? ValueOf(aPrompt, aRules) * aRules.mLateLoss + share
+                      : share;
+}
+
+/// The gang of aSize that harms least.
+auto
+GatherGang(const EngineTiming& aTiming,
+           const PromptWork& aPrompt,
+           std::span<const EngineCandidate> aEngines,
+           std::size_t aSize,
+           double aReadMillis,
+           const LaneRules& aRules) -> Gang
+{
+  struct Member
+  {
+    double mHarm = 0;
+    double mMillis = 0;
+    std::size_t mEngine = 0;
+
+    auto operator<=>(const Member&) const = default;
+  };
+  auto gang = Gang{ {}, aReadMillis / static_cast<double>(aSize), 0, 0 };
+  auto members = std::vector<Member>{};
+  for (auto i = std::size_t{ 0 }; i < aEngines.size(); ++i) {
+    members.push_back(
+      { HarmOf(aTiming, aPrompt, aEngines[i], gang.mPartMillis),
+        PauseMillis(aTiming, aEngines[i], gang.mPartMillis),
+        i });
+  }
+  std::partial_sort(members.begin(),
+                    members.begin() + static_cast<std::ptrdiff_t>(aSize),
+                    members.end());
+  for (auto i = std::size_t{ 0 }; i < aSize; ++i) {
+    gang.mEngines.push_back(members[i].mEngine);
+    gang.mFirstEventMillis =
+      std::max(gang.mFirstEventMillis, members[i].mMillis);
+    gang.mCost += members[i].mHarm;
+  }
+  gang.mCost += LatenessOf(aPrompt, gang.mFirstEventMillis, aRules);
+  return gang;
+}
+
+auto
+FindGang(const EngineTiming& aTiming,
+         const PromptWork& aPrompt,
+         std::span<const EngineCandidate> aEngines,
+         const LaneRules& aRules) -> Gang
 {
   const auto read = ReadMillis(aTiming, aPrompt.mPromptTokens);
-  const auto limit = ToMillis(aPrompt.mAnswerTarget) * aRules.mReadShare;
-  const auto wanted = std::ceil(read / std::max(limit, 1.0));
-  return std::clamp(
-    static_cast<std::size_t>(wanted), std::size_t{ 1 }, aRules.mMaxReaders);
+  const auto parts = std::max(
+    1.0, std::ceil(read / std::max(ToMillis(aRules.mShortestPart), 1.0)));
+  const auto most = std::min({ aEngines.size(),
+                               aRules.mMaxReaders,
+                               static_cast<std::size_t>(parts) });
+  auto best = Gang{};
+  for (auto n = std::size_t{ 1 }; n <= most; ++n) {
+    auto gang = GatherGang(aTiming, aPrompt, aEngines, n, read, aRules);
+    if (gang.mCost < best.mCost) {
+      best = std::move(gang);
+    }
+  }
+  return best;
+}
+
+/// Gives each engine of a gang its part, and finds memory for the prompt: on
+/// one engine where possible, the fullest that has room, else on several. No
+/// engine when there is not enough.
+auto
+AssignGang(const EngineTiming& aTiming,
+           const PromptWork& aPrompt,
+           std::span<const EngineCandidate> aEngines,
+           Gang aGang,
+           const LaneRules& aRules) -> LaneChoice
+{
+  const auto tokens = aPrompt.mPromptTokens + aPrompt.mOutputTokens;
+  auto& members = aGang.mEngines;
+  const auto free = [&](std::size_t aEngine) {
+    return FreeTokens(aTiming, aEngines[aEngine], aRules);
+  };
+  const auto hasRoom = [&](std::size_t aEngine) {
+    return free(aEngine) >= tokens &&
+           aEngines[aEngine].mWork.mStreams < aTiming.mSlots;
+  };
+  // NOTE: the fullest with room comes first, else the emptiest do.
+  std::stable_sort(
+    members.begin(), members.end(), [&](auto aLeft, auto aRight) {
+      if (hasRoom(aLeft) != hasRoom(aRight)) {
+        return hasRoom(aLeft);
+      }
+      return hasRoom(aLeft) ? free(aLeft) < free(aRight)
+                            : free(aLeft) > free(aRight);
+    });
+  auto choice = LaneChoice{ members.front(),
+                            {},
+                            members.size() > 1 ? LaneReason::Together
+                                               : LaneReason::Alone,
+                            aGang.mFirstEventMillis };
+  auto missing = tokens - free(members.front());
+  for (auto i = std::size_t{ 1 }; i < members.size(); ++i) {
+    const auto hold = std::clamp<std::int64_t>(missing, 0, free(members[i]));
+    missing -= hold;
+    choice.mHelpers.push_back(
+      { members[i],
+        hold,
+        aEngines[members[i]].mWork.mReadMillis + aGang.mPartMillis });
+  }
+  if (missing > 0) {
+    choice.mEngine.reset();
+  }
+  return choice;
+}
+
+/// Waits while there is time, else gives up.
+auto
+WaitOrRefuse(const PromptWork& aPrompt, const LaneRules& aRules) -> LaneChoice
+{
+  const auto whole = ToMillis(aPrompt.mWaited + aPrompt.mAllowance);
+  const auto isLate = ToMillis(aPrompt.mWaited) >= whole * aRules.mWaitShare;
+  return { {}, {}, isLate ? LaneReason::Refuse : LaneReason::Wait, 0 };
+}
+
+/// True when the gang costs no more than the prompt would lose by waiting.
+auto
+IsWorthwhile(const PromptWork& aPrompt,
+             const Gang& aGang,
+             const LaneRules& aRules) -> bool
+{
+  const auto target = ToMillis(aPrompt.mAnswerTarget);
+  const auto waited = ToMillis(aPrompt.mWaited);
+  const auto isOnTime = waited + aGang.mFirstEventMillis <= target;
+  if (waited < target * aRules.mGatherShare) {
+    return aGang.mCost <= aRules.mEasyCost;
+  }
+  const auto gain = ValueOf(aPrompt, aRules) *
+                    (isOnTime ? aRules.mLateLoss : 1 - aRules.mLateLoss);
+  const auto harm =
+    aGang.mCost - LatenessOf(aPrompt, aGang.mFirstEventMillis, aRules);
+  return harm <= gain;
 }
 
 auto
@@ -134,35 +337,13 @@
           std::span<const EngineCandidate> aEngines,
           const LaneRules& aRules) -> LaneChoice
 {
-  auto order = OrderUsable(aEngines);
-  const auto packed =
-    CountPacked(aTiming, aEngines, order.size() - 1, aRules);
-  const auto lane = std::span(order).first(order.size() - packed);
-  const auto read = ReadMillis(aTiming, aPrompt.mPromptTokens);
-  auto idle = std::vector<std::size_t>{};
-  for (const auto i : lane) {
-    if (aEngines[i].mWork.mStreams == 0 && aEngines[i].mWork.mReadMillis <= 0) {
-      idle.push_back(i);
-    }
-  }
-  if (idle.empty()) {
-    const auto [engine, time] =
-      FindEarliest(aTiming, aEngines, lane, read, aRules);
-    return { engine, {}, LaneReason::Queued, time };
+  auto gang = FindGang(aTiming, aPrompt, aEngines, aRules);
+  if (!IsWorthwhile(aPrompt, gang, aRules)) {
+    return WaitOrRefuse(aPrompt, aRules);
   }
-  std::stable_sort(idle.begin(), idle.end(), [&](auto aLeft, auto aRight) {
-    return aEngines[aLeft].mIsNear > aEngines[aRight].mIsNear;
-  });
-  const auto readers =
-    std::min(CountReaders(aTiming, aPrompt, aRules), idle.size());
-  auto choice = LaneChoice{ idle.front(), {}, LaneReason::Idle, 0 };
-  choice.mHelpers.assign(
-    idle.begin() + 1, idle.begin() + static_cast<std::ptrdiff_t>(readers));
-  choice.mFirstEventMillis =
-    FirstEventMillis(aTiming,
-                     aEngines[idle.front()],
-                     read / static_cast<double>(readers));
-  return choice;
+  const auto choice =
+    AssignGang(aTiming, aPrompt, aEngines, std::move(gang), aRules);
+  return choice.mEngine ? choice : WaitOrRefuse(aPrompt, aRules);
 }
 
 } // namespace
@@ -173,7 +354,10 @@
   return { aLeft.mStreams + aRight.mStreams,
            aLeft.mContextTokens + aRight.mContextTokens,
            std::max(aLeft.mReadMillis, aRight.mReadMillis),
-           aLeft.mLongStreams + aRight.mLongStreams };
+           aLeft.mLongStreams + aRight.mLongStreams,
+           std::min(aLeft.mPauseMillis, aRight.mPauseMillis),
+           aLeft.mUnread + aRight.mUnread,
+           aLeft.mUnreadLong + aRight.mUnreadLong };
 }
 
 auto
@@ -184,14 +368,14 @@
       return "packed";
     case LaneReason::Spilled:
       return "spilled";
-    case LaneReason::Idle:
-      return "idle";
-    case LaneReason::Queued:
-      return "queued";
-    case LaneReason::None:
-      return "none";
-    case LaneReason::TooLarge:
-      return "too_large";
+    case LaneReason::Alone:
+      return "alone";
+    case LaneReason::Together:
+      return "together";
+    case LaneReason::Wait:
+      return "wait";
+    case LaneReason::Refuse:
+      return "refuse";
   }
   return "unknown";
 }
@@ -210,19 +394,19 @@
               std::span<const EngineCandidate> aEngines,
               const LaneRules& aRules) -> LaneChoice
 {
-  const auto hasUsable =
-    std::any_of(aEngines.begin(), aEngines.end(), [](const auto& aItem) {
-      return aItem.mIsUsable;
-    });
-  if (!hasUsable) {
+  if (aEngines.empty()) {
     return {};
   }
-  if (aPrompt.mPromptTokens > aTiming.mMemoryTokens) {
-    return { {}, {}, LaneReason::TooLarge, 0 };
+  auto choice = IsLongPrompt(aTiming, aPrompt)
+                  ? PlaceLong(aTiming, aPrompt, aEngines, aRules)
+                  : PlaceShort(aTiming, aPrompt, aEngines, aRules);
+  const auto isTooLate =
+    choice.mEngine &&
+    choice.mFirstEventMillis >= ToMillis(aPrompt.mAllowance);
+  if (isTooLate) {
+    choice = { {}, {}, LaneReason::Refuse, choice.mFirstEventMillis };
   }
-  return IsLongPrompt(aTiming, aPrompt)
-           ? PlaceLong(aTiming, aPrompt, aEngines, aRules)
-           : PlaceShort(aTiming, aPrompt, aEngines, aRules);
+  return choice;
 }
 
 } // namespace cuminslip
