Use one HTTP client, and end an answer whose last chunk comes by itself

Cause, found by the new tests of the connection pool: a last chunk that came in a piece of its own was taken as "more bytes are needed", so that the answer ended only with the connection; and an answer that came before the write's own callback ended its connection (two of three were opened anew). The client on h2o's http1client is now a layer over the pool, so that an answer cut between two chunks is broken for every caller; TLS moved along.

--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -278,6 +278,7 @@
                                      : "the connection broke");
       return;
     case wire::ExchangeEnd::Malformed:
+    case wire::ExchangeEnd::TooLarge:
       RecoverFlight(aForwarder,
                     *flight,
                     SendOutcome::NotAnAnswer,
--- /dev/null
+++ b/src/policy/tests/enginelanes_tests.cpp
@@ -0,0 +1,234 @@
+#include "policy/enginelanes.h"
+#include "policy/passmodel.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cuminslip;
+
+namespace {
+
+auto
+Timing() -> routing::EngineTiming
+{
+  auto timing = routing::EngineTiming{};
+  timing.mSlots = 16;
+  timing.mMemoryTokens = 315000;
+  timing.mStepsPerPass = 51;
+  timing.mStepMillis = 0.85;
+  timing.mStepMillisPerWriter = 0.00425;
+  timing.mStepMillisPerThousandTokens = 0.00285;
+  timing.mReadTokensPerSecond = 177000;
+  timing.mReadMillisPerMillionPairs = 0.184;
+  timing.mChunkTokens = 2048;
+  return timing;
+}
+
+auto
+Prompt(std::int64_t aTokens, Millis aTarget) -> PromptWork
+{
+  return { aTokens, 800, aTarget, Millis(250), Millis(0), Millis(15000) };
+}
+
+auto
+Check() -> PromptWork
+{
+  return Prompt(5000, Millis(300));
+}
+
+auto
+Bundle() -> PromptWork
+{
+  return Prompt(154000, Millis(3000));
+}
+
+auto
+Engines(std::size_t aCount) -> std::vector<EngineCandidate>
+{
+  auto engines = std::vector<EngineCandidate>(aCount);
+  for (auto i = std::size_t{ 0 }; i < aCount; ++i) {
+    engines[i].mOrder = i;
+  }
+  return engines;
+}
+
+auto
+AddShorts(EngineCandidate& aEngine, std::int64_t aCount) -> void
+{
+  aEngine.mWork.mStreams += aCount;
+  aEngine.mWork.mContextTokens += aCount * 5000;
+}
+
+auto
+Choose(const PromptWork& aPrompt, const std::vector<EngineCandidate>& aEngines)
+  -> LaneChoice
+{
+  return ChooseEngines(Timing(), aPrompt, aEngines, {});
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EngineLanesTests)
+
+BOOST_AUTO_TEST_CASE(TimesFollowThePublishedModel)
+{
+  // 154,000 tokens: 870 ms by rate, 2,182 ms by pairs.
+  BOOST_TEST(ReadMillis(Timing(), 154000) == 3052, boost::test_tools::tolerance(
+                                                     0.01));
+  BOOST_TEST(PassMillis(Timing(), 1, 5000) == 44.3,
+             boost::test_tools::tolerance(0.01));
+  BOOST_TEST(IsLongPrompt(Timing(), Bundle()));
+  BOOST_TEST(!IsLongPrompt(Timing(), Check()));
+}
+
+BOOST_AUTO_TEST_CASE(ChecksArePackedAtOneEndOfTheOrder)
+{
+  auto engines = Engines(10);
+  for (auto i = 0; i < 30; ++i) {
+    const auto choice = Choose(Check(), engines);
+    BOOST_REQUIRE(choice.mEngine.has_value());
+    AddShorts(engines[*choice.mEngine], 1);
+  }
+  auto used = 0;
+  for (auto i = std::size_t{ 0 }; i < engines.size(); ++i) {
+    used += engines[i].mWork.mStreams > 0 ? 1 : 0;
+    BOOST_TEST((engines[i].mWork.mStreams == 0 || i >= 7),
+               "engine " << i << " of the other end has a check");
+  }
+  BOOST_TEST(used == 3);
+}
+
+BOOST_AUTO_TEST_CASE(ChecksSpillWherePackedEnginesWouldBeLate)
+{
+  auto engines = Engines(4);
+  engines[3].mWork.mReadMillis = 2000;
+  const auto choice = Choose(Check(), engines);
+
+  BOOST_TEST((choice.mReason == LaneReason::Spilled));
+  BOOST_TEST(*choice.mEngine != 3U);
+}
+
+BOOST_AUTO_TEST_CASE(ABundleIsReadByManyEnginesInTime)
+{
+  const auto choice = Choose(Bundle(), Engines(23));
+
+  BOOST_TEST((choice.mReason == LaneReason::Together));
+  BOOST_TEST(choice.mHelpers.size() == 16U);
+  BOOST_TEST(choice.mFirstEventMillis < 300);
+}
+
+BOOST_AUTO_TEST_CASE(ABundleSparesEnginesWithChecks)
+{
+  auto engines = Engines(14);
+  for (auto i = std::size_t{ 10 }; i < engines.size(); ++i) {
+    AddShorts(engines[i], 8);
+  }
+  const auto choice = Choose(Bundle(), engines);
+  BOOST_REQUIRE(choice.mEngine.has_value());
+  BOOST_TEST(*choice.mEngine < 10U);
+  for (const auto& it : choice.mHelpers) {
+    BOOST_TEST(it.mEngine < 10U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(PartsAreNotStackedOnEnginesThatStillRead)
+{
+  auto engines = Engines(14);
+  for (auto i = std::size_t{ 0 }; i < 8; ++i) {
+    engines[i].mWork.mReadMillis = 200;
+    engines[i].mWork.mUnreadLong = 1;
+  }
+  const auto choice = Choose(Bundle(), engines);
+  BOOST_REQUIRE(choice.mEngine.has_value());
+  BOOST_TEST(choice.mHelpers.size() == 5U);
+  for (const auto& it : choice.mHelpers) {
+    BOOST_TEST(it.mEngine >= 8U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ABundleWaitsWhileEveryEngineReadsAndIsRefusedAtLast)
+{
+  auto engines = Engines(14);
+  for (auto& it : engines) {
+    it.mWork.mReadMillis = 200;
+    it.mWork.mUnreadLong = 2;
+  }
+  BOOST_TEST((Choose(Bundle(), engines).mReason == LaneReason::Wait));
+  auto late = Bundle();
+  late.mWaited = Millis(8000);
+  late.mAllowance = Millis(7000);
+  BOOST_TEST((Choose(late, engines).mReason == LaneReason::Refuse));
+}
+
+BOOST_AUTO_TEST_CASE(APromptAboveOneEnginesMemoryIsHeldBySeveral)
+{
+  const auto prompt = Prompt(600000, Millis(3000));
+  const auto choice = Choose(prompt, Engines(23));
+  BOOST_REQUIRE(choice.mEngine.has_value());
+  auto held = std::int64_t{ 0 };
+  for (const auto& it : choice.mHelpers) {
+    held += it.mHoldTokens;
+    BOOST_TEST(it.mHoldTokens <= Timing().mMemoryTokens);
+  }
+  BOOST_TEST(held + Timing().mMemoryTokens >= 600800);
+  BOOST_TEST((Choose(prompt, Engines(1)).mReason == LaneReason::Wait));
+}
+
+BOOST_AUTO_TEST_CASE(MemoryInUseIsNotGivenTwice)
+{
+  auto engines = Engines(3);
+  engines[0].mWork = { 1, 200000, 0, 1, 1000, 0, 0 };
+  engines[2].mWork = { 1, 200000, 0, 1, 1000, 0, 0 };
+  const auto choice = Choose(Prompt(100000, Millis(3000)), engines);
+  BOOST_REQUIRE(choice.mEngine.has_value());
+
+  BOOST_TEST(*choice.mEngine == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsChosenAmongNoEngines)
+{
+  BOOST_TEST((Choose(Check(), {}).mReason == LaneReason::Refuse));
+}
+
+BOOST_AUTO_TEST_CASE(WorkOfTwoInstancesAddsUp)
+{
+  const auto sum = AddWork({ 2, 100, 300, 1, 1000, 1, 1 },
+                           { 3, 50, 200, 0, kAnyPauseMillis, 0, 0 });
+
+  BOOST_TEST((sum == EngineWork{ 5, 150, 300, 1, 1000, 1, 1 }));
+}
+
+/// Bundles come faster than one engine could read them. Read one after the
+/// other by all engines they stay on time; each on an engine of its own, which
+/// is the baseline, they don't.
+BOOST_AUTO_TEST_CASE(ABurstOfBundlesIsReadFasterTogetherThanApart)
+{
+  constexpr auto kBundles = 12;
+  constexpr auto kGap = 400.0;
+  const auto timeFor = [&](std::size_t aReaders) {
+    auto rules = LaneRules{};
+    rules.mMaxReaders = aReaders;
+    rules.mEasyCost = 1e9;
+    auto freeAt = std::vector<double>(14, 0.0);
+    auto sum = 0.0;
+    for (auto i = 0; i < kBundles; ++i) {
+      const auto now = i * kGap;
+      auto engines = Engines(freeAt.size());
+      for (auto n = std::size_t{ 0 }; n < engines.size(); ++n) {
+        engines[n].mWork.mReadMillis = std::max(freeAt[n] - now, 0.0);
+      }
+      const auto choice = ChooseEngines(Timing(), Bundle(), engines, rules);
+      BOOST_REQUIRE(choice.mEngine.has_value());
+      sum += choice.mFirstEventMillis;
+      const auto end = now + choice.mFirstEventMillis;
+      freeAt[*choice.mEngine] = end;
+      for (const auto& it : choice.mHelpers) {
+        freeAt[it.mEngine] = now + it.mReadMillis;
+      }
+    }
+    return sum / kBundles;
+  };
+
+  BOOST_TEST(timeFor(17) * 3 < timeFor(1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/wire/connectionpool.h
+++ b/src/wire/connectionpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "wire/eventloop.h"
+#include "wire/tls.h"
 #include "wire/types/httpmessage.h"
 
 #include <cstddef>
@@ -23,8 +24,10 @@
   NotConnected,
   /// The connection ended before the answer was whole.
   Broken,
-  /// The bytes received are no HTTP answer, or its head is too large.
-  Malformed
+  /// The bytes received are no HTTP answer.
+  Malformed,
+  /// The answer's head is larger than allowed.
+  TooLarge
 };
 
 /// One request and how to send it. The request's headers are sent as they are,
@@ -39,6 +42,8 @@
   /// Never uses a kept connection, whose server may be closing it.
   bool mNeedsNewConnection = false;
   Millis mConnectTimeout{ 1000 };
+  /// Longest head of the answer; 0 takes the pool's limit.
+  std::size_t mMaxHeadBytes = 0;
 
   auto operator==(const Exchange&) const -> bool = default;
 };
@@ -56,6 +61,8 @@
 /// after a cancel, nothing more comes. None runs before StartExchange returns.
 struct ExchangeHandlers
 {
+  /// A connection was there and the request was given to it.
+  std::function<void()> mOnSent;
   std::function<void(int aStatus, const Headers& aHeaders)> mOnHead;
   std::function<void(std::string_view aPiece)> mOnPiece;
   std::function<void(const ExchangeResult& aResult)> mOnEnd;
@@ -111,6 +118,11 @@
 auto
 CancelExchange(ConnectionPool& aPool, ExchangeId aExchange) -> void;
 
+/// Makes later connections use aTls, or be plain when it is null. A server
+/// whose certificate is refused counts as not connected.
+auto
+SetTls(ConnectionPool& aPool, TlsContextPtr aTls) -> void;
+
 /// Closes the idle connections to an address.
 auto
 DropIdle(ConnectionPool& aPool, const SocketAddress& aAddress) -> void;
--- a/src/wire/httpclient.h
+++ b/src/wire/httpclient.h
@@ -15,8 +15,7 @@
 /// Why a call ended.
 enum class CallEnd : std::uint8_t
 {
-  /// The response was received. A chunked body whose server closed between two
-  /// chunks also ends so: streams need an end mark of their own.
+  /// The response was received whole.
   Complete,
   /// No connection was made; no byte of the request was sent.
   NotConnected,
--- a/src/wire/internal/answerparser.cpp
+++ b/src/wire/internal/answerparser.cpp
@@ -129,8 +129,9 @@
   if (used == kIncomplete && aSize <= aParser.mMaxHeadBytes) {
     return {};
   }
-  if (used < 0) {
-    aParser.mPhase = AnswerPhase::Failed;
+  if (used < 0 || static_cast<std::size_t>(used) > aParser.mMaxHeadBytes) {
+    aParser.mPhase =
+      used == -1 ? AnswerPhase::Failed : AnswerPhase::TooLarge;
     return {};
   }
   for (auto i = std::size_t{ 0 }; i < count; ++i) {
--- a/src/wire/internal/answerparser.h
+++ b/src/wire/internal/answerparser.h
@@ -18,7 +18,9 @@
   /// The body has no stated length and ends with the connection.
   OpenBody,
   Done,
-  Failed
+  Failed,
+  /// The head is larger than allowed.
+  TooLarge
 };
 
 /// State of the chunk decoder; its layout is picohttpparser's.
@@ -62,8 +64,9 @@
 };
 
 /// Takes the next part out of aBytes, which a chunked body decodes in place.
-/// Nothing consumed and no head means that more bytes are needed.
-/// Precondition: the phase is none of Done and Failed.
+/// Nothing consumed and no head means that more bytes are needed, unless the
+/// phase is now Done: the decoding itself took them.
+/// Precondition: the phase is none of Done, Failed and TooLarge.
 auto
 ParseAnswer(AnswerParser& aParser, char* aBytes, std::size_t aSize)
   -> ParsedPart;
--- a/src/wire/internal/connectionpool.cpp
+++ b/src/wire/internal/connectionpool.cpp
@@ -3,6 +3,7 @@
 #include "wire/internal/answerparser.h"
 #include "wire/internal/eventloopstate.h"
 #include "wire/internal/socketaddress.h"
+#include "wire/internal/tlscontext.h"
 
 #include <netinet/tcp.h>
 
@@ -29,7 +30,6 @@
   ConnectionId mId = 0;
   SocketAddress mAddress;
   h2o_socket_t* mSocket = nullptr;
-  bool mIsConnected = false;
   bool mIsWriting = false;
   /// The server keeps the connection, and nothing odd was seen on it.
   bool mIsReusable = true;
@@ -55,6 +55,7 @@
   EventLoop* mLoop = nullptr;
   PoolSettings mSettings;
   PoolCounters mCounters;
+  TlsContextPtr mTls;
   std::uint64_t mNextId = 1;
   std::map<ConnectionId, std::unique_ptr<Connection>> mConnections;
   std::map<ExchangeId, ConnectionId> mExchanges;
@@ -135,17 +136,30 @@
   }
 }
 
-/// Keeps a connection whose answer was received whole, or closes it.
+/// Makes a connection available to other exchanges, or closes it when there
+/// are enough.
+auto
+KeepConnection(Connection& aConnection) -> void
+{
+  auto& pool = *aConnection.mPool;
+  auto& idle = pool.mIdle[aConnection.mAddress];
+  if (idle.size() >= pool.mSettings.mMaxIdlePerAddress) {
+    CloseConnection(pool, aConnection);
+    return;
+  }
+  aConnection.mOutput = {};
+  aConnection.mIdleSince = MonotonicNow();
+  idle.push_back(aConnection.mId);
+}
+
+/// Ends an exchange whose answer was received whole; its connection is kept
+/// where it can be used again.
 auto
 CompleteExchange(Connection& aConnection, std::size_t aBytesLeft) -> void
 {
   auto& pool = *aConnection.mPool;
   pool.mCounters.mStrayBytes += aBytesLeft;
-  const auto isKept =
-    aConnection.mIsReusable && !aConnection.mIsWriting && aBytesLeft == 0 &&
-    pool.mIdle[aConnection.mAddress].size() <
-      pool.mSettings.mMaxIdlePerAddress;
-  if (!isKept) {
+  if (!aConnection.mIsReusable || aBytesLeft != 0) {
     FailConnection(aConnection, ExchangeEnd::Complete);
     return;
   }
@@ -154,9 +168,10 @@
     ExchangeResult{ ExchangeEnd::Complete, aConnection.mWasKept };
   pool.mExchanges.erase(std::exchange(aConnection.mExchange, 0));
   aConnection.mRequest = {};
-  aConnection.mOutput = {};
-  aConnection.mIdleSince = MonotonicNow();
-  pool.mIdle[aConnection.mAddress].push_back(aConnection.mId);
+  // NOTE: an answer may come before its request is sent whole.
+  if (!aConnection.mIsWriting) {
+    KeepConnection(aConnection);
+  }
   if (handlers->mOnEnd) {
     handlers->mOnEnd(result);
   }
@@ -208,11 +223,16 @@
     return false;
   }
   const auto part = ParseAnswer(connection->mParser, input->bytes, input->size);
-  if (connection->mParser.mPhase == AnswerPhase::Failed) {
-    FailConnection(*connection, ExchangeEnd::Malformed);
+  if (connection->mParser.mPhase == AnswerPhase::Failed ||
+      connection->mParser.mPhase == AnswerPhase::TooLarge) {
+    const auto isTooLarge =
+      connection->mParser.mPhase == AnswerPhase::TooLarge;
+    FailConnection(*connection,
+                   isTooLarge ? ExchangeEnd::TooLarge : ExchangeEnd::Malformed);
     return false;
   }
-  if (part.mConsumed == 0 && !part.mHead) {
+  const auto isDone = connection->mParser.mPhase == AnswerPhase::Done;
+  if (part.mConsumed == 0 && !part.mHead && !isDone) {
     return false;
   }
   if (part.mHead) {
@@ -276,6 +296,8 @@
   // NOTE: after a failed write the answer may still be there to be read.
   if (aError != nullptr) {
     connection->mIsReusable = false;
+  } else if (connection->mExchange == 0) {
+    KeepConnection(*connection);
   }
 }
 
@@ -284,13 +306,18 @@
 {
   aConnection.mParser = {};
   aConnection.mParser.mMaxHeadBytes =
-    aConnection.mPool->mSettings.mMaxHeadBytes;
+    aConnection.mRequest.mMaxHeadBytes > 0
+      ? aConnection.mRequest.mMaxHeadBytes
+      : aConnection.mPool->mSettings.mMaxHeadBytes;
   aConnection.mIsForeign = false;
   aConnection.mOutput = FormatRequest(aConnection.mRequest.mRequest);
   aConnection.mIsWriting = true;
   auto buf = h2o_iovec_init(aConnection.mOutput.data(),
                             aConnection.mOutput.size());
   h2o_socket_write(aConnection.mSocket, &buf, 1, OnWritten);
+  if (aConnection.mHandlers->mOnSent) {
+    aConnection.mHandlers->mOnSent();
+  }
 }
 
 auto
@@ -309,8 +336,9 @@
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kProbeCount, sizeof(kProbeCount));
 }
 
+/// The connection may be used: TLS is agreed on, or there is none.
 auto
-OnConnected(h2o_socket_t* aSocket, const char* aError) -> void
+OnUsable(h2o_socket_t* aSocket, const char* aError) -> void
 {
   auto* connection = static_cast<Connection*>(aSocket->data);
   if (connection == nullptr) {
@@ -322,12 +350,29 @@
     FailConnection(*connection, ExchangeEnd::NotConnected);
     return;
   }
-  connection->mIsConnected = true;
   SetOptions(*connection);
   h2o_socket_read_start(connection->mSocket, OnRead);
   SendRequest(*connection);
 }
 
+auto
+OnConnected(h2o_socket_t* aSocket, const char* aError) -> void
+{
+  const auto* connection = static_cast<Connection*>(aSocket->data);
+  if (connection == nullptr) {
+    return;
+  }
+  const auto& tls = connection->mPool->mTls;
+  if (aError != nullptr || tls == nullptr) {
+    OnUsable(aSocket, aError);
+    return;
+  }
+  h2o_socket_ssl_handshake(aSocket,
+                           tls->mContext.get(),
+                           connection->mAddress.mHost.c_str(),
+                           OnUsable);
+}
+
 auto
 Connect(ConnectionPool& aPool, Connection& aConnection) -> void
 {
@@ -435,6 +480,12 @@
   }
 }
 
+auto
+SetTls(ConnectionPool& aPool, TlsContextPtr aTls) -> void
+{
+  aPool.mTls = std::move(aTls);
+}
+
 auto
 DropIdle(ConnectionPool& aPool, const SocketAddress& aAddress) -> void
 {
--- a/src/wire/internal/httpclient.cpp
+++ b/src/wire/internal/httpclient.cpp
@@ -1,270 +1,115 @@
 #include "wire/httpclient.h"
 
-#include "wire/internal/eventloopstate.h"
-#include "wire/internal/tlscontext.h"
+#include "wire/connectionpool.h"
 
-#include <cstring>
 #include <map>
-#include <optional>
 
 namespace cuminslip::wire {
 
-namespace {
-
-struct OpenCall
-{
-  HttpClient* mOwner = nullptr;
-  CallId mId = 0;
-  HttpCall mCall;
-  CallHandlers mHandlers;
-  std::string mHead;
-  h2o_http1client_t* mClient = nullptr;
-  TimerId mTimeout = 0;
-  TimerId mHeadCheck = 0;
-  h2o_iovec_t mBuffers[2]{};
-  bool mIsConnected = false;
-  bool mIsInCallback = false;
-  bool mIsCancelled = false;
-};
-
-} // namespace
-
 struct HttpClient
 {
   EventLoop* mLoop = nullptr;
-  h2o_timeout_t mIoTimeout{};
-  h2o_http1client_ctx_t mContext{};
-  TlsContextPtr mTls;
+  ConnectionPoolPtr mPool;
   CallId mNextCall = 1;
-  std::map<CallId, std::unique_ptr<OpenCall>> mCalls;
+
+  struct OpenCall
+  {
+    ExchangeId mExchange = 0;
+    TimerId mTimeout = 0;
+    bool mHasSent = false;
+    CallHandlers mHandlers;
+  };
+  std::map<CallId, std::shared_ptr<OpenCall>> mCalls;
 };
 
 namespace {
 
-constexpr auto kIoTimeout = Millis(24 * 3600 * 1000);
-constexpr auto kHeadCheckInterval = Millis(20);
-constexpr auto kStopReading = -1;
-
-auto
-FormatRequestHead(const HttpCall& aCall) -> std::string
-{
-  const auto& request = aCall.mRequest;
-  auto head = request.mMethod + " " + request.mPath;
-  if (!request.mQuery.empty()) {
-    head += "?" + request.mQuery;
-  }
-  head += " HTTP/1.1\r\nhost: " + FormatAddress(aCall.mAddress) + "\r\n";
-  head += "connection: close\r\n";
-  head += "content-length: " + std::to_string(request.mBody.size()) + "\r\n";
-  for (const auto& header : request.mHeaders) {
-    head += header.mName + ": " + header.mValue + "\r\n";
-  }
-  head += "\r\n";
-  return head;
-}
-
-/// Forgets a call and returns its handlers; the h2o client is not touched.
-auto
-RemoveCall(OpenCall& aCall) -> CallHandlers
-{
-  auto& owner = *aCall.mOwner;
-  StopTimer(*owner.mLoop, aCall.mTimeout);
-  StopTimer(*owner.mLoop, aCall.mHeadCheck);
-  auto handlers = std::move(aCall.mHandlers);
-  owner.mCalls.erase(aCall.mId);
-  return handlers;
-}
-
-/// Ends a call from within an h2o callback, which closes the connection.
-auto
-EndInCallback(OpenCall& aCall, CallEnd aEnd) -> void
-{
-  const auto isCancelled = aCall.mIsCancelled;
-  const auto handlers = RemoveCall(aCall);
-  if (!isCancelled && handlers.mOnEnd) {
-    handlers.mOnEnd(aEnd);
-  }
-}
-
-/// Ends a call from outside h2o's callbacks.
-auto
-EndFromOutside(OpenCall& aCall, CallEnd aEnd) -> void
-{
-  auto* client = aCall.mClient;
-  const auto handlers = RemoveCall(aCall);
-  h2o_http1client_cancel(client);
-  if (handlers.mOnEnd) {
-    handlers.mOnEnd(aEnd);
-  }
-}
-
-auto
-DeliverInput(OpenCall& aCall, h2o_http1client_t& aClient) -> void
-{
-  auto& input = aClient.sock->input;
-  if (input->size == 0) {
-    return;
-  }
-  aCall.mIsInCallback = true;
-  if (aCall.mHandlers.mOnPiece) {
-    aCall.mHandlers.mOnPiece({ input->bytes, input->size });
-  }
-  aCall.mIsInCallback = false;
-  h2o_buffer_consume(&input, input->size);
-}
-
-auto
-OnBody(h2o_http1client_t* aClient, const char* aError) -> int
-{
-  auto& call = *static_cast<OpenCall*>(aClient->data);
-  if (aError != nullptr && aError != h2o_http1client_error_is_eos) {
-    EndInCallback(call, CallEnd::Broken);
-    return kStopReading;
-  }
-  DeliverInput(call, *aClient);
-  if (call.mIsCancelled) {
-    RemoveCall(call);
-    return kStopReading;
-  }
-  if (aError == h2o_http1client_error_is_eos) {
-    EndInCallback(call, CallEnd::Complete);
-  }
-  return 0;
-}
-
 auto
-ToHeaders(const h2o_header_t* aHeaders, std::size_t aCount) -> Headers
+ToCallEnd(ExchangeEnd aEnd) -> CallEnd
 {
-  auto headers = Headers{};
-  for (auto i = std::size_t{ 0 }; i < aCount; ++i) {
-    const auto& header = aHeaders[i];
-    headers.push_back({ { header.name->base, header.name->len },
-                        { header.value.base, header.value.len } });
+  switch (aEnd) {
+    case ExchangeEnd::Complete:
+      return CallEnd::Complete;
+    case ExchangeEnd::NotConnected:
+      return CallEnd::NotConnected;
+    case ExchangeEnd::TooLarge:
+      return CallEnd::TooLarge;
+    case ExchangeEnd::Broken:
+    case ExchangeEnd::Malformed:
+      break;
   }
-  return headers;
+  return CallEnd::Broken;
 }
 
+/// Forgets a call and returns it; null when it has ended.
 auto
-CountBytes(const Headers& aHeaders) -> std::size_t
+RemoveCall(HttpClient& aClient, CallId aCall)
+  -> std::shared_ptr<HttpClient::OpenCall>
 {
-  auto count = std::size_t{ 0 };
-  for (const auto& header : aHeaders) {
-    count += header.mName.size() + header.mValue.size();
-  }
-  return count;
-}
-
-auto
-OnHead(h2o_http1client_t* aClient,
-       const char* aError,
-       int,
-       int aStatus,
-       h2o_iovec_t,
-       h2o_header_t* aHeaders,
-       size_t aCount,
-       int) -> h2o_http1client_body_cb
-{
-  auto& call = *static_cast<OpenCall*>(aClient->data);
-  if (aError != nullptr && aError != h2o_http1client_error_is_eos) {
-    EndInCallback(call, CallEnd::Broken);
-    return nullptr;
-  }
-  StopTimer(*call.mOwner->mLoop, std::exchange(call.mHeadCheck, 0));
-  const auto headers = ToHeaders(aHeaders, aCount);
-  if (CountBytes(headers) > call.mCall.mMaxHeadBytes) {
-    EndInCallback(call, CallEnd::TooLarge);
-    return nullptr;
-  }
-  call.mIsInCallback = true;
-  if (call.mHandlers.mOnHead) {
-    call.mHandlers.mOnHead(aStatus, headers);
-  }
-  call.mIsInCallback = false;
-  if (call.mIsCancelled) {
-    RemoveCall(call);
-    return nullptr;
-  }
-  if (aError == h2o_http1client_error_is_eos) {
-    EndInCallback(call, CallEnd::Complete);
+  auto call = aClient.mCalls.extract(aCall);
+  if (call.empty()) {
     return nullptr;
   }
-  return OnBody;
+  StopTimer(*aClient.mLoop, call.mapped()->mTimeout);
+  return std::move(call.mapped());
 }
 
 auto
-OnConnect(h2o_http1client_t* aClient,
-          const char* aError,
-          h2o_iovec_t** aBuffers,
-          size_t* aBufferCount,
-          int* aIsHead) -> h2o_http1client_head_cb
+EndCall(HttpClient& aClient, CallId aCall, CallEnd aEnd) -> void
 {
-  auto& call = *static_cast<OpenCall*>(aClient->data);
-  if (aError != nullptr) {
-    EndInCallback(call, CallEnd::NotConnected);
-    return nullptr;
+  const auto call = RemoveCall(aClient, aCall);
+  if (call && call->mHandlers.mOnEnd) {
+    call->mHandlers.mOnEnd(aEnd);
   }
-  call.mIsConnected = true;
-  call.mHead = FormatRequestHead(call.mCall);
-  auto& body = call.mCall.mRequest.mBody;
-  call.mBuffers[0] = h2o_iovec_init(call.mHead.data(), call.mHead.size());
-  call.mBuffers[1] = h2o_iovec_init(body.data(), body.size());
-  *aBuffers = call.mBuffers;
-  *aBufferCount = body.empty() ? 1 : 2;
-  *aIsHead = call.mCall.mRequest.mMethod == "HEAD" ? 1 : 0;
-  return OnHead;
 }
 
 auto
-FindCall(HttpClient& aClient, CallId aCall) -> OpenCall*
+ToExchange(const HttpCall& aCall) -> Exchange
 {
-  const auto it = aClient.mCalls.find(aCall);
-  return it == aClient.mCalls.end() ? nullptr : it->second.get();
+  auto exchange = Exchange{};
+  exchange.mAddress = aCall.mAddress;
+  exchange.mRequest = aCall.mRequest;
+  auto& headers = exchange.mRequest.mHeaders;
+  headers.insert(headers.begin(),
+                 { { "host", FormatAddress(aCall.mAddress) },
+                   { "connection", "close" } });
+  exchange.mNeedsNewConnection = true;
+  exchange.mConnectTimeout = aCall.mTimeout;
+  exchange.mMaxHeadBytes = aCall.mMaxHeadBytes;
+  return exchange;
 }
 
 auto
-CheckHeadSize(HttpClient& aClient, CallId aCall) -> void
+MakeHandlers(HttpClient& aClient, CallId aId) -> ExchangeHandlers
 {
-  auto* call = FindCall(aClient, aCall);
-  if (call == nullptr) {
-    return;
-  }
-  const auto* sock = call->mClient->sock;
-  const auto isTooLarge = call->mIsConnected && sock != nullptr &&
-                          sock->input->size > call->mCall.mMaxHeadBytes;
-  if (isTooLarge) {
-    EndFromOutside(*call, CallEnd::TooLarge);
-    return;
-  }
-  call->mHeadCheck =
-    StartTimer(*aClient.mLoop, kHeadCheckInterval, [&aClient, aCall] {
-      CheckHeadSize(aClient, aCall);
-    });
+  const auto call = aClient.mCalls.at(aId);
+  auto handlers = ExchangeHandlers{};
+  handlers.mOnSent = [call] { call->mHasSent = true; };
+  handlers.mOnHead = [call](int aStatus, const Headers& aHeaders) {
+    if (call->mHandlers.mOnHead) {
+      call->mHandlers.mOnHead(aStatus, aHeaders);
+    }
+  };
+  handlers.mOnPiece = [call](std::string_view aPiece) {
+    if (call->mHandlers.mOnPiece) {
+      call->mHandlers.mOnPiece(aPiece);
+    }
+  };
+  handlers.mOnEnd = [&aClient, aId](const ExchangeResult& aResult) {
+    EndCall(aClient, aId, ToCallEnd(aResult.mEnd));
+  };
+  return handlers;
 }
 
 auto
 OnTimeout(HttpClient& aClient, CallId aCall) -> void
 {
-  auto* call = FindCall(aClient, aCall);
-  if (call == nullptr) {
-    return;
-  }
+  const auto call = aClient.mCalls.at(aCall);
   call->mTimeout = 0;
-  EndFromOutside(
-    *call, call->mIsConnected ? CallEnd::TimedOut : CallEnd::NotConnected);
-}
-
-auto
-Connect(HttpClient& aClient, OpenCall& aCall) -> void
-{
-  const auto& host = aCall.mCall.mAddress.mHost;
-  h2o_http1client_connect(
-    &aCall.mClient,
-    &aCall,
-    &aClient.mContext,
-    h2o_iovec_init(host.data(), host.size()),
-    static_cast<std::uint16_t>(aCall.mCall.mAddress.mPort),
-    aClient.mTls != nullptr ? 1 : 0,
-    OnConnect);
+  CancelExchange(*aClient.mPool, call->mExchange);
+  EndCall(aClient,
+          aCall,
+          call->mHasSent ? CallEnd::TimedOut : CallEnd::NotConnected);
 }
 
 } // namespace
@@ -275,7 +120,6 @@
   while (!aClient->mCalls.empty()) {
     CancelCall(*aClient, aClient->mCalls.begin()->first);
   }
-  h2o_timeout_dispose(aClient->mLoop->mLoop, &aClient->mIoTimeout);
   delete aClient;
 }
 
@@ -284,57 +128,36 @@
 {
   auto client = HttpClientPtr(new HttpClient);
   client->mLoop = &aLoop;
-  h2o_timeout_init(aLoop.mLoop,
-                   &client->mIoTimeout,
-                   static_cast<std::uint64_t>(kIoTimeout.count()));
-  client->mContext.loop = aLoop.mLoop;
-  client->mContext.getaddr_receiver = &aLoop.mReceiver;
-  client->mContext.io_timeout = &client->mIoTimeout;
+  client->mPool = CreateConnectionPool(aLoop, {});
   return client;
 }
 
 auto
 SetTls(HttpClient& aClient, TlsContextPtr aTls) -> void
 {
-  aClient.mTls = std::move(aTls);
-  aClient.mContext.ssl_ctx =
-    aClient.mTls == nullptr ? nullptr : aClient.mTls->mContext.get();
+  SetTls(*aClient.mPool, std::move(aTls));
 }
 
 auto
 StartCall(HttpClient& aClient, HttpCall aCall, CallHandlers aHandlers) -> CallId
 {
   const auto id = aClient.mNextCall++;
-  auto call = std::make_unique<OpenCall>();
-  call->mOwner = &aClient;
-  call->mId = id;
-  call->mCall = std::move(aCall);
+  auto call = std::make_shared<HttpClient::OpenCall>();
   call->mHandlers = std::move(aHandlers);
-  auto& entry = *aClient.mCalls.emplace(id, std::move(call)).first->second;
-  entry.mTimeout = StartTimer(*aClient.mLoop,
-                              entry.mCall.mTimeout,
-                              [&aClient, id] { OnTimeout(aClient, id); });
-  entry.mHeadCheck = StartTimer(*aClient.mLoop,
-                                kHeadCheckInterval,
-                                [&aClient, id] { CheckHeadSize(aClient, id); });
-  Connect(aClient, entry);
+  call->mTimeout = StartTimer(
+    *aClient.mLoop, aCall.mTimeout, [&aClient, id] { OnTimeout(aClient, id); });
+  aClient.mCalls.emplace(id, call);
+  call->mExchange = StartExchange(
+    *aClient.mPool, ToExchange(aCall), MakeHandlers(aClient, id));
   return id;
 }
 
 auto
 CancelCall(HttpClient& aClient, CallId aCall) -> void
 {
-  auto* call = FindCall(aClient, aCall);
-  if (call == nullptr) {
-    return;
-  }
-  if (call->mIsInCallback) {
-    call->mIsCancelled = true;
-    return;
+  if (const auto call = RemoveCall(aClient, aCall)) {
+    CancelExchange(*aClient.mPool, call->mExchange);
   }
-  auto* client = call->mClient;
-  RemoveCall(*call);
-  h2o_http1client_cancel(client);
 }
 
 auto
--- /dev/null
+++ b/src/wire/tests/answerparser_tests.cpp
@@ -0,0 +1,152 @@
+#include "wire/internal/answerparser.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+using namespace cuminslip::wire;
+
+namespace {
+
+/// What an answer given in pieces adds up to.
+struct Parsed
+{
+  AnswerPhase mPhase = AnswerPhase::Head;
+  int mStatus = 0;
+  std::string mBody;
+  std::string mLeft;
+
+  auto operator==(const Parsed&) const -> bool = default;
+};
+
+/// Feeds the bytes in two pieces, cut at aCut.
+auto
+ParseCut(const std::string& aBytes, std::size_t aCut) -> Parsed
+{
+  auto parser = AnswerParser{};
+  auto parsed = Parsed{};
+  auto buf = std::string{};
+  for (const auto& piece : { aBytes.substr(0, aCut), aBytes.substr(aCut) }) {
+    buf += piece;
+    while (!buf.empty() && parser.mPhase != AnswerPhase::Done &&
+           parser.mPhase != AnswerPhase::Failed) {
+      const auto part = ParseAnswer(parser, buf.data(), buf.size());
+      if (part.mHead) {
+        parsed.mStatus = part.mHead->mStatus;
+      }
+      parsed.mBody += part.mPiece;
+      const auto isDone = parser.mPhase == AnswerPhase::Done;
+      if (part.mConsumed == 0 && !part.mHead && !isDone) {
+        break;
+      }
+      buf = buf.substr(part.mConsumed, part.mLeft);
+    }
+  }
+  parsed.mPhase = parser.mPhase;
+  parsed.mLeft = buf;
+  return parsed;
+}
+
+/// Checks that the answer means the same wherever it is cut.
+auto
+CheckEverywhere(const std::string& aBytes, const Parsed& aExpected) -> void
+{
+  for (auto cut = std::size_t{ 0 }; cut <= aBytes.size(); ++cut) {
+    const auto parsed = ParseCut(aBytes, cut);
+    BOOST_TEST((parsed == aExpected), "cut at " << cut);
+  }
+}
+
+auto
+HeadOf(const std::string& aBytes) -> AnswerHead
+{
+  auto parser = AnswerParser{};
+  auto buf = aBytes;
+  const auto part = ParseAnswer(parser, buf.data(), buf.size());
+  return part.mHead.value_or(AnswerHead{});
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AnswerParserTests)
+
+BOOST_AUTO_TEST_CASE(ABodyOfStatedLengthEndsThere)
+{
+  CheckEverywhere("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+                  { AnswerPhase::Done, 200, "hello", "" });
+}
+
+BOOST_AUTO_TEST_CASE(ChunksAreJoinedAndTheLastOneEnds)
+{
+  CheckEverywhere("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n",
+                  { AnswerPhase::Done, 200, "abcdefg", "" });
+}
+
+BOOST_AUTO_TEST_CASE(AChunkedBodyWithoutItsLastChunkIsNotDone)
+{
+  CheckEverywhere("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "3\r\nabc\r\n",
+                  { AnswerPhase::ChunkedBody, 200, "abc", "" });
+}
+
+BOOST_AUTO_TEST_CASE(ABodyWithoutLengthStaysOpen)
+{
+  CheckEverywhere("HTTP/1.1 200 OK\r\n\r\nsome bytes",
+                  { AnswerPhase::OpenBody, 200, "some bytes", "" });
+}
+
+BOOST_AUTO_TEST_CASE(BytesBehindTheAnswerAreLeft)
+{
+  const auto bytes =
+    std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "3\r\nabc\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n");
+  const auto parsed = ParseCut(bytes, bytes.size());
+
+  BOOST_TEST(parsed.mBody == "abc");
+  BOOST_TEST(parsed.mLeft == "HTTP/1.1 200 OK\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(AnInterimAnswerIsFollowedByTheFinalOne)
+{
+  CheckEverywhere("HTTP/1.1 100 Continue\r\n\r\n"
+                  "HTTP/1.1 204 No Content\r\n\r\n",
+                  { AnswerPhase::Done, 204, "", "" });
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsNoAnswerFails)
+{
+  for (const auto* bytes : { "garbage without sense\r\n\r\n",
+                             "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"
+                             "\r\n",
+                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                             "\r\nnot hex\r\n" }) {
+    const auto text = std::string(bytes);
+    const auto parsed = ParseCut(text, text.size());
+    BOOST_TEST((parsed.mPhase == AnswerPhase::Failed), text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AHeadThatNeverEndsIsTooLarge)
+{
+  auto parser = AnswerParser{};
+  parser.mMaxHeadBytes = 100;
+  auto bytes = "HTTP/1.1 200 OK\r\nx: " + std::string(100, 'y');
+  ParseAnswer(parser, bytes.data(), bytes.size());
+
+  BOOST_TEST((parser.mPhase == AnswerPhase::TooLarge));
+}
+
+BOOST_AUTO_TEST_CASE(TheHeadTellsWhetherTheConnectionIsKept)
+{
+  const auto kept =
+    HeadOf("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=7, max=9\r\n\r\n");
+  BOOST_TEST(kept.mIsPersistent);
+  BOOST_TEST(kept.mKeepAliveSeconds.value_or(0) == 7);
+  BOOST_TEST(
+    !HeadOf("HTTP/1.1 200 OK\r\nConnection: Close\r\n\r\n").mIsPersistent);
+  BOOST_TEST(!HeadOf("HTTP/1.0 200 OK\r\n\r\n").mIsPersistent);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/wire/tests/http_tests.cpp
+++ b/src/wire/tests/http_tests.cpp
@@ -1,4 +1,5 @@
 #include "wire/tests/httpfixture.h"
+#include "wire/tests/rawcaller.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -80,6 +81,47 @@
   BOOST_TEST((end == CallEnd::Broken));
 }
 
+BOOST_AUTO_TEST_CASE(AnAbortedBodyEndsBetweenItsChunks)
+{
+  auto responder = ResponderPtr{};
+  Serve([&](const HttpRequest&, const ResponderPtr& aResponder) {
+    responder = aResponder;
+    StartStream(aResponder, 200, {});
+    SendPiece(aResponder, "one");
+  });
+  auto caller = cuminslip::wire::testing::RawCaller(ListenAddress(*mServer));
+  caller.Send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  RunUntil([&] {
+    caller.IsClosed();
+    return caller.Received().ends_with("one\r\n");
+  });
+  AbortStream(responder);
+  RunUntil([&] { return caller.IsClosed(); });
+
+  BOOST_TEST(caller.Received().ends_with("3\r\none\r\n"),
+             caller.Received());
+}
+
+BOOST_AUTO_TEST_CASE(AClosingServerEndsEachConnectionWithItsAnswer)
+{
+  Serve([&](const HttpRequest&, const ResponderPtr& aResponder) {
+    SendResponse(aResponder, { 200, {}, "ok" });
+  });
+  auto caller = cuminslip::wire::testing::RawCaller(ListenAddress(*mServer));
+  caller.Send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  RunUntil([&] {
+    caller.IsClosed();
+    return caller.Received().ends_with("ok");
+  });
+  BOOST_TEST(!caller.IsClosed());
+  CloseAfterAnswers(*mServer);
+  caller.Send("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  RunUntil([&] { return caller.IsClosed(); });
+
+  BOOST_TEST(caller.Received().find("ok", caller.Received().find("ok") + 1) !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(AbortWhileSendingClosesTheConnection)
 {
   Serve([&](const HttpRequest&, const ResponderPtr& aResponder) {
