--- /dev/null
+++ b/src/control/tests/automaticmembers_tests.cpp
@@ -0,0 +1,214 @@
+#include "control/tests/testcluster.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace cuminslip;
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+auto
+RoleOf(const TestCluster& aCluster, std::size_t aNumber)
+  -> std::optional<MemberRole>
+{
+  const auto& membership =
+    CurrentMembership(aCluster.mMembers[aCluster.Leader()].mCore);
+  const auto* member = FindMember(
+    membership, aCluster.mMembers[aNumber].mDisk.mVote.mMember);
+  return member ? std::optional(member->mRole) : std::nullopt;
+}
+
+/// Asks the leader, as an instance does until it is a member.
+auto
+AskToJoin(TestCluster& aCluster, std::size_t aNumber) -> void
+{
+  const auto leader = aCluster.Leader();
+  if (leader < aCluster.mMembers.size()) {
+    aCluster.Feed(
+      leader,
+      AddMemberInput{ aCluster.MemberOf(aNumber), JoinRule::Automatic });
+  }
+}
+
+auto
+Publishes(TestCluster& aCluster, std::uint64_t aVersion) -> bool
+{
+  const auto leader = aCluster.Leader();
+  if (leader == aCluster.mMembers.size()) {
+    return false;
+  }
+  const auto token = aCluster.Propose(
+    leader, PublishRoutingCommand{ aVersion, std::to_string(aVersion) });
+  aCluster.Run(Seconds(1));
+  const auto result = aCluster.ResultOf(token);
+  return result && result->mStatus == CommandStatus::Accepted;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AutomaticMembersTests)
+
+BOOST_AUTO_TEST_CASE(ANewInstanceWaitsAsASpareWhileAllVotersAnswer)
+{
+  auto cluster = TestCluster(4, 1, 3, 3);
+  AskToJoin(cluster, 3);
+  cluster.Run(Seconds(10));
+
+  BOOST_TEST((RoleOf(cluster, 3) == MemberRole::Spare));
+  BOOST_TEST(Publishes(cluster, 1));
+}
+
+BOOST_AUTO_TEST_CASE(ASpareTakesThePlaceOfALostVoter)
+{
+  auto cluster = TestCluster(4, 2, 3, 3);
+  AskToJoin(cluster, 3);
+  cluster.Run(Seconds(2));
+  const auto lost = cluster.Leader() == 1 ? 2U : 1U;
+  cluster.Crash(lost);
+  cluster.Run(Seconds(3));
+  BOOST_TEST((RoleOf(cluster, lost) == MemberRole::Voter),
+             "a short silence is no loss");
+  cluster.Run(Seconds(4));
+
+  BOOST_TEST((RoleOf(cluster, 3) == MemberRole::Voter));
+  BOOST_TEST(!RoleOf(cluster, lost).has_value());
+  const auto other = lost == 1 ? 2U : 1U;
+  cluster.Crash(other);
+  cluster.Run(Seconds(6));
+  BOOST_TEST(Publishes(cluster, 1), "one more loss is borne");
+}
+
+BOOST_AUTO_TEST_CASE(ALostLeaderIsReplacedToo)
+{
+  auto cluster = TestCluster(4, 3, 3, 3);
+  AskToJoin(cluster, 3);
+  cluster.Run(Seconds(2));
+  const auto lost = cluster.Leader();
+  cluster.Crash(lost);
+  cluster.Run(Seconds(12));
+
+  BOOST_TEST((RoleOf(cluster, 3) == MemberRole::Voter));
+  BOOST_TEST(!RoleOf(cluster, lost).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AReplacedVoterComesBackAsASpare)
+{
+  auto cluster = TestCluster(4, 4, 3, 3);
+  AskToJoin(cluster, 3);
+  cluster.Run(Seconds(2));
+  const auto lost = cluster.Leader() == 1 ? 2U : 1U;
+  cluster.Crash(lost);
+  cluster.Run(Seconds(8));
+  cluster.Start(lost);
+  AskToJoin(cluster, lost);
+  cluster.Run(Seconds(3));
+
+  BOOST_TEST((RoleOf(cluster, lost) == MemberRole::Spare));
+  BOOST_TEST(Publishes(cluster, 1));
+}
+
+BOOST_AUTO_TEST_CASE(AnEmptiedDiskTakesItsOwnPlaceAgain)
+{
+  auto cluster = TestCluster(3, 5);
+  BOOST_TEST(Publishes(cluster, 1));
+  const auto emptied = cluster.Leader() == 1 ? 2U : 1U;
+  cluster.Wipe(emptied);
+  cluster.Start(emptied);
+  for (auto n = 0; n < 4; ++n) {
+    AskToJoin(cluster, emptied);
+    cluster.Run(Seconds(2));
+  }
+
+  BOOST_TEST((RoleOf(cluster, emptied) == MemberRole::Voter));
+  const auto& membership =
+    CurrentMembership(cluster.mMembers[cluster.Leader()].mCore);
+  BOOST_TEST(membership.mMembers.size() == 3U);
+  BOOST_TEST(TemplateRevision(cluster.mMembers[emptied].mState) > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(VotersStayOddAndGrowWithTheInstances)
+{
+  auto cluster = TestCluster(6, 6, 3, 3);
+  for (auto n = std::size_t{ 3 }; n < 6; ++n) {
+    for (auto tries = 0; tries < 3; ++tries) {
+      AskToJoin(cluster, n);
+      cluster.Run(Seconds(1));
+    }
+  }
+  cluster.Run(Seconds(5));
+  auto voters = 0;
+  for (auto n = std::size_t{ 0 }; n < 6; ++n) {
+    voters += RoleOf(cluster, n) == MemberRole::Voter ? 1 : 0;
+  }
+
+  BOOST_TEST(voters == 5);
+}
+
+BOOST_AUTO_TEST_CASE(ANewLeaderDoesNotTakeUnheardVotersForLost)
+{
+  auto cluster = TestCluster(4, 7, 3, 3);
+  AskToJoin(cluster, 3);
+  cluster.Run(Seconds(2));
+  const auto former = cluster.Leader();
+  cluster.Crash(former);
+  cluster.Run(Millis(2500));
+  cluster.Start(former);
+  cluster.Run(Seconds(6));
+
+  BOOST_TEST((RoleOf(cluster, former) == MemberRole::Voter));
+  BOOST_TEST((RoleOf(cluster, 3) == MemberRole::Spare));
+}
+
+/// Losses, returns, emptied disks and joins in any order; the cluster itself
+/// throws when an accepted change is lost or two members disagree.
+BOOST_DATA_TEST_CASE(NothingAcceptedIsLostWhileMembersComeAndGo,
+                     data::xrange(1, 41),
+                     seed)
+{
+  auto cluster = TestCluster(5, static_cast<std::uint64_t>(seed), 3, 3);
+  auto random = std::mt19937(static_cast<unsigned>(seed));
+  const auto below = [&](unsigned aEnd) { return random() % aEnd; };
+  auto version = std::uint64_t{ 0 };
+  auto accepted = std::uint64_t{ 0 };
+  for (auto round = 0; round < 12; ++round) {
+    auto down = std::size_t{ 0 };
+    for (const auto& it : cluster.mMembers) {
+      down += it.mIsUp ? 0 : 1;
+    }
+    const auto which = below(5);
+    if (!cluster.mMembers[which].mIsUp) {
+      cluster.Start(which);
+    } else if (down == 0 && below(3) == 0) {
+      cluster.Wipe(which);
+    } else if (down == 0) {
+      cluster.Crash(which, below(3));
+    }
+    for (auto n = std::size_t{ 0 }; n < 5; ++n) {
+      if (cluster.mMembers[n].mIsUp && below(2) == 0) {
+        AskToJoin(cluster, n);
+      }
+    }
+    cluster.Run(Millis(1000 + static_cast<int>(below(6000))));
+    if (Publishes(cluster, ++version)) {
+      accepted = version;
+    }
+  }
+  for (auto n = std::size_t{ 0 }; n < 5; ++n) {
+    if (!cluster.mMembers[n].mIsUp) {
+      cluster.Start(n);
+    }
+  }
+  cluster.Run(Seconds(15));
+  BOOST_REQUIRE(cluster.Leader() < cluster.mMembers.size());
+  const auto& templates =
+    cluster.mMembers[cluster.Leader()].mState.mTemplates;
+  const auto stored = templates.contains(kRoutingAccount)
+                        ? templates.at(kRoutingAccount).mVersion
+                        : 0;
+  BOOST_TEST(stored >= accepted);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/control/tests/controlcodec_tests.cpp
+++ b/src/control/tests/controlcodec_tests.cpp
@@ -23,7 +23,8 @@
            SubmitWorkCommand{ { "a" }, "w", "f", 8, 4, "half", 7 },
            TakeWorkCommand{ "h", "t", 6 },
            RenewWorkCommand{ { "a" }, "w", "t", 6 },
-           FinishWorkCommand{ { "a" }, "w", "t", 8, 4, "half" } };
+           FinishWorkCommand{ { "a" }, "w", "t", 8, 4, "half" },
+           PublishRoutingCommand{ 12, "document" } };
 }
 
 auto
--- a/src/control/tests/statemachine_tests.cpp
+++ b/src/control/tests/statemachine_tests.cpp
@@ -62,6 +62,41 @@
 
 BOOST_AUTO_TEST_SUITE(StateMachineTests)
 
+BOOST_AUTO_TEST_CASE(TheHighestRoutingVersionIsInForce)
+{
+  auto machine = Machine{};
+  const auto publish = [&](std::uint64_t aVersion, const char* aText) {
+    return machine(PublishRoutingCommand{ aVersion, aText });
+  };
+  const auto inForce = [&] {
+    return machine.mState.mTemplates.at(kRoutingAccount);
+  };
+
+  BOOST_TEST((publish(7, "seven").mStatus == CommandStatus::Accepted));
+  const auto revision = inForce().mRevision;
+  BOOST_TEST((publish(7, "other").mStatus == CommandStatus::Accepted));
+  BOOST_TEST((publish(3, "three").mStatus == CommandStatus::Accepted));
+  BOOST_TEST(inForce().mDocument == "seven");
+  BOOST_TEST(inForce().mRevision == revision, "followers would be told anew");
+  publish(12, "twelve");
+  machine.Reload();
+  BOOST_TEST(inForce().mDocument == "twelve");
+  BOOST_TEST(inForce().mVersion == 12U);
+  BOOST_TEST(inForce().mRevision > revision);
+}
+
+BOOST_AUTO_TEST_CASE(RoutingDocumentsAreBoundedAndApartFromTemplates)
+{
+  auto machine = Machine{};
+  machine.mBounds.mMaxRoutingBytes = 4;
+  BOOST_TEST((machine(PublishRoutingCommand{ 1, "12345" }).mStatus ==
+              CommandStatus::Invalid));
+  BOOST_TEST((machine(PublishRoutingCommand{ 0, "1" }).mStatus ==
+              CommandStatus::Invalid));
+  BOOST_TEST((machine(PublishCommand{ kRoutingAccount, 0, { "r" }, "x" })
+                .mStatus == CommandStatus::Invalid));
+}
+
 BOOST_AUTO_TEST_CASE(PublishesConditionallyAndAnswersResends)
 {
   auto apply = Machine{};
--- a/src/control/tests/testcluster.h
+++ b/src/control/tests/testcluster.h
@@ -54,7 +54,8 @@
 
   explicit TestCluster(std::size_t aSize,
                        std::uint64_t aSeed = 1,
-                       std::size_t aJoined = SIZE_MAX)
+                       std::size_t aJoined = SIZE_MAX,
+                       std::size_t aNamed = SIZE_MAX)
     : mMembers(aSize)
     , mRandom(aSeed)
   {
@@ -63,7 +64,7 @@
       Start(n);
     }
     auto found = FoundInput{ 77, { "d0" }, {} };
-    for (auto n = std::size_t{ 1 }; n < aSize; ++n) {
+    for (auto n = std::size_t{ 1 }; n < std::min(aSize, aNamed); ++n) {
       found.mExpected.push_back(InstanceOf(n));
     }
     Feed(0, found);
--- /dev/null
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -0,0 +1,224 @@
+#include "forwarding/tests/fakeworld.h"
+
+using namespace cuminslip;
+using namespace cuminslip::forwarding;
+using namespace cuminslip::forwarding::testing;
+using wire::ExchangeEnd;
+
+BOOST_FIXTURE_TEST_SUITE(ForwarderTests, ReadyWorld)
+
+BOOST_AUTO_TEST_CASE(ARequestAndItsAnswerPassUnchanged)
+{
+  const auto caller = Ask(MakeRequest("read"));
+  auto& send = LastSend();
+  BOOST_TEST(send.mExchange.mRequest.mMethod == "POST");
+  BOOST_TEST(send.mExchange.mRequest.mPath == "/read/x");
+  BOOST_TEST(send.mExchange.mRequest.mQuery == "q=1");
+  BOOST_TEST(send.mExchange.mRequest.mBody == "body");
+  BOOST_TEST(send.Header("account") == "claims");
+  BOOST_TEST((send.mExchange.mEcho == wire::Header{ "id", "r1" }));
+  Answer(send, 207, kSealed, std::string("by\0tes", 6));
+
+  BOOST_REQUIRE(caller->mResponse.has_value());
+  BOOST_TEST(caller->mResponse->mStatus == 207);
+  BOOST_TEST(caller->mResponse->mBody == std::string("by\0tes", 6));
+  BOOST_TEST((caller->mResponse->mHeaders == kSealed));
+  BOOST_TEST(IsIdle(*mForwarder));
+}
+
+BOOST_AUTO_TEST_CASE(RequestsThatMayNotPassAreRefusedAtOnce)
+{
+  auto wrongKey = MakeRequest("read");
+  wrongKey.mKey = "bad key";
+  BOOST_TEST(Ask(wrongKey)->mResponse->mBody == "unknown_key");
+  BOOST_TEST(Ask(MakeRequest("nowhere"))->mResponse->mBody == "no_route");
+  auto nameless = MakeRequest("read");
+  nameless.mId = {};
+  BOOST_TEST(Ask(nameless)->mResponse->mBody == "bad_request");
+  auto late = MakeRequest("read");
+  late.mAllowance = Millis(0);
+  BOOST_TEST(Ask(late)->mResponse->mBody == "too_late");
+  BOOST_TEST(mSends.empty());
+}
+
+BOOST_AUTO_TEST_CASE(WithoutADocumentCallersAreToldToComeBack)
+{
+  auto world = FakeWorld{};
+  const auto caller = world.Ask(MakeRequest("read"));
+
+  BOOST_TEST(caller->mResponse->mBody == "not_ready");
+  BOOST_TEST(wire::FindHeader(caller->mResponse->mHeaders, "retry").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ALowerVersionDoesNotComeBackIntoForce)
+{
+  ApplyRouting(*mForwarder, MakeTable(MakeDocument(9)));
+  ApplyRouting(*mForwarder, MakeTable(MakeDocument(4)));
+
+  BOOST_TEST(RoutingVersion(*mForwarder) == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(ANonIdempotentRequestIsSentOnceWhateverHappensToIt)
+{
+  for (const auto end : { ExchangeEnd::Broken, ExchangeEnd::Malformed }) {
+    mSends.clear();
+    const auto caller = Ask(MakeRequest("book"));
+    End(LastSend(), end);
+    BOOST_TEST(mSends.size() == 1U);
+    BOOST_TEST(caller->mResponse->mBody == "endpoint_failed");
+    BOOST_TEST(caller->mResponse->mHeaders.empty(), "no word of coming back");
+    Run(Seconds(20));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WhatHasNotRunGoesToAnotherEndpoint)
+{
+  const auto caller = Ask(MakeRequest("book"));
+  const auto first = LastSend().Header("endpoint");
+  Answer(LastSend(), 503, { { "not-run", "1" } }, "");
+  BOOST_TEST(mSends.size() == 2U);
+  BOOST_TEST(LastSend().Header("endpoint") != first);
+  Answer(LastSend(), 503, { { "not-run", "1" } }, "");
+
+  BOOST_TEST(caller->mResponse->mBody == "no_capacity");
+  BOOST_TEST(wire::FindHeader(caller->mResponse->mHeaders, "retry").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalAfterAnUnknownOutcomeMakesNoPromise)
+{
+  const auto caller = Ask(MakeRequest("read"));
+  End(LastSend(), ExchangeEnd::Broken);
+  Answer(LastSend(), 503, { { "not-run", "1" } }, "");
+
+  BOOST_TEST(caller->mResponse->mBody == "endpoint_failed");
+}
+
+BOOST_AUTO_TEST_CASE(AStatusThatPromisesWithoutTheEndpointsWordIsNotPassedOn)
+{
+  for (const auto status : { 408, 421, 429, 503 }) {
+    const auto caller = Ask(MakeRequest("book"));
+    Answer(LastSend(), status, kSealed, "");
+    BOOST_TEST(caller->mResponse->mBody == "endpoint_failed", status);
+    Run(Seconds(20));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutSealIsNoSuccess)
+{
+  const auto caller = Ask(MakeRequest("book"));
+  Answer(LastSend(), 200, { { "id", "r1" } }, "forged");
+
+  BOOST_TEST(caller->mResponse->mBody == "endpoint_failed");
+}
+
+BOOST_AUTO_TEST_CASE(AnErrorOfAnIdempotentRequestIsTriedElsewhereThenPassedOn)
+{
+  const auto caller = Ask(MakeRequest("read"));
+  Answer(LastSend(), 500, kSealed, "first");
+  BOOST_TEST(mSends.size() == 2U);
+  Answer(LastSend(), 500, kSealed, "second");
+
+  BOOST_TEST(caller->mResponse->mStatus == 500);
+  BOOST_TEST(caller->mResponse->mBody == "second");
+}
+
+BOOST_AUTO_TEST_CASE(TheTimePassedOnIsTheTimeLeft)
+{
+  auto request = MakeRequest("read");
+  request.mAllowance = Millis(2000);
+  Ask(request);
+  BOOST_TEST(LastSend().Header("allowance") == "2000");
+  Run(Millis(700));
+  End(LastSend(), ExchangeEnd::Broken);
+
+  BOOST_TEST(LastSend().Header("allowance") == "1300");
+}
+
+BOOST_AUTO_TEST_CASE(AtTheRoutesTimeoutTheFinalAnswerComes)
+{
+  const auto caller = Ask(MakeRequest("book"));
+  Run(Millis(4999));
+  BOOST_TEST(!caller->mResponse.has_value());
+  Run(Millis(1));
+
+  BOOST_TEST(caller->mResponse->mBody == "timed_out");
+  BOOST_TEST(LastSend().mIsCancelled);
+}
+
+BOOST_AUTO_TEST_CASE(WhenACallerLeavesTheEndpointIsToldSoon)
+{
+  const auto caller = Ask(MakeRequest("read"));
+  caller->mHasLeft = true;
+  Run(Millis(110));
+
+  BOOST_TEST(LastSend().mIsCancelled);
+  BOOST_TEST(!caller->mResponse.has_value());
+  BOOST_TEST(IsIdle(*mForwarder));
+}
+
+BOOST_AUTO_TEST_CASE(ADrainingEndpointGetsNothingMore)
+{
+  AddEndpoint("p1", "plain", 1, 2, directory::NoticeState::Draining);
+  for (auto i = 0; i < 5; ++i) {
+    Ask(MakeRequest("read"));
+    BOOST_TEST(LastSend().Header("endpoint") == "p2");
+  }
+  AddEndpoint("p2", "plain", 2, 2, directory::NoticeState::Gone);
+
+  BOOST_TEST(Ask(MakeRequest("read"))->mResponse->mBody == "no_capacity");
+}
+
+BOOST_AUTO_TEST_CASE(AnEndpointThatFailsIsLeftAloneForAWhile)
+{
+  Ask(MakeRequest("read"));
+  const auto failed = LastSend().Header("endpoint");
+  End(LastSend(), ExchangeEnd::Broken);
+  for (auto i = 0; i < 5; ++i) {
+    Ask(MakeRequest("read"));
+    BOOST_TEST(LastSend().Header("endpoint") != failed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WithAllEndpointsFailingTheyAreStillTried)
+{
+  Ask(MakeRequest("book"));
+  End(LastSend(), ExchangeEnd::Broken);
+  Ask(MakeRequest("book"));
+  End(LastSend(), ExchangeEnd::Broken);
+  const auto before = mSends.size();
+  Ask(MakeRequest("book"));
+
+  BOOST_TEST(mSends.size() == before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(RepeatsStopWhenTheBudgetIsUsedUp)
+{
+  constexpr auto kRequests = 400;
+  for (auto i = 0; i < kRequests; ++i) {
+    Ask(MakeRequest("read"));
+    while (!mSends.back()->mIsCancelled && !IsIdle(*mForwarder)) {
+      End(LastSend(), ExchangeEnd::Broken);
+    }
+  }
+  const auto repeats = mSends.size() - kRequests;
+  BOOST_TEST(repeats > 50U);
+  BOOST_TEST(repeats <= static_cast<std::size_t>(0.2 * kRequests + 50));
+  BOOST_TEST(CountersOf(*mForwarder).mRepeats == repeats);
+}
+
+BOOST_AUTO_TEST_CASE(AnUnreadableNoticeIsDropped)
+{
+  TakeLoadNotice(*mForwarder, "no notice at all");
+  BOOST_TEST(Ask(MakeRequest("read"))->mResponse.has_value() == false);
+}
+
+BOOST_AUTO_TEST_CASE(AbandonedRequestsGetAFinalAnswer)
+{
+  const auto caller = Ask(MakeRequest("read"));
+  AbandonRequests(*mForwarder);
+
+  BOOST_TEST(caller->mResponse->mBody == "endpoint_failed");
+  BOOST_TEST(LastSend().mIsCancelled);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/forwarding/tests/longprompts_tests.cpp
@@ -0,0 +1,218 @@
+#include "base/digest.h"
+#include "forwarding/loadnotice.h"
+#include "forwarding/tests/fakeworld.h"
+
+using namespace cuminslip;
+using namespace cuminslip::forwarding;
+using namespace cuminslip::forwarding::testing;
+using wire::ExchangeEnd;
+
+namespace {
+
+struct EngineWorld : FakeWorld
+{
+  explicit EngineWorld(int aEngines = 8)
+  {
+    ApplyRouting(*mForwarder, MakeTable(MakeDocument(1)));
+    for (auto i = 1; i <= aEngines; ++i) {
+      AddEndpoint("e" + std::to_string(i), "engines", i);
+    }
+  }
+
+  auto AskLong(std::int64_t aTokens) -> std::shared_ptr<FakeCaller>
+  {
+    auto request = MakeRequest("long");
+    request.mPrompt = PromptFacts{ aTokens, 800 };
+    return Ask(request);
+  }
+
+  /// The sends to a path, in order.
+  auto SendsTo(const std::string& aPath) -> std::vector<FakeSend*>
+  {
+    auto found = std::vector<FakeSend*>{};
+    for (const auto& it : mSends) {
+      if (it->mExchange.mRequest.mPath == aPath) {
+        found.push_back(it.get());
+      }
+    }
+    return found;
+  }
+};
+
+/// Every engine reads three long prompts.
+auto
+BusyShares() -> std::vector<EngineShare>
+{
+  auto shares = std::vector<EngineShare>{};
+  for (auto i = 1; i <= 8; ++i) {
+    shares.push_back({ Checksum("e" + std::to_string(i)),
+                       { 0, 0, 4000, 0, kAnyPauseMillis, 0, 3 } });
+  }
+  return shares;
+}
+
+auto
+CountHelpers(const FakeSend& aSend) -> std::size_t
+{
+  auto n = std::size_t{ 0 };
+  for (const auto& it : aSend.mExchange.mRequest.mHeaders) {
+    n += it.mName == "helper" ? 1 : 0;
+  }
+  return n;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LongPromptTests, EngineWorld)
+
+BOOST_AUTO_TEST_CASE(ALongPromptIsReadBySeveralEngines)
+{
+  AskLong(154000);
+
+  BOOST_TEST(CountHelpers(LastSend()) == 7U);
+  BOOST_TEST(mNotices.size() == 1U, "the other instance is told at once");
+}
+
+BOOST_AUTO_TEST_CASE(ASecondOneWaitsUntilTheFirstIsRead)
+{
+  AskLong(154000);
+  const auto second = AskLong(154000);
+  BOOST_TEST(mSends.size() == 1U);
+  Head(LastSend(), 200, kSealed);
+  Piece(LastSend(), "id: 1\n\n");
+  Run(Millis(1));
+  BOOST_TEST(mSends.size() == 2U);
+  BOOST_TEST(!second->mResponse.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AnotherInstancesWorkIsSeen)
+{
+  TakeLoadNotice(*mForwarder,
+                 EncodeLoadNotice({ "10.0.0.2:7000", 5, BusyShares() }));
+  AskLong(154000);
+  BOOST_TEST(mSends.empty());
+  TakeLoadNotice(*mForwarder, EncodeLoadNotice({ "10.0.0.2:7000", 4, {} }));
+  Run(Millis(50));
+  BOOST_TEST(mSends.empty(), "an older notice changes nothing");
+  TakeLoadNotice(*mForwarder, EncodeLoadNotice({ "10.0.0.2:7000", 6, {} }));
+  Run(Millis(50));
+  BOOST_TEST(mSends.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(WhatASilentInstanceToldIsForgotten)
+{
+  TakeLoadNotice(
+    *mForwarder,
+    EncodeLoadNotice({ "10.0.0.2:7000",
+                       5,
+                       { { Checksum("e1"),
+                           { 16, 300000, 0, 16, 250, 0, 8 } } } }));
+  Run(Seconds(4));
+  auto request = MakeRequest("long");
+  request.mPrompt = PromptFacts{ 154000, 800 };
+  Ask(request);
+
+  BOOST_TEST(CountHelpers(LastSend()) == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(MemoryIsSetAsideForAPromptAboveOneEngines)
+{
+  const auto caller = AskLong(400000);
+  const auto holds = SendsTo("/hold");
+  BOOST_REQUIRE(!holds.empty());
+  BOOST_TEST(SendsTo("/long/x").empty());
+  for (auto* it : holds) {
+    Answer(*it, 200, {}, "");
+  }
+  BOOST_REQUIRE(SendsTo("/long/x").size() == 1U);
+  auto& send = *SendsTo("/long/x").front();
+  Head(send, 200, kSealed);
+  Piece(send, "id: 1\n\n");
+  End(send, ExchangeEnd::Complete);
+
+  BOOST_TEST(caller->mIsFinished);
+  BOOST_TEST(SendsTo("/release").size() == holds.size());
+}
+
+BOOST_AUTO_TEST_CASE(MemoryIsAskedForAgainWhileItIsUsed)
+{
+  AskLong(400000);
+  const auto holds = SendsTo("/hold");
+  for (auto* it : holds) {
+    Answer(*it, 200, {}, "");
+  }
+  Run(Millis(2200));
+
+  BOOST_TEST(SendsTo("/hold").size() == 3 * holds.size());
+}
+
+BOOST_AUTO_TEST_CASE(AllOrNothingIsSetAside)
+{
+  AskLong(400000);
+  const auto holds = SendsTo("/hold");
+  Answer(*holds.front(), 409, {}, "");
+
+  BOOST_TEST(SendsTo("/release").size() == holds.size());
+  BOOST_TEST(SendsTo("/long/x").empty());
+}
+
+BOOST_AUTO_TEST_CASE(EnginesThatDoNotAnswerAreGivenBackToo)
+{
+  AskLong(400000);
+  const auto holds = SendsTo("/hold").size();
+  Run(Millis(401));
+
+  BOOST_TEST(SendsTo("/release").size() >= holds);
+  for (auto* it : SendsTo("/hold")) {
+    Answer(*it, 200, {}, "");
+  }
+  BOOST_TEST(SendsTo("/long/x").size() <= 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsHeldWhenTheCallerLeaves)
+{
+  const auto caller = AskLong(400000);
+  const auto holds = SendsTo("/hold").size();
+  caller->mHasLeft = true;
+  Run(Millis(110));
+
+  BOOST_TEST(SendsTo("/release").size() == holds);
+  BOOST_TEST(IsIdle(*mForwarder));
+}
+
+BOOST_AUTO_TEST_CASE(APromptThatWaitsInVainIsRefusedHonestly)
+{
+  const auto tellBusy = [&](std::uint64_t aSequence) {
+    TakeLoadNotice(
+      *mForwarder,
+      EncodeLoadNotice({ "10.0.0.2:7000", aSequence, BusyShares() }));
+  };
+  tellBusy(1);
+  const auto caller = AskLong(154000);
+  for (auto i = std::uint64_t{ 2 }; i < 9; ++i) {
+    Run(Millis(1000));
+    tellBusy(i);
+  }
+  BOOST_TEST(!caller->mResponse.has_value());
+  Run(Millis(700));
+
+  BOOST_TEST(mSends.empty());
+  BOOST_REQUIRE(caller->mResponse.has_value());
+  BOOST_TEST(caller->mResponse->mBody == "no_capacity");
+  BOOST_TEST(wire::FindHeader(caller->mResponse->mHeaders, "retry").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(NoticesComeBackAsTheyWere)
+{
+  const auto notice =
+    LoadNotice{ "10.0.0.2:7000",
+                77,
+                { { 5, { 3, 40000, 120, 1, 600, 1, 2 } },
+                  { 6, { 1, 5000, 0, 0, kAnyPauseMillis, 0, 0 } } } };
+  const auto again = CollectOutcome<LoadNotice>(
+    [&] { return DecodeLoadNotice(EncodeLoadNotice(notice)); });
+
+  BOOST_TEST((again.mValue == notice));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/forwarding/tests/streams_tests.cpp
@@ -0,0 +1,144 @@
+#include "forwarding/eventsplitter.h"
+#include "forwarding/tests/fakeworld.h"
+
+using namespace cuminslip;
+using namespace cuminslip::forwarding;
+using namespace cuminslip::forwarding::testing;
+using wire::ExchangeEnd;
+
+namespace {
+
+auto
+Event(int aId) -> std::string
+{
+  const auto id = std::to_string(aId);
+  return "id: " + id + "\ndata: piece " + id + "\n\n";
+}
+
+auto
+Events(int aFirst, int aLast) -> std::string
+{
+  auto text = std::string{};
+  for (auto i = aFirst; i <= aLast; ++i) {
+    text += Event(i);
+  }
+  return text;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EventSplitterTests)
+
+BOOST_AUTO_TEST_CASE(EventsAreWholeWhereverThePiecesAreCut)
+{
+  const auto text = std::string("id: 7\ndata: a\n\n"
+                                "x-weight-versions: 2\r\nid:8\r\n\r\n"
+                                "data: no id\n\nid: 9\nhalf");
+  for (auto cut = std::size_t{ 0 }; cut <= text.size(); ++cut) {
+    auto splitter = EventSplitter{};
+    auto events = SplitEvents(splitter, text.substr(0, cut));
+    for (auto& it : SplitEvents(splitter, text.substr(cut))) {
+      events.push_back(std::move(it));
+    }
+    BOOST_REQUIRE(events.size() == 3U);
+    BOOST_TEST(events[0].mId.value_or(0) == 7U);
+    BOOST_TEST(events[1].mId.value_or(0) == 8U);
+    BOOST_TEST(!events[2].mId.has_value());
+    BOOST_TEST(events[0].mBytes + events[1].mBytes + events[2].mBytes +
+                 splitter.mRest ==
+               text);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(StreamTests, ReadyWorld)
+
+BOOST_AUTO_TEST_CASE(EventsPassAsTheyCome)
+{
+  const auto caller = Ask(MakeRequest("draft"));
+  Head(LastSend(), 200, kSealed);
+  Piece(LastSend(), Event(1));
+  BOOST_TEST(caller->mStreamStatus == 200);
+  BOOST_TEST(caller->mStreamed == Event(1));
+  Piece(LastSend(), Event(2).substr(0, 9));
+  BOOST_TEST(caller->mStreamed == Event(1), "half an event waits");
+  Piece(LastSend(), Event(2).substr(9));
+  End(LastSend(), ExchangeEnd::Complete);
+
+  BOOST_TEST(caller->mStreamed == Events(1, 2));
+  BOOST_TEST(caller->mIsFinished);
+}
+
+BOOST_AUTO_TEST_CASE(ABrokenStreamGoesOnElsewhereWithNoEventMissingOrTwice)
+{
+  const auto caller = Ask(MakeRequest("draft"));
+  const auto first = LastSend().Header("endpoint");
+  Head(LastSend(), 200, kSealed);
+  Piece(LastSend(), Events(1, 3) + "id: 4\ndata: pie");
+  End(LastSend(), ExchangeEnd::Broken);
+  BOOST_TEST(LastSend().Header("endpoint") != first);
+  BOOST_TEST(LastSend().Header("after") == "3");
+  Head(LastSend(), 200, kSealed);
+  Piece(LastSend(), Events(3, 6));
+  End(LastSend(), ExchangeEnd::Complete);
+
+  BOOST_TEST(caller->mStreamed == Events(1, 6));
+  BOOST_TEST(caller->mIsFinished);
+  BOOST_TEST(CountersOf(*mForwarder).mResumed == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AStreamWithAnEventMissingIsNotPassedOn)
+{
+  const auto caller = Ask(MakeRequest("draft"));
+  Head(LastSend(), 200, kSealed);
+  Piece(LastSend(), Event(1) + Event(3));
+  BOOST_TEST(caller->mStreamed == Event(1));
+  BOOST_TEST(mSends.front()->mIsCancelled);
+  BOOST_TEST(LastSend().Header("after") == "1");
+}
+
+BOOST_AUTO_TEST_CASE(AStreamThatMayNotBeResumedIsCut)
+{
+  const auto caller = Ask(MakeRequest("once"));
+  Head(LastSend(), 200, kSealed);
+  Piece(LastSend(), Event(1));
+  End(LastSend(), ExchangeEnd::Broken);
+
+  BOOST_TEST(caller->mIsAborted);
+  BOOST_TEST(!caller->mIsFinished);
+  BOOST_TEST(mSends.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TheCallersOwnLastEventIsPassedOn)
+{
+  auto request = MakeRequest("draft");
+  request.mLastEvent = 12;
+  Ask(request);
+
+  BOOST_TEST(LastSend().Header("after") == "12");
+}
+
+BOOST_AUTO_TEST_CASE(AStreamThatEndsWithoutAnEventIsTriedElsewhere)
+{
+  const auto caller = Ask(MakeRequest("draft"));
+  Head(LastSend(), 200, kSealed);
+  End(LastSend(), ExchangeEnd::Complete);
+
+  BOOST_TEST(mSends.size() == 2U);
+  BOOST_TEST(!caller->mResponse.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesMidwayEndsTheWork)
+{
+  const auto caller = Ask(MakeRequest("draft"));
+  Head(LastSend(), 200, kSealed);
+  Piece(LastSend(), Event(1));
+  caller->mHasLeft = true;
+  Run(Millis(110));
+
+  BOOST_TEST(LastSend().mIsCancelled);
+  BOOST_TEST(mSends.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
