Explain a request from its id; never wait for the reader of the log

cuminslip explain reads log files or standard input and tells a request's decisions in order and its cause in the last line.

--- a/src/base/events.h
+++ b/src/base/events.h
@@ -51,7 +51,18 @@
          const std::string& aFile,
          Severity aLowest) -> void;
 
-/// Writes one line; nothing before StartLog. Thread safe.
+/// Says how many lines were dropped before it, since the reader of standard
+/// output was too slow.
+inline constexpr auto kLogLinesDroppedEvent =
+  Event{ 1007, "log_lines_dropped", Severity::Warning };
+
+/// Writes the lines that still wait, and no more after them. Call once, when
+/// other threads have stopped.
+auto
+StopLog() -> void;
+
+/// Writes one line; nothing before StartLog. Never waits for the reader of
+/// standard output: lines are dropped and counted instead. Thread safe.
 auto
 LogEvent(const Event& aEvent, std::initializer_list<EventField> aFields)
   -> void;
--- a/src/base/internal/events.cpp
+++ b/src/base/internal/events.cpp
@@ -6,7 +6,10 @@
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/utility/setup/file.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 
@@ -85,6 +88,78 @@
   return line;
 }
 
+/// Counts the lines that a reader was too slow for.
+auto
+DroppedLines() -> std::atomic<std::uint64_t>&
+{
+  static auto sDropped = std::atomic<std::uint64_t>{ 0 };
+  return sDropped;
+}
+
+/// Set when a line of this thread was dropped.
+thread_local auto sHasDropped = false;
+
+/// What the queue of lines does when it is full.
+struct CountAndDrop
+{
+  template<class Lock>
+  static auto on_overflow(const logging::record_view&, Lock&) -> bool
+  {
+    ++DroppedLines();
+    sHasDropped = true;
+    return false;
+  }
+  static auto on_queue_space_available() -> void {}
+  static auto interrupt() -> void {}
+};
+
+/// Lines that wait for the reader of standard output.
+constexpr auto kQueuedLines = std::size_t{ 4096 };
+
+using AsyncConsole = logging::sinks::asynchronous_sink<
+  logging::sinks::text_ostream_backend,
+  logging::sinks::bounded_fifo_queue<kQueuedLines, CountAndDrop>>;
+
+auto
+ConsoleSink() -> boost::shared_ptr<AsyncConsole>&
+{
+  static auto sSink = boost::shared_ptr<AsyncConsole>{};
+  return sSink;
+}
+
+/// Writes to standard output on a thread of its own.
+auto
+StartConsoleLog() -> void
+{
+  const auto backend =
+    boost::make_shared<logging::sinks::text_ostream_backend>();
+  backend->add_stream(boost::shared_ptr<std::ostream>(
+    &std::cout, boost::null_deleter()));
+  backend->auto_flush(true);
+  ConsoleSink() = boost::make_shared<AsyncConsole>(backend);
+  ConsoleSink()->set_formatter(logging::expressions::stream
+                               << logging::expressions::smessage);
+  logging::core::get()->add_sink(ConsoleSink());
+}
+
+auto
+WriteEvent(const Event& aEvent, std::initializer_list<EventField> aFields)
+  -> void
+{
+  auto record = GlobalLogger().open_record(
+    logging::keywords::severity = static_cast<int>(aEvent.mSeverity));
+  if (!record) {
+    return;
+  }
+  auto line = ToObject(aEvent, aFields);
+  line["time_ms"] = WallClockMillis();
+  line["instance"] = InstanceName();
+  auto stream = logging::record_ostream(record);
+  stream << json::serialize(line);
+  stream.flush();
+  GlobalLogger().push_record(std::move(record));
+}
+
 } // namespace
 
 EventField::EventField(std::string_view aName, std::string aValue)
@@ -149,8 +224,7 @@
   namespace keywords = logging::keywords;
   InstanceName() = aInstance;
   if (aFile.empty()) {
-    logging::add_console_log(
-      std::cout, keywords::auto_flush = true, keywords::format = "%Message%");
+    StartConsoleLog();
   } else {
     logging::add_file_log(keywords::file_name = aFile,
                           keywords::open_mode = std::ios::app,
@@ -162,24 +236,30 @@
   IsLogStarted() = true;
 }
 
+auto
+StopLog() -> void
+{
+  IsLogStarted() = false;
+  if (const auto sink = std::exchange(ConsoleSink(), nullptr)) {
+    logging::core::get()->remove_sink(sink);
+    sink->stop();
+    sink->flush();
+  }
+}
+
 auto
 LogEvent(const Event& aEvent, std::initializer_list<EventField> aFields) -> void
 {
   if (!IsLogStarted()) {
     return;
   }
-  auto record = GlobalLogger().open_record(
-    logging::keywords::severity = static_cast<int>(aEvent.mSeverity));
-  if (!record) {
-    return;
+  if (const auto dropped = DroppedLines().load(); dropped > 0) {
+    sHasDropped = false;
+    WriteEvent(kLogLinesDroppedEvent, { { "lines", dropped } });
+    // NOTE: where this line was dropped too, the next one says it.
+    DroppedLines() -= sHasDropped ? 1 : dropped;
   }
-  auto line = ToObject(aEvent, aFields);
-  line["time_ms"] = WallClockMillis();
-  line["instance"] = InstanceName();
-  auto stream = logging::record_ostream(record);
-  stream << json::serialize(line);
-  stream.flush();
-  GlobalLogger().push_record(std::move(record));
+  WriteEvent(aEvent, aFields);
 }
 
 auto
--- a/src/client/internal/client.cpp
+++ b/src/client/internal/client.cpp
@@ -104,6 +104,11 @@
            "prints the hash of the key in FILE (- for standard input)",
            false,
            client::RunKeyHash },
+  Command{ "explain",
+           "REQUEST",
+           "tells what happened to a request, from logs",
+           false,
+           client::RunExplain },
   Command{ "template publish",
            "FILE",
            "publishes a template; --dry-run tells what would change",
@@ -172,6 +177,8 @@
   -c, --trust FILE               TLS: authorities of the instances' certificates
                                  (else CUMINSLIP_TRUST)
   -j, --json                     output for scripts
+  -l, --log FILE                 explain: a log to read, may be repeated
+                                 (else standard input)
   -t, --timeout-ms N             longest time for one attempt
   -d, --retry-delay-ms N         delay before the second attempt; it doubles
   -e, --expected-revision N      publish only over revision N (0: none yet)
--- a/src/client/internal/commands.h
+++ b/src/client/internal/commands.h
@@ -22,6 +22,11 @@
 auto
 RunKeyHash(const Options& aOptions, const Output& aOutput) -> ExitCode;
 
+/// Tells what happened to a request, from log files or standard input; needs no
+/// instance.
+auto
+RunExplain(const Options& aOptions, const Output& aOutput) -> ExitCode;
+
 auto
 RunTemplatePublish(const Options& aOptions, const Output& aOutput) -> ExitCode;
 
--- a/src/client/internal/options.cpp
+++ b/src/client/internal/options.cpp
@@ -22,6 +22,7 @@
   InstanceOption = 1,
   KeyFileOption,
   TrustOption,
+  LogOption,
   JsonOption,
   DryRunOption,
   ExpectedRevisionOption,
@@ -47,6 +48,7 @@
   TextOption("instance", 'i', InstanceOption),
   TextOption("key-file", 'k', KeyFileOption),
   TextOption("trust", 'c', TrustOption),
+  TextOption("log", 'l', LogOption),
   Flag("json", 'j', JsonOption),
   Flag("dry-run", 'n', DryRunOption),
   TextOption("expected-revision", 'e', ExpectedRevisionOption),
@@ -123,6 +125,9 @@
     case TrustOption:
       aOptions.mTrustFile = aText;
       return;
+    case LogOption:
+      aOptions.mLogFiles.push_back(aText);
+      return;
     case JsonOption:
       aOptions.mIsJson = true;
       return;
--- /dev/null
+++ b/src/client/internal/requeststory.cpp
@@ -0,0 +1,167 @@
+#include "client/requeststory.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace cuminslip::client {
+
+namespace {
+
+namespace json = boost::json;
+
+/// Fields that a story line has members for, or that say nothing in it.
+constexpr auto kOwnFields =
+  std::array<std::string_view, 6>{ "time_ms", "instance", "name",
+                                   "event",   "severity", "request" };
+
+struct ParsedLine
+{
+  StoryLine mLine;
+  json::object mFields;
+};
+
+auto
+TextOf(const json::object& aFields, std::string_view aName) -> std::string
+{
+  const auto* value = aFields.if_contains(aName);
+  if (value == nullptr) {
+    return "?";
+  }
+  return value->is_string() ? std::string(value->get_string())
+                            : json::serialize(*value);
+}
+
+auto
+ParseLine(json::object aFields) -> ParsedLine
+{
+  auto line = StoryLine{};
+  const auto* time = aFields.if_contains("time_ms");
+  line.mTimeMillis = time && time->is_int64() ? time->get_int64() : 0;
+  line.mInstance = TextOf(aFields, "instance");
+  line.mName = TextOf(aFields, "name");
+  for (const auto& [name, value] : aFields) {
+    const auto key = std::string_view(name);
+    if (std::find(kOwnFields.begin(), kOwnFields.end(), key) !=
+        kOwnFields.end()) {
+      continue;
+    }
+    line.mFields += (line.mFields.empty() ? "" : " ") + std::string(key) + "=" +
+                    TextOf(aFields, key);
+  }
+  return { std::move(line), std::move(aFields) };
+}
+
+auto
+FindLast(const std::vector<ParsedLine>& aLines, std::string_view aName)
+  -> const json::object*
+{
+  const auto it =
+    std::find_if(aLines.rbegin(), aLines.rend(), [&](const auto& aItem) {
+      return aItem.mLine.mName == aName;
+    });
+  return it == aLines.rend() ? nullptr : &it->mFields;
+}
+
+/// The failed sending behind an end, if there was one.
+auto
+FailedSend(const std::vector<ParsedLine>& aLines) -> std::string
+{
+  const auto* failed = FindLast(aLines, "forward_send_failed");
+  if (failed == nullptr) {
+    return {};
+  }
+  return "; at " + TextOf(*failed, "endpoint") + ": " +
+         TextOf(*failed, "reason") + " " + TextOf(*failed, "sent_ms_ago") +
+         " ms after it was sent (ran: " + TextOf(*failed, "ran") + ")";
+}
+
+auto
+DeliveredCause(const std::vector<ParsedLine>& aLines,
+               const json::object& aDelivered) -> std::string
+{
+  auto cause = "answered by " + TextOf(aDelivered, "endpoint") +
+               " with status " + TextOf(aDelivered, "status") + " after " +
+               TextOf(aDelivered, "total_ms") + " ms";
+  if (TextOf(aDelivered, "events") != "0") {
+    cause += ", first event after " + TextOf(aDelivered, "first_event_ms") +
+             " ms, longest pause " + TextOf(aDelivered, "longest_pause_ms") +
+             " ms";
+  }
+  if (const auto* placed = FindLast(aLines, "forward_placed")) {
+    cause += "; placed " + TextOf(*placed, "reason") + ", predicted " +
+             TextOf(*placed, "first_event_ms") + " ms";
+  }
+  if (FindLast(aLines, "forward_waits") != nullptr) {
+    cause += "; it had waited for engines";
+  }
+  return cause + FailedSend(aLines);
+}
+
+auto
+TellCause(const std::vector<ParsedLine>& aLines) -> std::string
+{
+  if (const auto* it = FindLast(aLines, "forward_delivered")) {
+    return DeliveredCause(aLines, *it);
+  }
+  if (const auto* it = FindLast(aLines, "forward_refused")) {
+    return "refused, and has not run: " + TextOf(*it, "reason") + " after " +
+           TextOf(*it, "age_ms") + " ms, with routing version " +
+           TextOf(*it, "version") + FailedSend(aLines);
+  }
+  if (const auto* it = FindLast(aLines, "forward_cut")) {
+    return "cut after " + TextOf(*it, "events") +
+           " events: " + TextOf(*it, "reason") + FailedSend(aLines);
+  }
+  if (const auto* it = FindLast(aLines, "forward_failed")) {
+    return "failed, and may have run: " + TextOf(*it, "reason") + " after " +
+           TextOf(*it, "age_ms") + " ms" + FailedSend(aLines);
+  }
+  if (const auto* it = FindLast(aLines, "forward_caller_gone")) {
+    return "the caller left after " + TextOf(*it, "age_ms") + " ms and " +
+           TextOf(*it, "events") + " events, while " +
+           TextOf(*it, "endpoint") + " had it" + FailedSend(aLines);
+  }
+  return aLines.empty()
+           ? "no line: it reached no process whose log this is, or its lines "
+             "are missing"
+           : "no end: the process ended first, or its last lines are missing";
+}
+
+} // namespace
+
+auto
+TellRequest(std::string_view aLog, std::string_view aRequest) -> RequestStory
+{
+  auto story = RequestStory{};
+  auto lines = std::vector<ParsedLine>{};
+  while (!aLog.empty()) {
+    const auto end = std::min(aLog.find('\n'), aLog.size());
+    const auto text = aLog.substr(0, end);
+    aLog.remove_prefix(std::min(end + 1, aLog.size()));
+    if (text.empty()) {
+      continue;
+    }
+    auto ec = json::error_code{};
+    const auto value = json::parse(text, ec);
+    if (ec || !value.is_object()) {
+      ++story.mUnreadable;
+      continue;
+    }
+    if (TextOf(value.get_object(), "request") == aRequest) {
+      lines.push_back(ParseLine(value.get_object()));
+    }
+  }
+  std::stable_sort(
+    lines.begin(), lines.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.mLine.mTimeMillis < aRight.mLine.mTimeMillis;
+    });
+  story.mCause = TellCause(lines);
+  for (auto& it : lines) {
+    story.mLines.push_back(std::move(it.mLine));
+  }
+  return story;
+}
+
+} // namespace cuminslip::client
--- a/src/client/types/options.h
+++ b/src/client/types/options.h
@@ -36,6 +36,8 @@
   std::string mTrustFile;
   /// Read from mTrustFile; null for plain connections.
   wire::TlsContextPtr mTls;
+  /// Logs to be read; empty for standard input.
+  std::vector<std::string> mLogFiles;
   bool mIsJson = false;
   bool mIsDryRun = false;
   bool mWantsHelp = false;
--- a/src/policy/internal/enginelanes.cpp
+++ b/src/policy/internal/enginelanes.cpp
@@ -90,16 +90,22 @@
 /// are alike.
 auto
 FindEarliest(const EngineTiming& aTiming,
+             const PromptWork& aPrompt,
              std::span<const EngineCandidate> aEngines,
              std::span<const std::size_t> aPlaces,
-             double aReadMillis,
              const LaneRules& aRules) -> Place
 {
+  // NOTE: without memory a prompt waits until a stream ends.
+  constexpr auto kNoMemoryMillis = 2000.0;
+  const auto read = ReadMillis(aTiming, aPrompt.mPromptTokens);
+  const auto tokens = aPrompt.mPromptTokens + aPrompt.mOutputTokens;
   auto best = Place{ aPlaces.front(), kNever };
   for (const auto i : aPlaces) {
     const auto distance = aEngines[i].mIsNear ? 0.0 : ToMillis(aRules.mTie);
-    const auto time =
-      FirstEventMillis(aTiming, aEngines[i], aReadMillis) + distance;
+    const auto hasMemory =
+      aEngines[i].mWork.mContextTokens + tokens <= aTiming.mMemoryTokens;
+    const auto time = FirstEventMillis(aTiming, aEngines[i], read) + distance +
+                      (hasMemory ? 0.0 : kNoMemoryMillis);
     if (time < best.mMillis) {
       best = { i, time };
     }
@@ -134,20 +140,19 @@
            const LaneRules& aRules) -> LaneChoice
 {
   const auto order = ListInOrder(aEngines);
-  const auto read = ReadMillis(aTiming, aPrompt.mPromptTokens);
   const auto packed = CountPacked(aTiming, aEngines, aRules);
   const auto places = std::span(order);
   const auto inside =
     FindEarliest(aTiming,
+                 aPrompt,
                  aEngines,
                  DrawSample(aEngines, places.last(packed), aRules.mSample),
-                 read,
                  aRules);
   const auto target = ToMillis(aPrompt.mAnswerTarget - aPrompt.mWaited);
   if (inside.mMillis <= target || packed == order.size()) {
     return { inside.mEngine, {}, LaneReason::Packed, inside.mMillis };
   }
-  const auto any = FindEarliest(aTiming, aEngines, places, read, aRules);
+  const auto any = FindEarliest(aTiming, aPrompt, aEngines, places, aRules);
   return { any.mEngine, {}, LaneReason::Spilled, any.mMillis };
 }
 
--- a/src/policy/tests/enginelanes_tests.cpp
+++ b/src/policy/tests/enginelanes_tests.cpp
@@ -214,6 +214,16 @@
   BOOST_TEST(*choice.mEngine == 1U);
 }
 
+/// Grown Desconto Certo, quiet-1: a check waited 2 s for memory at an engine
+/// that wrote an answer to a prompt of 214,000 tokens.
+BOOST_AUTO_TEST_CASE(AShortPromptGoesWhereItHasMemory)
+{
+  auto engines = Engines(2);
+  engines[1].mWork = { 1, 314000, 0, 1, 1000, 0, 0 };
+
+  BOOST_TEST(*Choose(Check(), engines).mEngine == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsChosenAmongNoEngines)
 {
   BOOST_TEST((Choose(Check(), {}).mReason == LaneReason::Refuse));
--- a/src/program/internal/serve.cpp
+++ b/src/program/internal/serve.cpp
@@ -109,9 +109,11 @@
   }
   const auto& log = settings.mValue->mLog;
   StartLog(settings.mValue->mInstance.mValue, log.mFile, log.mLowest);
-  return settings.mValue->mAdapter == AdapterKind::Platform
-           ? ServeGateway(*settings.mValue, aPath, aErrors)
-           : ServeInstance(*settings.mValue, aPath, aErrors);
+  const auto status = settings.mValue->mAdapter == AdapterKind::Platform
+                        ? ServeGateway(*settings.mValue, aPath, aErrors)
+                        : ServeInstance(*settings.mValue, aPath, aErrors);
+  StopLog();
+  return status;
 }
 
 } // namespace cuminslip::program
--- a/src/settings/tests/settings_tests.cpp
+++ b/src/settings/tests/settings_tests.cpp
@@ -205,4 +205,66 @@
              "/nowhere.yaml: can't be read; expected a readable file\n");
 }
 
+namespace {
+
+/// As deploy/settings.tmpl gives it for an entry instance.
+constexpr auto kDiscovered = R"(
+instance: "edge-a-1"
+failure_domain: "a"
+region: "r"
+roles: [entry]
+adapter: platform
+listen:
+  peer: 10.1.0.40:7340
+  caller: 10.1.0.40:8227
+  platform: 10.1.0.40:8220
+discovery:
+  seeds:
+    - 10.1.0.43:8229
+    - 10.2.0.32:8229
+  peer_port: 7340
+  may_found: true
+  heartbeat: 1200 ms
+retries:
+  ratio: 0.2
+  slack: 104
+  window: 10 s
+keys:
+  peer_file: deploy/peer.key
+)";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(InstancesMayBeDiscovered)
+{
+  const auto settings = CollectOutcome<Settings>(
+    [&] { return ParseSettings(kDiscovered, "s.yaml"); });
+  BOOST_REQUIRE_MESSAGE(settings.mValue.has_value(),
+                        FormatFindings(settings.mFindings));
+  BOOST_TEST((settings.mValue->mAdapter == AdapterKind::Platform));
+  BOOST_TEST(settings.mValue->mDiscovery.mSeeds.size() == 2U);
+  BOOST_TEST(settings.mValue->mDiscovery.mMayFound);
+  BOOST_TEST(settings.mValue->mRetries.mSlack == 104);
+}
+
+BOOST_AUTO_TEST_CASE(ContradictionsOfDiscoveryAreFound)
+{
+  const auto cases = std::array{
+    WrongCase{ "roles: [entry]", "roles: [entry, control]", "roles: both" },
+    WrongCase{ "peer_port: 7340",
+               "peer_port: 7341",
+               "peer has another port than discovery.peer_port" },
+    WrongCase{ "  peer_port: 7340\n", "", "discovery.peer_port: missing" },
+    WrongCase{ "10.2.0.32:8229", "nowhere", "discovery.seeds: has" },
+    WrongCase{ "peer: 10.1.0.40:7340", "", "listen.peer: missing" },
+    WrongCase{ "ratio: 0.2", "ratio: 7", "retries.ratio" },
+    WrongCase{ "adapter: platform", "adapter: other", "adapter: " },
+  };
+  for (const auto& it : cases) {
+    const auto findings = FindingsOf(Replace(kDiscovered, it.mOld, it.mNew));
+    BOOST_TEST(findings.find(it.mFinding) != std::string::npos,
+               it.mNew << " gives " << findings);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
