Keep requests until the first document and endpoints come after a start

Ruled out: the election (0.1 s after the control instances were up) and the watches; heartbeats come within 1.2 s, which the platform states. A request now waits for the first document at most 2 s and half its time, and for endpoints 1.8 s after that. The test that a caller without a document is refused at once is replaced by three: it waits and is served, it waits no longer than its bound, and once endpoints are known nothing waits for them.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -12,6 +12,12 @@
 
 /// When a caller is to come back to an instance that has no document yet.
 constexpr auto kNotReadyRetry = Millis(500);
+/// Longest time for which a request is kept until a document is in force: what
+/// control instances take to elect a leader after a start of all.
+constexpr auto kLongestStartWait = Millis(2000);
+/// After the first document endpoints are heard of for this long: a heartbeat
+/// interval and a half of the shortest that the platform names.
+constexpr auto kSettleTime = Millis(1800);
 
 /// One step of the chain that a request passes before it is placed.
 using AdmissionFilter = auto(*)(Forwarder&, Flight&) -> std::optional<Failure>;
@@ -105,6 +111,42 @@
              { mayHaveRun ? FailureKind::TimedOut : FailureKind::TooLate, {} });
 }
 
+auto
+AdmitFlight(Forwarder& aForwarder, Flight& aFlight) -> void
+{
+  aFlight.mIsUnadmitted = false;
+  aForwarder.mPorts.mTimers.mStop(std::exchange(aFlight.mDeadlineTimer, 0));
+  for (const auto filter : kAdmission) {
+    if (const auto failure = filter(aForwarder, aFlight)) {
+      FailFlight(aForwarder, aFlight, *failure);
+      return;
+    }
+  }
+  aFlight.mDeadlineTimer = aForwarder.mPorts.mTimers.mStart(
+    aFlight.mDeadline - aForwarder.mPorts.mNow(),
+    [&aForwarder, id = aFlight.mId] { OnDeadline(aForwarder, id); });
+  PlaceFlight(aForwarder, aFlight);
+}
+
+/// Keeps a request for the moment until the first document comes, which at a
+/// start of the whole system is soon.
+auto
+WaitForDocument(Forwarder& aForwarder, Flight& aFlight) -> void
+{
+  const auto allowance =
+    aFlight.mRequest.mAllowance.value_or(2 * kLongestStartWait);
+  aFlight.mIsUnadmitted = true;
+  aFlight.mDeadlineTimer = aForwarder.mPorts.mTimers.mStart(
+    std::min(kLongestStartWait, allowance / 2),
+    [&aForwarder, id = aFlight.mId] {
+      if (auto* flight = FindFlight(aForwarder, id)) {
+        flight->mDeadlineTimer = 0;
+        FailFlight(
+          aForwarder, *flight, { FailureKind::NotReady, kNotReadyRetry });
+      }
+    });
+}
+
 /// Ends the work of callers that have left.
 auto
 DropLeftCallers(Forwarder& aForwarder) -> void
@@ -186,7 +228,19 @@
              { "routes", aTable->mDocument.mRoutes.size() },
              { "services", aTable->mDocument.mServices.size() },
              { "accounts", aTable->mDocument.mAccounts.size() } });
+  if (aForwarder.mTable == nullptr) {
+    aForwarder.mSettledAt = aForwarder.mPorts.mNow() + kSettleTime;
+  }
   aForwarder.mTable = std::move(aTable);
+  auto unadmitted = std::vector<FlightId>{};
+  for (const auto& [id, flight] : aForwarder.mFlights) {
+    if (flight->mIsUnadmitted) {
+      unadmitted.push_back(id);
+    }
+  }
+  for (const auto id : unadmitted) {
+    AdmitFlight(aForwarder, *FindFlight(aForwarder, id));
+  }
 }
 
 auto
@@ -211,6 +265,7 @@
       aForwarder.mHealth.erase(id);
     }
   }
+  SchedulePlacement(aForwarder, true);
 }
 
 auto
@@ -239,17 +294,12 @@
   flight.mCaller = std::move(aCaller);
   flight.mArrived = aForwarder.mPorts.mNow();
   aForwarder.mFlights.emplace(flight.mId, std::move(created));
-  for (const auto filter : kAdmission) {
-    if (const auto failure = filter(aForwarder, flight)) {
-      FailFlight(aForwarder, flight, *failure);
-      return;
-    }
-  }
-  flight.mDeadlineTimer = aForwarder.mPorts.mTimers.mStart(
-    flight.mDeadline - flight.mArrived,
-    [&aForwarder, id = flight.mId] { OnDeadline(aForwarder, id); });
   StartTick(aForwarder);
-  PlaceFlight(aForwarder, flight);
+  if (aForwarder.mTable == nullptr) {
+    WaitForDocument(aForwarder, flight);
+    return;
+  }
+  AdmitFlight(aForwarder, flight);
 }
 
 auto
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -67,8 +67,10 @@
   bool mMayHaveRun = false;
   /// The caller has the head of the answer and events up to mLastEvent.
   bool mHasStarted = false;
-  /// No engine can take it now; it is looked at again when one may.
+  /// No endpoint can take it now; it is looked at again when one may.
   bool mIsWaiting = false;
+  /// No routing document is in force yet.
+  bool mIsUnadmitted = false;
   /// Ends the wait for memory at engines.
   wire::TimerId mHoldTimer = 0;
   TimePoint mHoldsRenewed{};
@@ -116,6 +118,8 @@
   bool mIsNoticeDue = false;
   wire::TimerId mTick = 0;
   wire::TimerId mPlacementTimer = 0;
+  /// Until then endpoints are still being heard of after the start.
+  TimePoint mSettledAt{};
   ForwardCounters mCounters;
 };
 
--- a/src/forwarding/internal/holding.cpp
+++ b/src/forwarding/internal/holding.cpp
@@ -154,8 +154,8 @@
   for (const auto& [id, flight] : aForwarder.mFlights) {
     // NOTE: memory that a prompt has not come to use by then is of no use: its
     // first engine does not answer.
-    const auto isUnused = flight->mEvents == 0 &&
-                          now > flight->mAttempt.mSentAt + kUnusedHoldTime;
+    const auto isUnused =
+      flight->mEvents == 0 && now > flight->mAttempt.mSentAt + kUnusedHoldTime;
     if (flight->mHoldTimer != 0 || isUnused ||
         now < flight->mHoldsRenewed + kRenewAfter) {
       continue;
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -191,6 +191,17 @@
                            });
 }
 
+/// True while better endpoints may still be heard of after a start, and the
+/// request has time.
+auto
+MayWaitForEndpoints(const Forwarder& aForwarder, const Flight& aFlight) -> bool
+{
+  const auto now = aForwarder.mPorts.mNow();
+  const auto isEarly =
+    now - aFlight.mArrived < (aFlight.mDeadline - aFlight.mArrived) / 2;
+  return now < aForwarder.mSettledAt && isEarly && !aFlight.mHasStarted;
+}
+
 auto
 PlaceOnEngines(Forwarder& aForwarder,
                Flight& aFlight,
@@ -215,6 +226,13 @@
     }
     return;
   }
+  const auto isLate =
+    choice.mFirstEventMillis >
+    static_cast<double>((prompt.mAnswerTarget - prompt.mWaited).count());
+  if (isLate && MayWaitForEndpoints(aForwarder, aFlight)) {
+    aFlight.mIsWaiting = true;
+    return;
+  }
   if (!choice.mEngine) {
     FailFlight(
       aForwarder, aFlight, { FailureKind::NoCapacity, RetryAfter(aForwarder) });
@@ -345,6 +363,10 @@
 PlaceFlight(Forwarder& aForwarder, Flight& aFlight) -> void
 {
   const auto candidates = ListCandidates(aForwarder, aFlight);
+  if (candidates.empty() && MayWaitForEndpoints(aForwarder, aFlight)) {
+    aFlight.mIsWaiting = true;
+    return;
+  }
   if (candidates.empty()) {
     FailFlight(
       aForwarder, aFlight, { FailureKind::NoCapacity, RetryAfter(aForwarder) });
--- a/src/forwarding/tests/fakeworld.h
+++ b/src/forwarding/tests/fakeworld.h
@@ -239,6 +239,9 @@
   }
 };
 
+/// After this nothing waits for endpoints that may still be heard of.
+inline constexpr auto kSettled = Millis(2000);
+
 inline const auto kSealed = wire::Headers{ { "seal", "s" }, { "id", "r1" } };
 
 inline auto
@@ -315,6 +318,7 @@
     ApplyRouting(*mForwarder, MakeTable(MakeDocument(1)));
     AddEndpoint("p1", "plain", 1);
     AddEndpoint("p2", "plain", 2);
+    Run(kSettled);
   }
 };
 
--- a/src/forwarding/tests/forwarder_tests.cpp
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -41,10 +41,39 @@
   BOOST_TEST(mSends.empty());
 }
 
-BOOST_AUTO_TEST_CASE(WithoutADocumentCallersAreToldToComeBack)
+BOOST_AUTO_TEST_CASE(ARequestWaitsForTheFirstDocumentAndEndpoints)
 {
   auto world = FakeWorld{};
   const auto caller = world.Ask(MakeRequest("read"));
+  world.Run(Millis(800));
+  ApplyRouting(*world.mForwarder, MakeTable(MakeDocument(1)));
+  BOOST_TEST(world.mSends.empty());
+  world.Run(Millis(400));
+  world.AddEndpoint("p1", "plain", 1);
+  world.Run(Millis(1));
+  BOOST_REQUIRE(world.mSends.size() == 1U);
+  BOOST_TEST(world.LastSend().Header("allowance") == "3800");
+  BOOST_TEST(!caller->mResponse.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(OnceEndpointsAreKnownNoneIsWaitedFor)
+{
+  auto world = FakeWorld{};
+  ApplyRouting(*world.mForwarder, MakeTable(MakeDocument(1)));
+  world.Run(Millis(1800));
+
+  BOOST_TEST(world.Ask(MakeRequest("read"))->mResponse->mBody == "no_capacity");
+}
+
+BOOST_AUTO_TEST_CASE(WithoutADocumentCallersAreToldToComeBack)
+{
+  auto world = FakeWorld{};
+  auto request = MakeRequest("read");
+  request.mAllowance = Millis(1000);
+  const auto caller = world.Ask(request);
+  world.Run(Millis(499));
+  BOOST_TEST(!caller->mResponse.has_value());
+  world.Run(Millis(1));
 
   BOOST_TEST(caller->mResponse->mBody == "not_ready");
   BOOST_TEST(
--- a/src/forwarding/tests/longprompts_tests.cpp
+++ b/src/forwarding/tests/longprompts_tests.cpp
@@ -17,6 +17,7 @@
     for (auto i = 1; i <= aEngines; ++i) {
       AddEndpoint("e" + std::to_string(i), "engines", i);
     }
+    Run(kSettled);
   }
 
   auto AskLong(std::int64_t aTokens) -> std::shared_ptr<FakeCaller>
