--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -18,9 +18,12 @@
 /// The platform sends callers for this long after a stop began: two of its
 /// questions, a second apart, and some time to spare.
 constexpr auto kStillSentFor = Millis(3500);
-/// What comes later than this after a stop began is refused: its answer might
-/// not end before the process does, and the caller can go elsewhere at once.
-constexpr auto kTakesFor = Millis(2500);
+/// What comes later than this after a stop began is refused, since its answer
+/// might not end before the process does: streams, and whole answers, which are
+/// short. Until then it is served, as the platform may have nowhere else to send
+/// it while neighbours stop too.
+constexpr auto kTakesStreamsFor = Millis(3000);
+constexpr auto kTakesFor = Millis(5500);
 constexpr auto kStoppingRetry = Millis(50);
 constexpr auto kStopCheckInterval = Millis(100);
 /// A connection without a request is kept for longer than callers keep theirs.
@@ -218,9 +221,10 @@
              const wire::HttpRequest& aRequest,
              const wire::ResponderPtr& aResponder) -> void
 {
-  const auto isLeaving =
-    aGateway.mIsStopping && MonotonicNow() >= aGateway.mStopBegan + kTakesFor;
   const auto request = aGateway.mAdapter.mReadRequest(aRequest);
+  const auto takesFor = request.mPrompt ? kTakesStreamsFor : kTakesFor;
+  const auto isLeaving = aGateway.mIsStopping &&
+                         MonotonicNow() >= aGateway.mStopBegan + takesFor;
   if (isLeaving) {
     wire::SendResponse(
       aResponder,
