Take the quorum's age from the mate that makes an instance ready

Cause: an instance becomes ready by the answer of a ready instance of its failure domain, but took no quorum contact from that answer, so that it was ready and isolated until its own first pull of a control instance and the next tick.

The answer's age is now taken as from any other source, and the standing is brought up to date at the moment of the change, not on the next tick.

--- a/src/base/internal/clock.cpp
+++ b/src/base/internal/clock.cpp
@@ -11,9 +11,9 @@
   // that ran out meanwhile must not look valid afterwards.
   auto now = timespec{};
   clock_gettime(CLOCK_BOOTTIME, &now);
-  return TimePoint(Seconds(now.tv_sec) +
-                   std::chrono::duration_cast<Micros>(
-                     std::chrono::nanoseconds(now.tv_nsec)));
+  return TimePoint(
+    Seconds(now.tv_sec) +
+    std::chrono::duration_cast<Micros>(std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 auto
--- a/src/base/internal/events.cpp
+++ b/src/base/internal/events.cpp
@@ -1,15 +1,15 @@
 #include "base/events.h"
 
+#include <boost/core/null_deleter.hpp>
 #include <boost/json.hpp>
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/sources/severity_logger.hpp>
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/file.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 
@@ -133,8 +133,8 @@
 {
   const auto backend =
     boost::make_shared<logging::sinks::text_ostream_backend>();
-  backend->add_stream(boost::shared_ptr<std::ostream>(
-    &std::cout, boost::null_deleter()));
+  backend->add_stream(
+    boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
   backend->auto_flush(true);
   ConsoleSink() = boost::make_shared<AsyncConsole>(backend);
   ConsoleSink()->set_formatter(logging::expressions::stream
--- a/src/client/internal/requeststory.cpp
+++ b/src/client/internal/requeststory.cpp
@@ -120,8 +120,8 @@
   }
   if (const auto* it = FindLast(aLines, "forward_caller_gone")) {
     return "the caller left after " + TextOf(*it, "age_ms") + " ms and " +
-           TextOf(*it, "events") + " events, while " +
-           TextOf(*it, "endpoint") + " had it" + FailedSend(aLines);
+           TextOf(*it, "events") + " events, while " + TextOf(*it, "endpoint") +
+           " had it" + FailedSend(aLines);
   }
   return aLines.empty()
            ? "no line: it reached no process whose log this is, or its lines "
--- a/src/forwarding/tests/fakeworld.h
+++ b/src/forwarding/tests/fakeworld.h
@@ -59,7 +59,7 @@
   {
     auto codec = EndpointCodec{};
     codec.mWriteHeaders = [](const ForwardRequest& aRequest,
-                                    const SendFacts& aFacts) {
+                             const SendFacts& aFacts) {
       auto headers =
         wire::Headers{ { "id", aRequest.mId.mValue },
                        { "endpoint", aFacts.mEndpoint.mValue },
@@ -84,8 +84,7 @@
       facts.mHeaders = aHeaders;
       return facts;
     };
-    codec.mWriteFailure = [](const ForwardRequest&,
-                                    const Failure& aFailure) {
+    codec.mWriteFailure = [](const ForwardRequest&, const Failure& aFailure) {
       auto headers = wire::Headers{};
       if (aFailure.mRetryAfter) {
         headers.push_back(
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -20,8 +20,8 @@
 constexpr auto kStillSentFor = Millis(3500);
 /// What comes later than this after a stop began is refused, since its answer
 /// might not end before the process does: streams, and whole answers, which are
-/// short. Until then it is served, as the platform may have nowhere else to send
-/// it while neighbours stop too.
+/// short. Until then it is served, as the platform may have nowhere else to
+/// send it while neighbours stop too.
 constexpr auto kTakesStreamsFor = Millis(3000);
 constexpr auto kTakesFor = Millis(5500);
 constexpr auto kStoppingRetry = Millis(50);
@@ -223,8 +223,8 @@
 {
   const auto request = aGateway.mAdapter.mReadRequest(aRequest);
   const auto takesFor = request.mPrompt ? kTakesStreamsFor : kTakesFor;
-  const auto isLeaving = aGateway.mIsStopping &&
-                         MonotonicNow() >= aGateway.mStopBegan + takesFor;
+  const auto isLeaving =
+    aGateway.mIsStopping && MonotonicNow() >= aGateway.mStopBegan + takesFor;
   if (isLeaving) {
     wire::SendResponse(
       aResponder,
--- a/src/peers/internal/controlwatcher.cpp
+++ b/src/peers/internal/controlwatcher.cpp
@@ -123,16 +123,10 @@
   TakeEndpoints(aAddress, aResponse);
   TakeInstances(aResponse);
   const auto age = Millis(aResponse.getQuorumAgeMillis());
-  if (age.count() >= 0) {
-    const auto contact = aSentAt - age;
-    mContext.mQuorumContact =
-      std::max(mContext.mQuorumContact.value_or(contact), contact);
-  }
+  TakeQuorumAge(mContext, age, aSentAt);
   const auto isFresh = age.count() >= 0 && age < kFreshAge;
-  if (isFresh && !aResponse.getMore() && !mContext.mIsReady) {
-    mContext.mIsReady = true;
-    LogEvent(kInstanceReadyEvent,
-             { { "revision", mContext.mCache.mRevision } });
+  if (isFresh && !aResponse.getMore()) {
+    BecomeReady(mContext);
   }
 }
 
--- a/src/peers/internal/peercontext.cpp
+++ b/src/peers/internal/peercontext.cpp
@@ -3,6 +3,7 @@
 #include "peers/types/peersevents.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cuminslip {
 
@@ -66,6 +67,33 @@
   return known;
 }
 
+auto
+TakeQuorumAge(PeerContext& aContext, Millis aAge, TimePoint aSentAt) -> void
+{
+  if (aAge.count() < 0) {
+    return;
+  }
+  const auto wasIsolated = IsIsolatedNow(aContext);
+  const auto contact = aSentAt - aAge;
+  aContext.mQuorumContact =
+    std::max(aContext.mQuorumContact.value_or(contact), contact);
+  if (wasIsolated && aContext.mOnStandingChanged) {
+    aContext.mOnStandingChanged();
+  }
+}
+
+auto
+BecomeReady(PeerContext& aContext) -> void
+{
+  if (std::exchange(aContext.mIsReady, true)) {
+    return;
+  }
+  LogEvent(kInstanceReadyEvent, { { "revision", aContext.mCache.mRevision } });
+  if (aContext.mOnStandingChanged) {
+    aContext.mOnStandingChanged();
+  }
+}
+
 auto
 QuorumAgeNow(const PeerContext& aContext) -> std::optional<Millis>
 {
--- a/src/peers/internal/peercontext.h
+++ b/src/peers/internal/peercontext.h
@@ -51,6 +51,8 @@
   std::map<std::string, PeerInstance> mLearntControls;
   /// When a quorum was last known to be reached; none if never.
   std::optional<TimePoint> mQuorumContact;
+  /// Makes a change of readiness or of quorum contact known at once.
+  std::function<void()> mOnStandingChanged;
   TimePoint mStarted{};
   bool mIsReady = false;
   bool mWasIsolated = true;
@@ -65,6 +67,17 @@
 PutInForce(PeerContext& aContext, std::vector<StoredTemplate> aTemplates)
   -> void;
 
+/// Takes the age of the quorum contact that another instance told in answer to
+/// a request sent at aSentAt; negative when it never had any. The transit
+/// counts as age, so that two instances that tell each other never seem to grow
+/// younger.
+auto
+TakeQuorumAge(PeerContext& aContext, Millis aAge, TimePoint aSentAt) -> void;
+
+/// Makes this instance ready; a second call changes nothing.
+auto
+BecomeReady(PeerContext& aContext) -> void;
+
 /// Time since the quorum was last known to be reached, by the control log or
 /// by a source of templates; none when never.
 auto
--- a/src/peers/internal/peerthread.cpp
+++ b/src/peers/internal/peerthread.cpp
@@ -281,6 +281,7 @@
   auto context = PeerContext{ mSettings, mCallbacks, io.provider->getTimer(),
                               *tasks,    links,      MonotonicNow };
   context.mStarted = MonotonicNow();
+  context.mOnStandingChanged = [this, &context] { UpdateStanding(context); };
   context.mEndpoints.mSettings = mSettings.mEndpointTable;
   context.mEndpointsEpoch = RandomNumber();
   auto findings = Findings{};
--- a/src/peers/internal/templatefollower.cpp
+++ b/src/peers/internal/templatefollower.cpp
@@ -131,13 +131,7 @@
   const auto age = Millis(aResponse.getQuorumAgeMillis());
   const auto wasFresh = mIsFresh;
   const auto isFresh = age.count() >= 0 && age < kFreshAge;
-  if (age.count() >= 0) {
-    // NOTE: counts the transit as age, so that two instances that tell each
-    // other never seem to grow younger.
-    const auto contact = aSentAt - age;
-    mContext.mQuorumContact =
-      std::max(mContext.mQuorumContact.value_or(contact), contact);
-  }
+  TakeQuorumAge(mContext, age, aSentAt);
   if (!isFresh) {
     UseNextSource("the source lost touch with the quorum");
     return;
@@ -184,7 +178,11 @@
     calls.add(
       mContext.mLinks.WithLimit(address, kDomainLimit, kj::mv(sent))
         .then(
-          [this](PullResponse aResponse) {
+          [this, sentAt = mContext.mNow()](PullResponse aResponse) {
+            // NOTE: ready by this answer but isolated, the instance would
+            // refuse work that needs the quorum.
+            TakeQuorumAge(
+              mContext, Millis(aResponse.getQuorumAgeMillis()), sentAt);
             mHasReadyMate |= aResponse.getReady() && !aResponse.getMore();
             if (!aResponse.getMore()) {
               PutInForce(mContext, ReadPulled(aResponse.getTemplates()));
@@ -201,9 +199,7 @@
 {
   return AskDomain().then([this]() -> kj::Promise<void> {
     if (HasSource()) {
-      mContext.mIsReady = true;
-      LogEvent(kInstanceReadyEvent,
-               { { "revision", mContext.mCache.mRevision } });
+      BecomeReady(mContext);
       return kj::READY_NOW;
     }
     mHasReadyMate = false;
--- a/src/peers/tests/peertask_tests.cpp
+++ b/src/peers/tests/peertask_tests.cpp
@@ -77,6 +77,36 @@
   BOOST_TEST(group.WaitUntilReady(1));
 }
 
+BOOST_AUTO_TEST_CASE(AnInstanceReadyByAMateIsInTouchWithTheQuorum)
+{
+  const auto mate = std::size_t{ 1 };
+  const auto late = std::size_t{ 4 };
+  auto group = TestGroup(1, 4);
+  group.Start(0);
+  group.Start(mate);
+  BOOST_REQUIRE(group.WaitUntilReady(mate));
+  // NOTE: the late instance asks two control instances that don't run first.
+  auto controls = std::vector<PeerInstance>{};
+  for (const auto port : TestGroup::FreePorts(2)) {
+    const auto address = "127.0.0.1:" + std::to_string(port);
+    controls.push_back({ { "stopped-" + std::to_string(port) },
+                         address,
+                         group.mSettings[late].mFailureDomain });
+  }
+  controls.push_back(group.Instance(0));
+  group.mSettings[late].mControlInstances = controls;
+  group.Start(late);
+
+  auto status = PeerStatus{};
+  TestGroup::WaitUntil([&] {
+    status = group.mTasks[late]->Status();
+    return status.mIsReady;
+  });
+
+  BOOST_TEST(status.mIsReady);
+  BOOST_TEST(!status.mIsIsolated);
+}
+
 BOOST_AUTO_TEST_CASE(AWrongPeerKeyIsRefused)
 {
   auto group = TestGroup(1, 1);
