--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,10 @@
   pkg-config ninja-build cmake g++ ccache spin gnuplot-nox clang-format \
   clang-tidy
 
-.PHONY: setup build test test-sanitized run bench format check-format lint \
+# The build command of the deploy file, as the users' platform runs it.
+DEPLOY_BUILD = $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
+
+.PHONY: setup build build-deployed test test-sanitized run bench format check-format lint \
   generate bench-decisions bench-policy check-model slopes
 
 setup:
@@ -15,6 +18,9 @@
 	cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS)
 	cmake --build $(BUILD)
 
+build-deployed: setup
+	$(DEPLOY_BUILD)
+
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
--- a/src/base/internal/events.cpp
+++ b/src/base/internal/events.cpp
@@ -102,6 +102,7 @@
 /// What the queue of lines does when it is full.
 struct CountAndDrop
 {
+  // NOLINTBEGIN(readability-identifier-naming): names that Boost.Log calls
   template<class Lock>
   static auto on_overflow(const logging::record_view&, Lock&) -> bool
   {
@@ -111,6 +112,7 @@
   }
   static auto on_queue_space_available() -> void {}
   static auto interrupt() -> void {}
+  // NOLINTEND(readability-identifier-naming)
 };
 
 /// Lines that wait for the reader of standard output.
--- a/src/client/tests/requeststory_tests.cpp
+++ b/src/client/tests/requeststory_tests.cpp
@@ -98,7 +98,7 @@
   std::ofstream(path) << kPlaced << kSendFailed;
   auto out = std::ostringstream{};
   auto err = std::ostringstream{};
-  const auto run = [&](std::vector<std::string> aArguments) {
+  const auto run = [&](const std::vector<std::string>& aArguments) {
     out.str("");
     return RunClientCommand(aArguments, out, err);
   };
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -202,6 +202,82 @@
   return now < aForwarder.mSettledAt && isEarly && !aFlight.mHasStarted;
 }
 
+/// The attempt at the chosen engine and what each engine that helps does in it.
+auto
+MakeAttempt(const Forwarder& aForwarder,
+            const std::vector<Candidate>& aCandidates,
+            const LaneChoice& aChoice) -> Attempt
+{
+  const auto now = aForwarder.mPorts.mNow();
+  const auto& chosen = aCandidates[*aChoice.mEngine];
+  auto attempt = Attempt{};
+  attempt.mEndpoint = chosen.mId;
+  attempt.mAddress = chosen.mNotice->mAddress;
+  attempt.mWork.push_back({ chosen.mId,
+                            attempt.mAddress,
+                            false,
+                            now + ToMicros(aChoice.mFirstEventMillis),
+                            {},
+                            0,
+                            false });
+  for (const auto& helper : aChoice.mHelpers) {
+    const auto& it = aCandidates[helper.mEngine];
+    attempt.mWork.push_back({ it.mId,
+                              it.mNotice->mAddress,
+                              true,
+                              now + ToMicros(helper.mReadMillis),
+                              {},
+                              helper.mHoldTokens,
+                              false });
+  }
+  return attempt;
+}
+
+auto
+LogPlacement(const Flight& aFlight,
+             const Attempt& aAttempt,
+             const LaneChoice& aChoice,
+             const EngineWork& aWork,
+             std::size_t aCandidates) -> void
+{
+  auto helperNames = std::string{};
+  for (const auto& given : aAttempt.mWork) {
+    if (given.mIsHelper) {
+      helperNames += (helperNames.empty() ? "" : " ") + given.mEngine.mValue;
+    }
+  }
+  LogEvent(kForwardPlacedEvent,
+           { { "request", aFlight.mRequest.mId.mValue },
+             { "route", aFlight.mRoute->mName },
+             { "account", aFlight.mAccount.mValue },
+             { "endpoint", aAttempt.mEndpoint.mValue },
+             { "reason", ToText(aChoice.mReason) },
+             { "prompt_tokens",
+               aFlight.mRequest.mPrompt.value_or(PromptFacts{}).mPromptTokens },
+             { "helpers", aChoice.mHelpers.size() },
+             { "helper_ids", helperNames },
+             { "first_event_ms", aChoice.mFirstEventMillis },
+             { "engine_streams", aWork.mStreams },
+             { "engine_read_ms", aWork.mReadMillis },
+             { "candidates", aCandidates },
+             { "version", aFlight.mTable->mDocument.mVersion },
+             { "send", aFlight.mSends + 1 } });
+}
+
+auto
+WaitForEngine(Flight& aFlight, std::size_t aCandidates) -> void
+{
+  if (std::exchange(aFlight.mIsWaiting, true)) {
+    return;
+  }
+  LogEvent(kForwardWaitsEvent,
+           { { "request", aFlight.mRequest.mId.mValue },
+             { "route", aFlight.mRoute->mName },
+             { "prompt_tokens",
+               aFlight.mRequest.mPrompt.value_or(PromptFacts{}).mPromptTokens },
+             { "candidates", aCandidates } });
+}
+
 auto
 PlaceOnEngines(Forwarder& aForwarder,
                Flight& aFlight,
@@ -217,13 +293,7 @@
   const auto choice =
     ChooseEngines(*aFlight.mService->mEngine, prompt, engines, rules);
   if (choice.mReason == LaneReason::Wait) {
-    if (!std::exchange(aFlight.mIsWaiting, true)) {
-      LogEvent(kForwardWaitsEvent,
-               { { "request", aFlight.mRequest.mId.mValue },
-                 { "route", aFlight.mRoute->mName },
-                 { "prompt_tokens", prompt.mPromptTokens },
-                 { "candidates", aCandidates.size() } });
-    }
+    WaitForEngine(aFlight, aCandidates.size());
     return;
   }
   const auto isLate =
@@ -238,44 +308,16 @@
       aForwarder, aFlight, { FailureKind::NoCapacity, RetryAfter(aForwarder) });
     return;
   }
-  const auto now = aForwarder.mPorts.mNow();
-  const auto readUntil = now + ToMicros(choice.mFirstEventMillis);
-  auto attempt = Attempt{};
-  const auto& chosen = aCandidates[*choice.mEngine];
-  attempt.mEndpoint = chosen.mId;
-  attempt.mAddress = chosen.mNotice->mAddress;
-  attempt.mWork.push_back(
-    { chosen.mId, attempt.mAddress, false, readUntil, {}, 0, false });
-  auto needsMemory = false;
-  auto helperNames = std::string{};
-  for (const auto& helper : choice.mHelpers) {
-    const auto& it = aCandidates[helper.mEngine];
-    attempt.mWork.push_back({ it.mId,
-                              it.mNotice->mAddress,
-                              true,
-                              now + ToMicros(helper.mReadMillis),
-                              {},
-                              helper.mHoldTokens,
-                              false });
-    needsMemory |= helper.mHoldTokens > 0;
-    helperNames += (helperNames.empty() ? "" : " ") + it.mId.mValue;
-  }
-  const auto& work = engines[*choice.mEngine].mWork;
-  LogEvent(kForwardPlacedEvent,
-           { { "request", aFlight.mRequest.mId.mValue },
-             { "route", aFlight.mRoute->mName },
-             { "account", aFlight.mAccount.mValue },
-             { "endpoint", chosen.mId.mValue },
-             { "reason", ToText(choice.mReason) },
-             { "prompt_tokens", prompt.mPromptTokens },
-             { "helpers", choice.mHelpers.size() },
-             { "helper_ids", helperNames },
-             { "first_event_ms", choice.mFirstEventMillis },
-             { "engine_streams", work.mStreams },
-             { "engine_read_ms", work.mReadMillis },
-             { "candidates", aCandidates.size() },
-             { "version", aFlight.mTable->mDocument.mVersion },
-             { "send", aFlight.mSends + 1 } });
+  auto attempt = MakeAttempt(aForwarder, aCandidates, choice);
+  LogPlacement(aFlight,
+               attempt,
+               choice,
+               engines[*choice.mEngine].mWork,
+               aCandidates.size());
+  const auto needsMemory =
+    std::any_of(choice.mHelpers.begin(),
+                choice.mHelpers.end(),
+                [](const auto& aHelper) { return aHelper.mHoldTokens > 0; });
   if (needsMemory) {
     aFlight.mAttempt = std::move(attempt);
     BeginHolds(aForwarder, aFlight);
--- a/src/wire/httpclient.h
+++ b/src/wire/httpclient.h
@@ -83,7 +83,7 @@
 /// mBody is what had come when the end was other than Complete.
 auto
 FetchResponse(HttpClient& aClient,
-              HttpCall aCall,
+              const HttpCall& aCall,
               std::size_t aMaxBody,
               std::function<void(CallEnd, const HttpResponse&)> aDone)
   -> CallId;
--- a/src/wire/internal/httpclient.cpp
+++ b/src/wire/internal/httpclient.cpp
@@ -168,7 +168,7 @@
 
 auto
 FetchResponse(HttpClient& aClient,
-              HttpCall aCall,
+              const HttpCall& aCall,
               std::size_t aMaxBody,
               std::function<void(CallEnd, const HttpResponse&)> aDone) -> CallId
 {
@@ -196,7 +196,7 @@
   handlers.mOnEnd = [fetch](CallEnd aEnd) {
     fetch->mDone(aEnd, fetch->mResponse);
   };
-  fetch->mCall = StartCall(aClient, std::move(aCall), std::move(handlers));
+  fetch->mCall = StartCall(aClient, aCall, std::move(handlers));
   return fetch->mCall;
 }
 
