Time requests passed on by kind and outcome

The metrics had counters only: a late answer left no trace in them. Histograms of the whole time by kind of route and outcome, of the time to the first event, and a counter of the reasons of this instance's own answers; labels are bounded. Each end of a request is noted in one place.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -3,6 +3,7 @@
 #include "directory/types/endpointnotice.h"
 #include "forwarding/types/forwardports.h"
 #include "forwarding/types/forwardsettings.h"
+#include "forwarding/types/forwardtimes.h"
 #include "routing/routing.h"
 
 #include <cstdint>
@@ -89,4 +90,7 @@
 auto
 CountersOf(const Forwarder& aForwarder) -> const ForwardCounters&;
 
+auto
+TimesOf(const Forwarder& aForwarder) -> const ForwardTimes&;
+
 } // namespace cuminslip::forwarding
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -159,7 +159,7 @@
   }
   for (const auto id : left) {
     auto& flight = *FindFlight(aForwarder, id);
-    ++aForwarder.mCounters.mCallersGone;
+    NoteOutcome(aForwarder, flight, ForwardOutcome::CallerGone);
     LogEvent(
       kForwardCallerGoneEvent,
       { { "request", flight.mRequest.mId.mValue },
@@ -328,6 +328,12 @@
   return aForwarder.mCounters;
 }
 
+auto
+TimesOf(const Forwarder& aForwarder) -> const ForwardTimes&
+{
+  return aForwarder.mTimes;
+}
+
 auto
 ToText(FailureKind aKind) -> std::string_view
 {
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -121,6 +121,7 @@
   /// Until then endpoints are still being heard of after the start.
   TimePoint mSettledAt{};
   ForwardCounters mCounters;
+  ForwardTimes mTimes;
 };
 
 /// The flight, or null when it has ended.
@@ -137,6 +138,12 @@
 FailFlight(Forwarder& aForwarder, Flight& aFlight, const Failure& aFailure)
   -> void;
 
+/// Counts the end of a flight for metrics; once for each.
+auto
+NoteOutcome(Forwarder& aForwarder,
+            const Flight& aFlight,
+            ForwardOutcome aOutcome) -> void;
+
 /// Forgets a flight and closes its exchange.
 auto
 RemoveFlight(Forwarder& aForwarder, Flight& aFlight) -> void;
--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -86,7 +86,7 @@
 {
   auto& attempt = aFlight.mAttempt;
   attempt.mExchange = 0;
-  ++aForwarder.mCounters.mDelivered;
+  NoteOutcome(aForwarder, aFlight, ForwardOutcome::Delivered);
   LogDelivered(aForwarder, aFlight);
   aFlight.mCaller.mRespond({ attempt.mStatus,
                              std::move(attempt.mAnswer.mHeaders),
@@ -195,7 +195,7 @@
     aFlight.mCaller.mSendPiece(aFlight.mAttempt.mSplitter.mRest);
   }
   aFlight.mCaller.mFinish();
-  ++aForwarder.mCounters.mDelivered;
+  NoteOutcome(aForwarder, aFlight, ForwardOutcome::Delivered);
   LogDelivered(aForwarder, aFlight);
   RemoveFlight(aForwarder, aFlight);
 }
@@ -354,7 +354,12 @@
                          aFlight.mAttempt.mExchange == 0;
   const auto failure =
     isRefusal ? aFailure : Failure{ AfterRun(aFailure.mKind), {} };
-  ++(isRefusal ? aForwarder.mCounters.mRefused : aForwarder.mCounters.mFailed);
+  ++aForwarder.mTimes.mFailures[failure.mKind];
+  NoteOutcome(aForwarder,
+              aFlight,
+              aFlight.mHasStarted ? ForwardOutcome::Cut
+              : isRefusal         ? ForwardOutcome::Refused
+                                  : ForwardOutcome::Failed);
   const auto& event = aFlight.mHasStarted ? kForwardCutEvent
                       : isRefusal         ? kForwardRefusedEvent
                                           : kForwardFailedEvent;
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -1,8 +1,10 @@
 #include "gateway/internal/gatewaystate.h"
+#include "routing/routing.h"
 
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include <limits>
 #include <sstream>
 
 namespace cuminslip::gateway {
@@ -26,6 +28,72 @@
   return family;
 }
 
+auto
+ToClientMetric(const forwarding::TimeHistogram& aHistogram)
+  -> prometheus::ClientMetric
+{
+  constexpr auto kMillisPerSecond = 1e3;
+  auto metric = prometheus::ClientMetric{};
+  auto& histogram = metric.histogram;
+  for (auto n = std::size_t{ 0 }; n < aHistogram.mCounts.size(); ++n) {
+    histogram.sample_count += aHistogram.mCounts[n];
+    const auto isLast = n == forwarding::kTimeBounds.size();
+    histogram.bucket.push_back(
+      { histogram.sample_count,
+        isLast ? std::numeric_limits<double>::infinity()
+               : static_cast<double>(forwarding::kTimeBounds[n].count()) /
+                   kMillisPerSecond });
+  }
+  histogram.sample_sum =
+    static_cast<double>(aHistogram.mSum.count()) / kMillisPerSecond;
+  return metric;
+}
+
+auto
+RequestTimes(const forwarding::ForwardTimes& aTimes) -> MetricFamily
+{
+  auto family = MetricFamily{};
+  family.name = "cuminslip_forward_request_seconds";
+  family.help = "Time from the whole request to the end of its answer.";
+  family.type = MetricType::Histogram;
+  for (const auto& [key, histogram] : aTimes.mWhole) {
+    const auto& [kind, outcome] = key;
+    auto metric = ToClientMetric(histogram);
+    metric.label = { { "kind",
+                       kind ? std::string(routing::ToText(*kind)) : "none" },
+                     { "outcome", std::string(forwarding::ToText(outcome)) } };
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
+auto
+FirstEventTimes(const forwarding::ForwardTimes& aTimes) -> MetricFamily
+{
+  auto family = MetricFamily{};
+  family.name = "cuminslip_forward_first_event_seconds";
+  family.help = "Time from the whole request to the first event of its stream.";
+  family.type = MetricType::Histogram;
+  family.metric.push_back(ToClientMetric(aTimes.mFirstEvent));
+  return family;
+}
+
+auto
+FailureReasons(const forwarding::ForwardTimes& aTimes) -> MetricFamily
+{
+  auto family = MetricFamily{};
+  family.name = "cuminslip_forward_ended_total";
+  family.help = "Requests that this instance ended itself, by reason.";
+  family.type = MetricType::Counter;
+  for (const auto& [kind, count] : aTimes.mFailures) {
+    auto metric = prometheus::ClientMetric{};
+    metric.counter.value = static_cast<double>(count);
+    metric.label = { { "reason", std::string(forwarding::ToText(kind)) } };
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
 } // namespace
 
 auto
@@ -70,6 +138,10 @@
               "Bytes dropped that belong to no request.",
               pool.mStrayBytes)
     };
+    const auto& times = forwarding::TimesOf(*aGateway.mForwarder);
+    families.push_back(RequestTimes(times));
+    families.push_back(FirstEventTimes(times));
+    families.push_back(FailureReasons(times));
   }
   auto text = std::ostringstream{};
   prometheus::TextSerializer{}.Serialize(text, families);
--- a/src/routing/internal/routing.cpp
+++ b/src/routing/internal/routing.cpp
@@ -192,4 +192,18 @@
   return aRoute.mServices.back().mService;
 }
 
+auto
+ToText(RouteKind aKind) -> std::string_view
+{
+  switch (aKind) {
+    case RouteKind::Idempotent:
+      return "idempotent";
+    case RouteKind::NonIdempotent:
+      return "non_idempotent";
+    case RouteKind::Streaming:
+      return "streaming";
+  }
+  return "unknown";
+}
+
 } // namespace cuminslip::routing
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -54,4 +54,8 @@
 ChooseService(const Route& aRoute, std::string_view aRequest)
   -> const std::string&;
 
+/// Name for logs and metrics. Thread safe.
+auto
+ToText(RouteKind aKind) -> std::string_view;
+
 } // namespace cuminslip::routing
