Harm real processes from outside and check what callers were promised

A fault soak under platform/soak: three control and three entry processes, endpoints behind proxies that delay, reset or hold back, signals and restarts that overlap, callers and an operator. A pure judge looks at what callers and endpoints saw; ten tests break each rule once, three show what the proxy does.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # The build command of the deploy file, as the users' platform runs it.
 DEPLOY_BUILD = $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
 
-.PHONY: setup build build-deployed test test-sanitized run bench format check-format lint \
+.PHONY: setup build build-deployed test test-sanitized run soak bench format check-format lint \
   generate bench-decisions bench-policy check-model slopes
 
 setup:
@@ -31,6 +31,10 @@
 run: build
 	scripts/run-demo $(BUILD)
 
+soak: build
+	$(BUILD)/soak/cuminslip-soak --binary $(BUILD)/src/program/cuminslip \
+	  --seed $$(date +%s) --seeds 5 $(SOAK_FLAGS)
+
 bench: build
 	scripts/bench --build $(BUILD) $(BENCH_FLAGS)
 
