--- a/src/base/capnpmessage.h
+++ b/src/base/capnpmessage.h
@@ -58,55 +58,57 @@
   return { bytes.begin(), bytes.size() };
 }
 
-/// Reads the value with root type Root out of what PackedBytesOfMessage wrote.
-template<class Root, class Value, class Function>
+/// Calls aRead with a place for the value; an exception of Cap'n Proto's
+/// becomes a finding that says aExpected.
+template<class Value, class Function>
 auto
-ReadPackedMessage(std::string_view aBytes, Function aRead)
-  -> leaf::result<Value>
+CatchBadMessage(const char* aExpected, Function aRead) -> leaf::result<Value>
 {
   auto value = Value{};
-  auto problem = kj::runCatchingExceptions([&] {
-    auto input = kj::ArrayInputStream(kj::arrayPtr(
-      reinterpret_cast<const kj::byte*>(aBytes.data()), aBytes.size()));
-    auto reader = capnp::PackedMessageReader(input);
-    value = aRead(reader.getRoot<Root>());
-  });
+  auto problem = kj::runCatchingExceptions([&] { aRead(value); });
   KJ_IF_MAYBE (exception, problem) {
     return leaf::new_error(
       Findings{ { { {},
                     "",
                     std::string(exception->getDescription().cStr()),
-                    "a whole packed Cap'n Proto message" } } });
+                    aExpected } } });
   }
   return value;
 }
 
+/// Reads the value with root type Root out of what PackedBytesOfMessage wrote.
+template<class Root, class Value, class Function>
+auto
+ReadPackedMessage(std::string_view aBytes, Function aRead)
+  -> leaf::result<Value>
+{
+  return CatchBadMessage<Value>(
+    "a whole packed Cap'n Proto message", [&](Value& aValue) {
+      auto input = kj::ArrayInputStream(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(aBytes.data()), aBytes.size()));
+      auto reader = capnp::PackedMessageReader(input);
+      aValue = aRead(reader.getRoot<Root>());
+    });
+}
+
 /// Reads the value with root type Root out of aBytes by aRead.
 template<class Root, class Value, class Function>
 auto
 ReadMessage(std::string_view aBytes, Function aRead) -> leaf::result<Value>
 {
-  auto value = Value{};
-  auto problem = kj::runCatchingExceptions([&] {
-    // NOTE: the bytes need not be aligned, and may end within a word.
-    const auto size = aBytes.size() / sizeof(capnp::word);
-    auto words = kj::heapArray<capnp::word>(size);
-    if (size > 0) {
-      std::memcpy(words.begin(), aBytes.data(), size * sizeof(capnp::word));
-    }
-    auto options = capnp::ReaderOptions{};
-    options.traversalLimitInWords = 4 * size + 1024;
-    auto reader = capnp::FlatArrayMessageReader(words, options);
-    value = aRead(reader.getRoot<Root>());
-  });
-  KJ_IF_MAYBE (exception, problem) {
-    return leaf::new_error(
-      Findings{ { { {},
-                    "",
-                    std::string(exception->getDescription().cStr()),
-                    "a whole Cap'n Proto message" } } });
-  }
-  return value;
+  return CatchBadMessage<Value>(
+    "a whole Cap'n Proto message", [&](Value& aValue) {
+      // NOTE: the bytes need not be aligned, and may end within a word.
+      const auto size = aBytes.size() / sizeof(capnp::word);
+      auto words = kj::heapArray<capnp::word>(size);
+      if (size > 0) {
+        std::memcpy(words.begin(), aBytes.data(), size * sizeof(capnp::word));
+      }
+      auto options = capnp::ReaderOptions{};
+      options.traversalLimitInWords = 4 * size + 1024;
+      auto reader = capnp::FlatArrayMessageReader(words, options);
+      aValue = aRead(reader.getRoot<Root>());
+    });
 }
 
 /// Fails the reading when aIsValid is false.
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -15,13 +15,22 @@
 using prometheus::MetricType;
 
 auto
-Counter(std::string aName, std::string aHelp, std::uint64_t aValue)
+MakeFamily(std::string aName, std::string aHelp, MetricType aType)
   -> MetricFamily
 {
   auto family = MetricFamily{};
   family.name = std::move(aName);
   family.help = std::move(aHelp);
-  family.type = MetricType::Counter;
+  family.type = aType;
+  return family;
+}
+
+auto
+Counter(std::string aName, std::string aHelp, std::uint64_t aValue)
+  -> MetricFamily
+{
+  auto family =
+    MakeFamily(std::move(aName), std::move(aHelp), MetricType::Counter);
   auto metric = prometheus::ClientMetric{};
   metric.counter.value = static_cast<double>(aValue);
   family.metric.push_back(std::move(metric));
@@ -52,10 +61,10 @@
 auto
 RequestTimes(const forwarding::ForwardTimes& aTimes) -> MetricFamily
 {
-  auto family = MetricFamily{};
-  family.name = "cuminslip_forward_request_seconds";
-  family.help = "Time from the whole request to the end of its answer.";
-  family.type = MetricType::Histogram;
+  auto family =
+    MakeFamily("cuminslip_forward_request_seconds",
+               "Time from the whole request to the end of its answer.",
+               MetricType::Histogram);
   for (const auto& [key, histogram] : aTimes.mWhole) {
     const auto& [kind, outcome] = key;
     auto metric = ToClientMetric(histogram);
@@ -70,10 +79,10 @@
 auto
 FirstEventTimes(const forwarding::ForwardTimes& aTimes) -> MetricFamily
 {
-  auto family = MetricFamily{};
-  family.name = "cuminslip_forward_first_event_seconds";
-  family.help = "Time from the whole request to the first event of its stream.";
-  family.type = MetricType::Histogram;
+  auto family =
+    MakeFamily("cuminslip_forward_first_event_seconds",
+               "Time from the whole request to the first event of its stream.",
+               MetricType::Histogram);
   family.metric.push_back(ToClientMetric(aTimes.mFirstEvent));
   return family;
 }
@@ -81,10 +90,10 @@
 auto
 FailureReasons(const forwarding::ForwardTimes& aTimes) -> MetricFamily
 {
-  auto family = MetricFamily{};
-  family.name = "cuminslip_forward_ended_total";
-  family.help = "Requests that this instance ended itself, by reason.";
-  family.type = MetricType::Counter;
+  auto family =
+    MakeFamily("cuminslip_forward_ended_total",
+               "Requests that this instance ended itself, by reason.",
+               MetricType::Counter);
   for (const auto& [kind, count] : aTimes.mFailures) {
     auto metric = prometheus::ClientMetric{};
     metric.counter.value = static_cast<double>(count);
