--- a/fakes/load/internal/loadrun.cpp
+++ b/fakes/load/internal/loadrun.cpp
@@ -76,7 +76,7 @@
   handlers.mOnEnd = [&aRun, aFlight](CallEnd aEnd) {
     EndFlight(aRun, aFlight, aEnd);
   };
-  StartCall(*aRun.mClient, std::move(call), std::move(handlers));
+  StartCall(*aRun.mClient, call, std::move(handlers));
 }
 
 auto
