--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -141,10 +141,9 @@
                                     const std::string& aBytes) {
     aInstance.mPeers->SendToPeer(aAddress, aBytes);
   };
-  ports.mEndpoints.mStart = [&aInstance](wire::HttpCall aCall,
+  ports.mEndpoints.mStart = [&aInstance](const wire::HttpCall& aCall,
                                          wire::CallHandlers aHandlers) {
-    return wire::StartCall(
-      *aInstance.mClient, std::move(aCall), std::move(aHandlers));
+    return wire::StartCall(*aInstance.mClient, aCall, std::move(aHandlers));
   };
   ports.mEndpoints.mCancel = [&aInstance](wire::CallId aCall) {
     wire::CancelCall(*aInstance.mClient, aCall);
