--- a/src/wire/tests/httpfixture.h
+++ b/src/wire/tests/httpfixture.h
@@ -57,11 +57,11 @@
 };
 
 inline auto
-Fetch(Fixture& aFixture, HttpCall aCall) -> Answer
+Fetch(Fixture& aFixture, const HttpCall& aCall) -> Answer
 {
   auto answer = Answer{};
   FetchResponse(*aFixture.mClient,
-                std::move(aCall),
+                aCall,
                 kMaxBody,
                 [&](CallEnd aEnd, const HttpResponse& aResponse) {
                   answer = { aEnd, aResponse };
