Take no request in the last round of a stop

The stop was decided with nothing under way, StopLoop lets the round end, a request in that round was taken and sent on; the closing of the caller server answered it 503 before the forwarder could answer 502.

Ruled out: load as the cause (it only makes rounds longer), the endpoint's own refusal (that one has x-not-executed and is not passed on).

The instance is closed before StopLoop, so such a request gets its 503 without being sent on; and what is under way is answered before the servers close.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -315,6 +315,9 @@
     });
     return;
   }
+  // NOTE: the loop goes on to the end of its round; a request taken in it would
+  // be sent on, and then answered as one that has not run.
+  aGateway.mIsClosed = true;
   if (aGateway.mForwarder) {
     forwarding::AbandonRequests(*aGateway.mForwarder);
   }
@@ -329,6 +332,9 @@
   // NOTE: closing the listeners runs the loop, which may bring more requests;
   // their handlers must not reach the peer task any more.
   aGateway->mIsClosed = true;
+  if (aGateway->mForwarder) {
+    forwarding::AbandonRequests(*aGateway->mForwarder);
+  }
   aGateway->mPeers.reset();
   aGateway->mCallerServer.reset();
   aGateway->mOperatorServer.reset();
