Give the budget of repeats a name of its own

Two structs were called RetryBudget in one namespace, in policy/retries.h and policy/retrybudget.h. The linker kept one of two constructors of the map's nodes, so that an entry instance could push into a deque never made: undefined, found by UBSan in the soak (push_back on a deque without a map, entries only). Which of the two a build kept was chance.

--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -108,7 +108,7 @@
   std::map<EndpointId, EndpointHealth> mHealth;
   std::map<FlightId, std::unique_ptr<Flight>> mFlights;
   FlightId mNextFlight = 1;
-  std::map<std::string, RetryBudget> mBudgets;
+  std::map<std::string, RepeatBudget> mBudgets;
   std::vector<std::string> mEntries;
   std::map<std::string, RemoteLoad> mRemote;
   std::uint64_t mNoticeSequence = 0;
--- a/src/policy/internal/retrybudget.cpp
+++ b/src/policy/internal/retrybudget.cpp
@@ -17,7 +17,7 @@
 } // namespace
 
 auto
-NoteRequest(RetryBudget& aBudget,
+NoteRequest(RepeatBudget& aBudget,
             const RetryBudgetRules& aRules,
             TimePoint aNow) -> void
 {
@@ -26,7 +26,7 @@
 }
 
 auto
-MayDraw(RetryBudget& aBudget,
+MayDraw(RepeatBudget& aBudget,
         const RetryBudgetRules& aRules,
         std::size_t aInstances,
         TimePoint aNow) -> bool
@@ -42,7 +42,7 @@
 }
 
 auto
-Draw(RetryBudget& aBudget, TimePoint aNow) -> void
+Draw(RepeatBudget& aBudget, TimePoint aNow) -> void
 {
   aBudget.mRepeats.push_back(aNow);
 }
--- a/src/policy/retrybudget.h
+++ b/src/policy/retrybudget.h
@@ -24,7 +24,7 @@
   auto operator==(const RetryBudgetRules&) const -> bool = default;
 };
 
-struct RetryBudget
+struct RepeatBudget
 {
   std::deque<TimePoint> mRequests;
   std::deque<TimePoint> mRepeats;
@@ -32,20 +32,20 @@
 
 /// Notes a request of this instance.
 auto
-NoteRequest(RetryBudget& aBudget,
+NoteRequest(RepeatBudget& aBudget,
             const RetryBudgetRules& aRules,
             TimePoint aNow) -> void;
 
 /// True when this instance may repeat a send now. aInstances is the number of
 /// instances that share the slack, at least 1.
 auto
-MayDraw(RetryBudget& aBudget,
+MayDraw(RepeatBudget& aBudget,
         const RetryBudgetRules& aRules,
         std::size_t aInstances,
         TimePoint aNow) -> bool;
 
 /// Notes a repeat. Precondition: MayDraw.
 auto
-Draw(RetryBudget& aBudget, TimePoint aNow) -> void;
+Draw(RepeatBudget& aBudget, TimePoint aNow) -> void;
 
 } // namespace cuminslip
--- a/src/policy/tests/runverdict_tests.cpp
+++ b/src/policy/tests/runverdict_tests.cpp
@@ -74,7 +74,7 @@
     auto random = std::mt19937(seed);
     auto rules = RetryBudgetRules{};
     rules.mSlack = 104;
-    auto budgets = std::vector<RetryBudget>(kInstances);
+    auto budgets = std::vector<RepeatBudget>(kInstances);
     auto requests = std::vector<TimePoint>{};
     auto repeats = std::vector<TimePoint>{};
     auto now = TimePoint{ Seconds(1000) };
@@ -125,7 +125,7 @@
   auto rules = RetryBudgetRules{};
   rules.mSlack = 100;
   rules.mUsedShare = 0.5;
-  auto budget = RetryBudget{};
+  auto budget = RepeatBudget{};
   const auto now = TimePoint{ Seconds(1000) };
   auto drawn = 0;
   while (MayDraw(budget, rules, 10, now)) {
