--- a/src/documentation/tests/sources.h
+++ b/src/documentation/tests/sources.h
@@ -11,7 +11,7 @@
 auto
 ReadPage(const std::string& aPath) -> std::string;
 
-/// The hand-written C++ files under src and fakes, without tests.
+/// The hand-written C++ files under src, fakes and platform, without tests.
 auto
 ListSources() -> std::vector<std::filesystem::path>;
 
