Decide in one place what an ended request may be told

FailFlight already turns a failure of a request that may have run into one that promises nothing; three callers worked the same out before. The strictest pause of a service's routes was searched for each request under way at each placement; it is set when the request is admitted. Exchanges with endpoints are made by one function. mDropIdle and wire::DropIdle had no callers.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -76,6 +76,22 @@
   return std::nullopt;
 }
 
+auto
+StrictestPause(const Flight& aFlight) -> Millis
+{
+  auto strictest = aFlight.mRoute->mPauseTarget;
+  for (const auto& route : aFlight.mTable->mDocument.mRoutes) {
+    const auto isSame = std::any_of(
+      route.mServices.begin(), route.mServices.end(), [&](const auto& aItem) {
+        return aItem.mService == aFlight.mService->mName;
+      });
+    if (isSame && route.mPauseTarget > Millis(0)) {
+      strictest = std::min(strictest, route.mPauseTarget);
+    }
+  }
+  return strictest;
+}
+
 auto
 ChooseFlightService(Forwarder& aForwarder, Flight& aFlight)
   -> std::optional<Failure>
@@ -83,6 +99,7 @@
   const auto& name =
     routing::ChooseService(*aFlight.mRoute, aFlight.mRequest.mId.mValue);
   aFlight.mService = routing::FindService(*aFlight.mTable, name);
+  aFlight.mStrictestPause = StrictestPause(aFlight);
   NoteRequest(aForwarder.mBudgets[name],
               aForwarder.mSettings.mRetryBudget,
               aForwarder.mPorts.mNow());
@@ -104,11 +121,7 @@
     return;
   }
   flight->mDeadlineTimer = 0;
-  const auto mayHaveRun =
-    flight->mMayHaveRun || flight->mAttempt.mExchange != 0;
-  FailFlight(aForwarder,
-             *flight,
-             { mayHaveRun ? FailureKind::TimedOut : FailureKind::TooLate, {} });
+  FailFlight(aForwarder, *flight, { FailureKind::TooLate, {} });
 }
 
 auto
@@ -312,13 +325,9 @@
 AbandonRequests(Forwarder& aForwarder) -> void
 {
   while (!aForwarder.mFlights.empty()) {
-    auto& flight = *aForwarder.mFlights.begin()->second;
-    const auto mayHaveRun =
-      flight.mMayHaveRun || flight.mAttempt.mExchange != 0;
-    FailFlight(
-      aForwarder,
-      flight,
-      { mayHaveRun ? FailureKind::EndpointFailed : FailureKind::NotReady, {} });
+    FailFlight(aForwarder,
+               *aForwarder.mFlights.begin()->second,
+               { FailureKind::NotReady, {} });
   }
 }
 
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -55,6 +55,8 @@
   std::shared_ptr<const routing::RoutingTable> mTable;
   const routing::Route* mRoute = nullptr;
   const routing::Service* mService = nullptr;
+  /// Shortest pause target of the routes to that service.
+  Millis mStrictestPause{ 0 };
   AccountId mAccount;
   TimePoint mArrived{};
   /// When the final answer is due.
@@ -132,8 +134,15 @@
 auto
 PlaceFlight(Forwarder& aForwarder, Flight& aFlight) -> void;
 
+/// An exchange with an endpoint; its request is still to be set. No connection
+/// is made for an address that can't be read.
+auto
+MakeExchange(const Forwarder& aForwarder, const std::string& aAddress)
+  -> wire::Exchange;
+
 /// Ends a flight with a final answer of this instance's own, or by cutting a
-/// stream that has begun. The flight is gone afterwards.
+/// stream that has begun. One that may have run gets an answer that promises
+/// nothing instead of aFailure. The flight is gone afterwards.
 auto
 FailFlight(Forwarder& aForwarder, Flight& aFlight, const Failure& aFailure)
   -> void;
--- a/src/forwarding/internal/holding.cpp
+++ b/src/forwarding/internal/holding.cpp
@@ -25,12 +25,9 @@
          Millis aLease,
          std::function<void(bool)> aReply) -> void
 {
-  auto exchange = wire::Exchange{};
-  exchange.mAddress =
-    wire::ParseAddress(aWork.mAddress).value_or(wire::SocketAddress{});
+  auto exchange = MakeExchange(aForwarder, aWork.mAddress);
   exchange.mRequest = aForwarder.mPorts.mCodec.mWriteHold(
     { aWork.mHolding, aWork.mHoldTokens, aLease }, aWork.mAddress);
-  exchange.mConnectTimeout = aForwarder.mSettings.mConnectTimeout;
   auto handlers = wire::ExchangeHandlers{};
   const auto isHeld = std::make_shared<bool>(false);
   handlers.mOnHead = [&aForwarder, isHeld](int aStatus, const wire::Headers&) {
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -72,22 +72,6 @@
   return sound.empty() ? doubtful : sound;
 }
 
-auto
-StrictestPause(const Flight& aFlight) -> Millis
-{
-  auto strictest = aFlight.mRoute->mPauseTarget;
-  for (const auto& route : aFlight.mTable->mDocument.mRoutes) {
-    const auto isSame = std::any_of(
-      route.mServices.begin(), route.mServices.end(), [&](const auto& aItem) {
-        return aItem.mService == aFlight.mService->mName;
-      });
-    if (isSame && route.mPauseTarget > Millis(0)) {
-      strictest = std::min(strictest, route.mPauseTarget);
-    }
-  }
-  return strictest;
-}
-
 auto
 ToPromptWork(const Forwarder& aForwarder, const Flight& aFlight) -> PromptWork
 {
@@ -96,7 +80,7 @@
   return { prompt.mPromptTokens,
            prompt.mMaxOutputTokens,
            aFlight.mRoute->mAnswerTarget,
-           StrictestPause(aFlight),
+           aFlight.mStrictestPause,
            MillisBetween(aFlight.mArrived, now),
            MillisBetween(now, aFlight.mDeadline) };
 }
--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -384,6 +384,17 @@
   RemoveFlight(aForwarder, aFlight);
 }
 
+auto
+MakeExchange(const Forwarder& aForwarder, const std::string& aAddress)
+  -> wire::Exchange
+{
+  auto exchange = wire::Exchange{};
+  exchange.mAddress =
+    wire::ParseAddress(aAddress).value_or(wire::SocketAddress{});
+  exchange.mConnectTimeout = aForwarder.mSettings.mConnectTimeout;
+  return exchange;
+}
+
 auto
 SendFlight(Forwarder& aForwarder, Flight& aFlight, Attempt aAttempt) -> void
 {
@@ -403,14 +414,11 @@
   facts.mLastEvent =
     aFlight.mHasStarted ? aFlight.mLastEvent : aFlight.mRequest.mLastEvent;
   facts.mHelpers = ListHelpers(aFlight.mAttempt);
-  auto exchange = wire::Exchange{};
-  exchange.mAddress = wire::ParseAddress(aFlight.mAttempt.mAddress)
-                        .value_or(wire::SocketAddress{});
+  auto exchange = MakeExchange(aForwarder, aFlight.mAttempt.mAddress);
   exchange.mRequest = aFlight.mRequest.mHttp;
   exchange.mRequest.mHeaders =
     aForwarder.mPorts.mCodec.mWriteHeaders(aFlight.mRequest, facts);
   exchange.mEcho = aForwarder.mPorts.mCodec.mEchoOf(aFlight.mRequest);
-  exchange.mConnectTimeout = aForwarder.mSettings.mConnectTimeout;
   aFlight.mAttempt.mExchange = aForwarder.mPorts.mExchanges.mStart(
     std::move(exchange), MakeHandlers(aForwarder, aFlight.mId));
   aFlight.mIsWaiting = false;
@@ -459,13 +467,8 @@
     PlaceFlight(aForwarder, aFlight);
     return;
   }
-  const auto kind =
-    aFlight.mMayHaveRun ? FailureKind::EndpointFailed : FailureKind::NoCapacity;
   const auto retry = isRefused ? kRefusedRetry : kFailedRetry;
-  FailFlight(
-    aForwarder,
-    aFlight,
-    { kind, aFlight.mMayHaveRun ? std::nullopt : std::optional(retry) });
+  FailFlight(aForwarder, aFlight, { FailureKind::NoCapacity, retry });
 }
 
 } // namespace cuminslip::forwarding
--- a/src/forwarding/types/forwardports.h
+++ b/src/forwarding/types/forwardports.h
@@ -35,7 +35,6 @@
   std::function<wire::ExchangeId(wire::Exchange, wire::ExchangeHandlers)>
     mStart;
   std::function<void(wire::ExchangeId)> mCancel;
-  std::function<void(const wire::SocketAddress&)> mDropIdle;
 };
 
 /// The contract is that of wire/eventloop.h.
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -149,10 +149,6 @@
   ports.mExchanges.mCancel = [&aGateway](wire::ExchangeId aExchange) {
     wire::CancelExchange(*aGateway.mPool, aExchange);
   };
-  ports.mExchanges.mDropIdle =
-    [&aGateway](const wire::SocketAddress& aAddress) {
-      wire::DropIdle(*aGateway.mPool, aAddress);
-    };
   ports.mTimers.mStart = [&aGateway](Micros aDelay,
                                      std::function<void()> aAction) {
     return wire::StartTimer(*aGateway.mLoop, aDelay, std::move(aAction));
--- a/src/wire/connectionpool.h
+++ b/src/wire/connectionpool.h
@@ -123,10 +123,6 @@
 auto
 SetTls(ConnectionPool& aPool, TlsContextPtr aTls) -> void;
 
-/// Closes the idle connections to an address.
-auto
-DropIdle(ConnectionPool& aPool, const SocketAddress& aAddress) -> void;
-
 auto
 CountersOf(const ConnectionPool& aPool) -> const PoolCounters&;
 
--- a/src/wire/internal/connectionpool.cpp
+++ b/src/wire/internal/connectionpool.cpp
@@ -481,16 +481,6 @@
   aPool.mTls = std::move(aTls);
 }
 
-auto
-DropIdle(ConnectionPool& aPool, const SocketAddress& aAddress) -> void
-{
-  auto it = aPool.mIdle.find(aAddress);
-  while (it != aPool.mIdle.end() && !it->second.empty()) {
-    CloseConnection(aPool, *FindConnection(aPool, it->second.back()));
-    it = aPool.mIdle.find(aAddress);
-  }
-}
-
 auto
 CountersOf(const ConnectionPool& aPool) -> const PoolCounters&
 {
