One listener and one way to build metric families

The gateway had written again what program had: a listener with the limits of the settings that refuses while it is closed, MakeFamily and Counter.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "gateway/internal/gatewaystate.h"
+#include "gateway/listener.h"
 #include "gateway/types/gatewayevents.h"
 #include "settings/keys.h"
 #include "settings/settings.h"
@@ -237,29 +238,18 @@
                         const wire::ResponderPtr&) -> void;
 
 auto
-StartListener(Gateway& aGateway,
-              const std::optional<wire::SocketAddress>& aAddress,
-              Handler aHandler) -> leaf::result<wire::HttpServerPtr>
+StartListenerOf(Gateway& aGateway,
+                const std::optional<wire::SocketAddress>& aAddress,
+                Handler aHandler) -> leaf::result<wire::HttpServerPtr>
 {
-  if (!aAddress) {
-    return wire::HttpServerPtr{};
-  }
-  auto limits = wire::ListenerLimits{};
-  limits.mMaxBodyBytes =
-    static_cast<std::size_t>(aGateway.mSettings.mLimits.mMaxBodyBytes);
-  limits.mMaxConnections =
-    static_cast<std::size_t>(aGateway.mSettings.mLimits.mMaxConnections);
-  limits.mRequestTimeout = kIdleTimeout;
-  return wire::StartHttpServer(
+  return StartListener(
     *aGateway.mLoop,
-    *aAddress,
-    limits,
+    aAddress,
+    aGateway.mSettings,
+    kIdleTimeout,
+    aGateway.mIsClosed,
     [&aGateway, aHandler](const wire::HttpRequest& aRequest,
                           const wire::ResponderPtr& aResponder) {
-      if (aGateway.mIsClosed) {
-        wire::SendResponse(aResponder, { kUnavailable, {}, "" });
-        return;
-      }
       aHandler(aGateway, aRequest, aResponder);
     });
 }
@@ -269,13 +259,13 @@
 {
   const auto& listen = aGateway.mSettings.mListen;
   BOOST_LEAF_ASSIGN(aGateway.mCallerServer,
-                    StartListener(aGateway, listen.mCaller, HandleCaller));
+                    StartListenerOf(aGateway, listen.mCaller, HandleCaller));
   BOOST_LEAF_ASSIGN(
     aGateway.mOperatorServer,
-    StartListener(aGateway, listen.mOperator, HandleControlCall));
+    StartListenerOf(aGateway, listen.mOperator, HandleControlCall));
   BOOST_LEAF_ASSIGN(
     aGateway.mPlatformServer,
-    StartListener(aGateway, listen.mPlatform, HandlePlatformCall));
+    StartListenerOf(aGateway, listen.mPlatform, HandlePlatformCall));
   return {};
 }
 
--- /dev/null
+++ b/src/gateway/internal/listener.cpp
@@ -0,0 +1,38 @@
+#include "gateway/listener.h"
+
+namespace cuminslip::gateway {
+
+auto
+StartListener(wire::EventLoop& aLoop,
+              const std::optional<wire::SocketAddress>& aAddress,
+              const Settings& aSettings,
+              Millis aRequestTimeout,
+              const bool& aIsClosed,
+              wire::RequestHandler aHandler)
+  -> leaf::result<wire::HttpServerPtr>
+{
+  if (!aAddress) {
+    return wire::HttpServerPtr{};
+  }
+  auto limits = wire::ListenerLimits{};
+  limits.mMaxBodyBytes =
+    static_cast<std::size_t>(aSettings.mLimits.mMaxBodyBytes);
+  limits.mMaxConnections =
+    static_cast<std::size_t>(aSettings.mLimits.mMaxConnections);
+  limits.mRequestTimeout = aRequestTimeout;
+  return wire::StartHttpServer(
+    aLoop,
+    *aAddress,
+    limits,
+    [&aIsClosed, handler = std::move(aHandler)](
+      const wire::HttpRequest& aRequest, const wire::ResponderPtr& aResponder) {
+      if (aIsClosed) {
+        constexpr auto kUnavailable = 503;
+        wire::SendResponse(aResponder, { kUnavailable, {}, "" });
+        return;
+      }
+      handler(aRequest, aResponder);
+    });
+}
+
+} // namespace cuminslip::gateway
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -1,4 +1,5 @@
 #include "gateway/internal/gatewaystate.h"
+#include "gateway/metricfamily.h"
 #include "routing/routing.h"
 
 #include <prometheus/metric_family.h>
@@ -14,29 +15,6 @@
 using prometheus::MetricFamily;
 using prometheus::MetricType;
 
-auto
-MakeFamily(std::string aName, std::string aHelp, MetricType aType)
-  -> MetricFamily
-{
-  auto family = MetricFamily{};
-  family.name = std::move(aName);
-  family.help = std::move(aHelp);
-  family.type = aType;
-  return family;
-}
-
-auto
-Counter(std::string aName, std::string aHelp, std::uint64_t aValue)
-  -> MetricFamily
-{
-  auto family =
-    MakeFamily(std::move(aName), std::move(aHelp), MetricType::Counter);
-  auto metric = prometheus::ClientMetric{};
-  metric.counter.value = static_cast<double>(aValue);
-  family.metric.push_back(std::move(metric));
-  return family;
-}
-
 auto
 ToClientMetric(const forwarding::TimeHistogram& aHistogram)
   -> prometheus::ClientMetric
@@ -95,8 +73,7 @@
                "Requests that this instance ended itself, by reason.",
                MetricType::Counter);
   for (const auto& [kind, count] : aTimes.mFailures) {
-    auto metric = prometheus::ClientMetric{};
-    metric.counter.value = static_cast<double>(count);
+    auto metric = CounterMetric(static_cast<double>(count));
     metric.label = { { "reason", std::string(forwarding::ToText(kind)) } };
     family.metric.push_back(std::move(metric));
   }
--- /dev/null
+++ b/src/gateway/metricfamily.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <prometheus/metric_family.h>
+
+#include <cstdint>
+#include <string>
+
+/// Metric families built for one answer to `GET /metrics`. Thread safe.
+namespace cuminslip::gateway {
+
+/// A family without metrics.
+auto
+MakeFamily(std::string aName, std::string aHelp, prometheus::MetricType aType)
+  -> prometheus::MetricFamily;
+
+auto
+CounterMetric(double aValue) -> prometheus::ClientMetric;
+
+/// A family of one counter without labels.
+auto
+Counter(std::string aName, std::string aHelp, std::uint64_t aValue)
+  -> prometheus::MetricFamily;
+
+} // namespace cuminslip::gateway
--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -1,6 +1,7 @@
 #include "program/instance.h"
 
 #include "base/digest.h"
+#include "gateway/listener.h"
 #include "program/internal/handlers.h"
 #include "program/internal/reload.h"
 #include "program/types/programevents.h"
@@ -18,7 +19,6 @@
 
 constexpr auto kStopCheckInterval = Millis(50);
 constexpr auto kSecretWords = 16;
-constexpr auto kUnavailable = 503;
 
 /// A number that grows with each start, also on instances without a disk.
 auto
@@ -254,28 +254,18 @@
                         const wire::ResponderPtr&) -> void;
 
 auto
-StartListener(Instance& aInstance,
-              const std::optional<wire::SocketAddress>& aAddress,
-              Handler aHandler) -> leaf::result<wire::HttpServerPtr>
+StartListenerOf(Instance& aInstance,
+                const std::optional<wire::SocketAddress>& aAddress,
+                Handler aHandler) -> leaf::result<wire::HttpServerPtr>
 {
-  if (!aAddress) {
-    return wire::HttpServerPtr{};
-  }
-  const auto& settings = aInstance.mSettings.mLimits;
-  auto limits = wire::ListenerLimits{};
-  limits.mMaxBodyBytes = static_cast<std::size_t>(settings.mMaxBodyBytes);
-  limits.mMaxConnections = static_cast<std::size_t>(settings.mMaxConnections);
-  limits.mRequestTimeout = settings.mRequestTimeout;
-  return wire::StartHttpServer(
+  return gateway::StartListener(
     *aInstance.mLoop,
-    *aAddress,
-    limits,
+    aAddress,
+    aInstance.mSettings,
+    aInstance.mSettings.mLimits.mRequestTimeout,
+    aInstance.mIsClosed,
     [&aInstance, aHandler](const wire::HttpRequest& aRequest,
                            const wire::ResponderPtr& aResponder) {
-      if (aInstance.mIsClosed) {
-        wire::SendResponse(aResponder, { kUnavailable, {}, "" });
-        return;
-      }
       aHandler(aInstance, aRequest, aResponder);
     });
 }
@@ -285,13 +275,16 @@
 {
   const auto& listen = aInstance.mSettings.mListen;
   BOOST_LEAF_ASSIGN(aInstance.mCallerServer,
-                    StartListener(aInstance, listen.mCaller, HandleCaller));
-  BOOST_LEAF_ASSIGN(aInstance.mOperatorServer,
-                    StartListener(aInstance, listen.mOperator, HandleOperator));
-  BOOST_LEAF_ASSIGN(aInstance.mEndpointServer,
-                    StartListener(aInstance, listen.mEndpoint, HandleEndpoint));
-  BOOST_LEAF_ASSIGN(aInstance.mPlatformServer,
-                    StartListener(aInstance, listen.mPlatform, HandlePlatform));
+                    StartListenerOf(aInstance, listen.mCaller, HandleCaller));
+  BOOST_LEAF_ASSIGN(
+    aInstance.mOperatorServer,
+    StartListenerOf(aInstance, listen.mOperator, HandleOperator));
+  BOOST_LEAF_ASSIGN(
+    aInstance.mEndpointServer,
+    StartListenerOf(aInstance, listen.mEndpoint, HandleEndpoint));
+  BOOST_LEAF_ASSIGN(
+    aInstance.mPlatformServer,
+    StartListenerOf(aInstance, listen.mPlatform, HandlePlatform));
   return {};
 }
 
--- a/src/program/internal/metrics.cpp
+++ b/src/program/internal/metrics.cpp
@@ -1,5 +1,7 @@
 #include "program/internal/metrics.h"
 
+#include "gateway/metricfamily.h"
+
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
@@ -9,29 +11,13 @@
 
 namespace {
 
+using gateway::Counter;
+using gateway::CounterMetric;
+using gateway::MakeFamily;
 using prometheus::ClientMetric;
 using prometheus::MetricFamily;
 using prometheus::MetricType;
 
-auto
-MakeFamily(std::string aName, std::string aHelp, MetricType aType)
-  -> MetricFamily
-{
-  auto family = MetricFamily{};
-  family.name = std::move(aName);
-  family.help = std::move(aHelp);
-  family.type = aType;
-  return family;
-}
-
-auto
-CounterMetric(double aValue) -> ClientMetric
-{
-  auto metric = ClientMetric{};
-  metric.counter.value = aValue;
-  return metric;
-}
-
 auto
 GaugeMetric(double aValue) -> ClientMetric
 {
@@ -40,16 +26,6 @@
   return metric;
 }
 
-auto
-Counter(std::string aName, std::string aHelp, std::uint64_t aValue)
-  -> MetricFamily
-{
-  auto family =
-    MakeFamily(std::move(aName), std::move(aHelp), MetricType::Counter);
-  family.metric.push_back(CounterMetric(static_cast<double>(aValue)));
-  return family;
-}
-
 auto
 Gauge(std::string aName, std::string aHelp, double aValue) -> MetricFamily
 {
