--- a/src/peers/internal/controlwatcher.cpp
+++ b/src/peers/internal/controlwatcher.cpp
@@ -18,8 +18,6 @@
 constexpr auto kFailurePause = Millis(250);
 /// Pause between looks for sources that are not watched yet.
 constexpr auto kLookPause = Millis(500);
-/// A source heard from the quorum more recently than this.
-constexpr auto kFreshAge = Millis(5000);
 
 } // namespace
 
@@ -124,7 +122,7 @@
   TakeInstances(aResponse);
   const auto age = Millis(aResponse.getQuorumAgeMillis());
   TakeQuorumAge(mContext, age, aSentAt);
-  const auto isFresh = age.count() >= 0 && age < kFreshAge;
+  const auto isFresh = IsFreshAge(age);
   if (isFresh && !aResponse.getMore()) {
     BecomeReady(mContext);
   }
--- a/src/peers/internal/peercontext.cpp
+++ b/src/peers/internal/peercontext.cpp
@@ -11,6 +11,8 @@
 
 /// Without word of a quorum for this long an instance counts as isolated.
 constexpr auto kIsolationAfter = Millis(12000);
+/// A source of templates heard from the quorum more recently than this.
+constexpr auto kFreshAge = Millis(5000);
 
 } // namespace
 
@@ -82,6 +84,12 @@
   }
 }
 
+auto
+IsFreshAge(Millis aAge) -> bool
+{
+  return aAge.count() >= 0 && aAge < kFreshAge;
+}
+
 auto
 BecomeReady(PeerContext& aContext) -> void
 {
--- a/src/peers/internal/peercontext.h
+++ b/src/peers/internal/peercontext.h
@@ -74,6 +74,11 @@
 auto
 TakeQuorumAge(PeerContext& aContext, Millis aAge, TimePoint aSentAt) -> void;
 
+/// True when an instance that tells this age of its quorum contact can be
+/// followed; negative when it never had any. Thread safe.
+auto
+IsFreshAge(Millis aAge) -> bool;
+
 /// Makes this instance ready; a second call changes nothing.
 auto
 BecomeReady(PeerContext& aContext) -> void;
--- a/src/peers/internal/templatefollower.cpp
+++ b/src/peers/internal/templatefollower.cpp
@@ -18,8 +18,6 @@
 constexpr auto kIdlePause = Millis(1000);
 /// After this long on another source the first one is tried again.
 constexpr auto kPreferInterval = Seconds(30);
-/// A source heard from the quorum more recently than this.
-constexpr auto kFreshAge = Millis(5000);
 constexpr auto kReadinessPause = Millis(50);
 constexpr auto kDomainLimit = Millis(1000);
 /// A control instance relies on its own disk after this long without quorum.
@@ -130,7 +128,7 @@
   }
   const auto age = Millis(aResponse.getQuorumAgeMillis());
   const auto wasFresh = mIsFresh;
-  const auto isFresh = age.count() >= 0 && age < kFreshAge;
+  const auto isFresh = IsFreshAge(age);
   TakeQuorumAge(mContext, age, aSentAt);
   if (!isFresh) {
     UseNextSource("the source lost touch with the quorum");
@@ -158,7 +156,7 @@
   const auto hasCaughtUp =
     core.mApplied >= core.mLeaderCommit &&
     mContext.mCache.mRevision >= TemplateRevision(mContext.mControl->State());
-  if (age && *age < kFreshAge && hasCaughtUp) {
+  if (age && IsFreshAge(*age) && hasCaughtUp) {
     return true;
   }
   const auto isLongAlone =
