Run the gateways of a test on threads that last

Cause of the known red test: h2o keeps buffers for each thread and gives none back when the thread ends; wholepath_tests gave each gateway a thread of its own. LeakSanitizer then named h2o_mem_alloc_recycle. The product's loops run on threads that last as long as the process. The background threads of the program's tests move to wire/testing, with the raw caller, and carry these gateways too.

Ruled out: a suppression of h2o_mem_alloc_recycle, which would hide a real leak of ours.

--- a/src/program/tests/control_tests.cpp
+++ b/src/program/tests/control_tests.cpp
@@ -1,5 +1,5 @@
-#include "program/tests/background.h"
 #include "program/tests/processes.h"
+#include "wire/testing/background.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -9,6 +9,7 @@
 
 using namespace cuminslip;
 using namespace cuminslip::program::testing;
+using cuminslip::wire::testing::RunInBackground;
 
 namespace {
 
--- a/src/program/tests/background.cpp
+++ b/src/wire/testing/background.cpp
@@ -1,11 +1,11 @@
-#include "program/tests/background.h"
+#include "wire/testing/background.h"
 
 #include <condition_variable>
 #include <deque>
 #include <mutex>
 #include <thread>
 
-namespace cuminslip::program::testing {
+namespace cuminslip::wire::testing {
 
 namespace {
 
@@ -57,4 +57,4 @@
   background.mChanged.notify_one();
 }
 
-} // namespace cuminslip::program::testing
+} // namespace cuminslip::wire::testing
--- a/src/program/tests/background.h
+++ b/src/wire/testing/background.h
@@ -5,7 +5,7 @@
 #include <memory>
 
 /// Runs blocking calls beside a test.
-namespace cuminslip::program::testing {
+namespace cuminslip::wire::testing {
 
 /// Runs aWork on one of a few threads that last until the process ends: h2o
 /// keeps memory for each thread that is not given back when the thread ends.
@@ -26,4 +26,4 @@
   return result;
 }
 
-} // namespace cuminslip::program::testing
+} // namespace cuminslip::wire::testing
