--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -301,26 +301,25 @@
     });
     return;
   }
-  // NOTE: the loop goes on to the end of its round; a request taken in it would
-  // be sent on, and then answered as one that has not run.
+  CloseGateway(aGateway);
+  wire::StopLoop(*aGateway.mLoop);
+}
+
+} // namespace
+
+auto
+CloseGateway(Gateway& aGateway) -> void
+{
   aGateway.mIsClosed = true;
   if (aGateway.mForwarder) {
     forwarding::AbandonRequests(*aGateway.mForwarder);
   }
-  wire::StopLoop(*aGateway.mLoop);
 }
 
-} // namespace
-
 auto
 GatewayDeleter::operator()(Gateway* aGateway) const -> void
 {
-  // NOTE: closing the listeners runs the loop, which may bring more requests;
-  // their handlers must not reach the peer task any more.
-  aGateway->mIsClosed = true;
-  if (aGateway->mForwarder) {
-    forwarding::AbandonRequests(*aGateway->mForwarder);
-  }
+  CloseGateway(*aGateway);
   aGateway->mPeers.reset();
   aGateway->mCallerServer.reset();
   aGateway->mOperatorServer.reset();
--- a/src/gateway/internal/gatewaystate.h
+++ b/src/gateway/internal/gatewaystate.h
@@ -26,13 +26,20 @@
   wire::HttpServerPtr mPlatformServer;
   /// Stops first, as its replies go to the loop.
   std::unique_ptr<PeerTask> mPeers;
-  /// Set while the listeners close; their handlers then refuse.
+  /// Set by CloseGateway; the listeners then refuse.
   bool mIsClosed = false;
   bool mIsStopping = false;
   bool mWasReady = false;
   TimePoint mStopBegan{};
 };
 
+/// Takes no request from here on, and answers those still being served. What
+/// the loop brings afterwards, in the rest of its round or while the listeners
+/// close, is refused: sent on, it might run after it was answered as one that
+/// has not. A second call has no effect. Owner thread only.
+auto
+CloseGateway(Gateway& aGateway) -> void;
+
 /// Carries out a call of an endpoint or an operator.
 auto
 HandleControlCall(Gateway& aGateway,
