--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -14,9 +14,9 @@
 /// those refused together do not return together.
 constexpr auto kRetryAfter = Millis(400);
 constexpr auto kRetrySpread = Millis(600);
-/// Time over which instances spread their looks at an engine that became free;
-/// some twenty times what a notice takes between failure domains.
-constexpr auto kPlacementSpread = Millis(30);
+/// Time over which instances spread their looks at an engine that became free,
+/// for each of them: ten times what a notice to one more of them takes.
+constexpr auto kPlacementSpreadEach = Micros(2000);
 
 /// With more entry instances than this their notices come so seldom that the
 /// best engine by them is the best for all at once.
@@ -343,8 +343,9 @@
   }
   // NOTE: all instances hear of a free engine at once; whoever is first tells
   // the others within this time.
+  const auto longest = kPlacementSpreadEach * aForwarder.mEntries.size();
   auto spread = std::uniform_int_distribution<std::int64_t>(
-    0, aIsAtOnce ? 0 : Micros(kPlacementSpread).count());
+    0, aIsAtOnce ? 0 : Micros(longest).count());
   aForwarder.mPlacementTimer = aForwarder.mPorts.mTimers.mStart(
     Micros(spread(aForwarder.mRandom)), [&aForwarder] {
       aForwarder.mPlacementTimer = 0;
--- a/src/forwarding/tests/longprompts_tests.cpp
+++ b/src/forwarding/tests/longprompts_tests.cpp
@@ -98,6 +98,12 @@
   BOOST_TEST(mNotices.size() == 1U, "the other instance is told at once");
 }
 
+BOOST_AUTO_TEST_CASE(WhereThereIsTimeASlowConnectionIsAwaited)
+{
+  AskLong(154000);
+  BOOST_TEST(LastSend().mExchange.mConnectTimeout.count() == 500);
+}
+
 BOOST_AUTO_TEST_CASE(ASecondOneWaitsUntilTheFirstIsRead)
 {
   AskLong(154000);
@@ -124,6 +130,33 @@
   BOOST_TEST(mSends.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(InstancesLookAtFreedEnginesAtDifferentTimes)
+{
+  auto entries = std::vector<std::string>{};
+  for (auto i = 1; i <= 60; ++i) {
+    entries.push_back("10.0.0." + std::to_string(i) + ":7000");
+  }
+  SetEntries(*mForwarder, entries);
+  auto pauses = std::set<Millis>{};
+  for (auto i = std::uint64_t{ 1 }; i <= 40; i += 2) {
+    TakeLoadNotice(*mForwarder,
+                   EncodeLoadNotice({ "10.0.0.2:7000", i, BusyShares() }));
+    BeginLong(154000);
+    TakeLoadNotice(*mForwarder,
+                   EncodeLoadNotice({ "10.0.0.2:7000", i + 1, {} }));
+    const auto noticed = mNotices.size();
+    auto pause = Millis(0);
+    while (mNotices.size() == noticed && pause < Millis(200)) {
+      Run(Millis(1));
+      ++pause;
+    }
+    pauses.insert(pause);
+    AbandonRequests(*mForwarder);
+  }
+  BOOST_TEST((*pauses.rbegin() <= Millis(121)), "2 ms for each instance");
+  BOOST_TEST((*pauses.rbegin() - *pauses.begin() >= Millis(60)));
+}
+
 BOOST_AUTO_TEST_CASE(WhatASilentInstanceToldIsForgotten)
 {
   TakeLoadNotice(
