Wait for a connection no longer than the answer bears

Cause: while a failure domain is cut off each instance learns of each of its engines by a connection that is awaited for 500 ms, longer than the 300 ms that a check has (178 and 202 such waits in the two cuts looked at, forward_send_failed). Now a third of the answer's target, 100 ms at least and 500 ms at most.

Ruled out: kept connections that hang (5 and 12) and endpoints that answer late. The tests fail with 500 ms for all.

--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -379,6 +379,25 @@
   return exchange;
 }
 
+namespace {
+
+/// Time to wait for a connection: a part of the answer's target, so that
+/// another endpoint can still answer in time when this one can't be reached.
+auto
+ConnectTimeout(const ForwardSettings& aSettings, const routing::Route& aRoute)
+  -> Millis
+{
+  constexpr auto kShareOfTarget = 3;
+  if (aRoute.mAnswerTarget <= Millis(0)) {
+    return aSettings.mConnectTimeout;
+  }
+  return std::clamp(aRoute.mAnswerTarget / kShareOfTarget,
+                    aSettings.mShortestConnectTimeout,
+                    aSettings.mConnectTimeout);
+}
+
+} // namespace
+
 auto
 SendFlight(Forwarder& aForwarder, Flight& aFlight, Attempt aAttempt) -> void
 {
@@ -399,6 +418,8 @@
     aFlight.mHasStarted ? aFlight.mLastEvent : aFlight.mRequest.mLastEvent;
   facts.mHelpers = ListHelpers(aFlight.mAttempt);
   auto exchange = MakeExchange(aForwarder, aFlight.mAttempt.mAddress);
+  exchange.mConnectTimeout =
+    ConnectTimeout(aForwarder.mSettings, *aFlight.mRoute);
   exchange.mRequest = aFlight.mRequest.mHttp;
   exchange.mRequest.mHeaders =
     aForwarder.mPorts.mCodec.mWriteHeaders(aFlight.mRequest, facts);
--- a/src/forwarding/tests/forwarder_tests.cpp
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -210,6 +210,14 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AnUnreachableEndpointLeavesTimeForAnother)
+{
+  Ask(MakeRequest("read"));
+  const auto target = Millis(300);
+  BOOST_TEST(LastSend().mExchange.mConnectTimeout.count() * 3 <=
+             target.count());
+}
+
 BOOST_AUTO_TEST_CASE(WithAllEndpointsFailingTheyAreStillTried)
 {
   Ask(MakeRequest("book"));
--- a/src/forwarding/types/forwardsettings.h
+++ b/src/forwarding/types/forwardsettings.h
@@ -19,6 +19,9 @@
   LaneRules mLanes;
   /// Longest time to wait for an endpoint to accept a connection.
   Millis mConnectTimeout{ 500 };
+  /// It is not made shorter than this for a short answer target: a connection
+  /// to a busy endpoint in another region still comes in that time.
+  Millis mShortestConnectTimeout{ 100 };
   /// How often callers that have left are looked for, while requests run.
   Millis mCallerCheckInterval{ 100 };
   /// Shortest pause between load notices that no long prompt asks for, for each
