--- a/src/policy/internal/enginelanes.cpp
+++ b/src/policy/internal/enginelanes.cpp
@@ -196,14 +196,10 @@
   // read for it; one that is not read yet is put off by each part.
   constexpr auto kLongStreamValue = 10.0;
   constexpr auto kUnreadLongValue = 8.0;
-  constexpr auto kHarmlessMillis = 500.0;
-  constexpr auto kLateLongValue = 20.0;
-  const auto unread =
-    aPartMillis > kHarmlessMillis ? kLateLongValue : kUnreadLongValue;
   const auto harmedLong =
     pause > work.mPauseMillis ? static_cast<double>(work.mLongStreams) : 0.0;
   return static_cast<double>(harmed) + harmedLong * kLongStreamValue +
-         static_cast<double>(work.mUnreadLong) * unread;
+         static_cast<double>(work.mUnreadLong) * kUnreadLongValue;
 }
 
 auto
