--- /dev/null
+++ b/src/forwarding/internal/answers.cpp
@@ -0,0 +1,256 @@
+#include "forwarding/internal/forwarderstate.h"
+#include "forwarding/types/forwardevents.h"
+
+#include <algorithm>
+
+namespace cuminslip::forwarding {
+
+namespace {
+
+constexpr auto kOk = 200;
+constexpr auto kFirstServerError = 500;
+
+auto
+LogDelivered(const Forwarder& aForwarder, const Flight& aFlight) -> void
+{
+  const auto now = aForwarder.mPorts.mNow();
+  LogEvent(
+    kForwardDeliveredEvent,
+    { { "request", aFlight.mRequest.mId.mValue },
+      { "endpoint", aFlight.mAttempt.mEndpoint.mValue },
+      { "status", aFlight.mAttempt.mStatus },
+      { "events", aFlight.mEvents },
+      { "first_event_ms",
+        aFlight.mEvents == 0
+          ? -1
+          : MillisBetween(aFlight.mArrived, aFlight.mFirstEventAt).count() },
+      { "longest_pause_ms", aFlight.mLongestPause.count() },
+      { "total_ms", MillisBetween(aFlight.mArrived, now).count() },
+      { "sends", aFlight.mSends } });
+}
+
+auto
+DeliverWhole(Forwarder& aForwarder, Flight& aFlight) -> void
+{
+  auto& attempt = aFlight.mAttempt;
+  attempt.mExchange = 0;
+  NoteOutcome(aForwarder, aFlight, ForwardOutcome::Delivered);
+  LogDelivered(aForwarder, aFlight);
+  aFlight.mCaller.mRespond({ attempt.mStatus,
+                             std::move(attempt.mAnswer.mHeaders),
+                             std::move(attempt.mBody) });
+  RemoveFlight(aForwarder, aFlight);
+}
+
+auto
+IsStream(const Flight& aFlight) -> bool
+{
+  return aFlight.mRoute->mKind == routing::RouteKind::Streaming &&
+         aFlight.mAttempt.mStatus == kOk && aFlight.mAttempt.mAnswer.mIsGenuine;
+}
+
+/// Passes one event on unless the caller has it. False when events before it
+/// are missing.
+auto
+PassEvent(Forwarder& aForwarder, Flight& aFlight, const StreamEvent& aEvent)
+  -> bool
+{
+  if (aEvent.mId && aFlight.mLastEvent) {
+    if (*aEvent.mId <= *aFlight.mLastEvent) {
+      return true;
+    }
+    if (*aEvent.mId > *aFlight.mLastEvent + 1) {
+      return false;
+    }
+  }
+  if (!aFlight.mHasStarted) {
+    aFlight.mHasStarted = true;
+    aFlight.mCaller.mStartStream(aFlight.mAttempt.mStatus,
+                                 aFlight.mAttempt.mAnswer.mHeaders);
+  }
+  const auto now = aForwarder.mPorts.mNow();
+  if (aFlight.mEvents++ == 0) {
+    aFlight.mFirstEventAt = now;
+    NoteWorkChanged(aForwarder, aFlight);
+  } else {
+    aFlight.mLongestPause =
+      std::max(aFlight.mLongestPause, MillisBetween(aFlight.mLastEventAt, now));
+  }
+  aFlight.mLastEventAt = now;
+  aFlight.mCaller.mSendPiece(aEvent.mBytes);
+  if (aEvent.mId) {
+    aFlight.mLastEvent = aEvent.mId;
+  }
+  return true;
+}
+
+auto
+TakeHead(Forwarder& aForwarder,
+         FlightId aId,
+         int aStatus,
+         const wire::Headers& aHeaders) -> void
+{
+  auto* flight = FindFlight(aForwarder, aId);
+  if (flight == nullptr) {
+    return;
+  }
+  auto& attempt = flight->mAttempt;
+  attempt.mStatus = aStatus;
+  attempt.mAnswer = aForwarder.mPorts.mCodec.mReadAnswer(aStatus, aHeaders);
+  if (attempt.mAnswer.mLoad) {
+    auto& health = aForwarder.mHealth[attempt.mEndpoint];
+    health.mLoad = attempt.mAnswer.mLoad;
+    health.mLoadAt = aForwarder.mPorts.mNow();
+  }
+}
+
+auto
+TakePiece(Forwarder& aForwarder, FlightId aId, std::string_view aPiece) -> void
+{
+  auto* flight = FindFlight(aForwarder, aId);
+  if (flight == nullptr) {
+    return;
+  }
+  auto& attempt = flight->mAttempt;
+  if (!IsStream(*flight)) {
+    attempt.mBody += aPiece;
+    return;
+  }
+  for (const auto& event : SplitEvents(attempt.mSplitter, aPiece)) {
+    if (!PassEvent(aForwarder, *flight, event)) {
+      aForwarder.mPorts.mExchanges.mCancel(std::exchange(attempt.mExchange, 0));
+      RecoverFlight(aForwarder,
+                    *flight,
+                    SendOutcome::NotAnAnswer,
+                    "events are missing in the stream");
+      return;
+    }
+  }
+}
+
+auto
+EndStream(Forwarder& aForwarder, Flight& aFlight) -> void
+{
+  if (!aFlight.mHasStarted) {
+    RecoverFlight(aForwarder,
+                  aFlight,
+                  SendOutcome::NotAnAnswer,
+                  "the stream ended without an event");
+    return;
+  }
+  NoteSuccess(aForwarder, aFlight.mAttempt.mEndpoint);
+  if (!aFlight.mAttempt.mSplitter.mRest.empty()) {
+    aFlight.mCaller.mSendPiece(aFlight.mAttempt.mSplitter.mRest);
+  }
+  aFlight.mCaller.mFinish();
+  NoteOutcome(aForwarder, aFlight, ForwardOutcome::Delivered);
+  LogDelivered(aForwarder, aFlight);
+  RemoveFlight(aForwarder, aFlight);
+}
+
+/// Statuses by which an instance itself promises that a request has not run.
+auto
+IsPromiseStatus(int aStatus) -> bool
+{
+  constexpr auto kRequestTimeout = 408;
+  constexpr auto kMisdirected = 421;
+  constexpr auto kTooManyRequests = 429;
+  constexpr auto kUnavailable = 503;
+  return aStatus == kRequestTimeout || aStatus == kMisdirected ||
+         aStatus == kTooManyRequests || aStatus == kUnavailable;
+}
+
+auto
+TakeWholeAnswer(Forwarder& aForwarder, Flight& aFlight) -> void
+{
+  const auto& attempt = aFlight.mAttempt;
+  if (attempt.mAnswer.mHasNotRun) {
+    RecoverFlight(aForwarder,
+                  aFlight,
+                  SendOutcome::RefusedNotRun,
+                  "the endpoint did not run it");
+    return;
+  }
+  // NOTE: passed on, such a status would promise what the endpoint did not say.
+  if (!attempt.mAnswer.mIsGenuine || IsPromiseStatus(attempt.mStatus)) {
+    RecoverFlight(aForwarder,
+                  aFlight,
+                  SendOutcome::NotAnAnswer,
+                  "the answer is not one of the endpoint to this request");
+    return;
+  }
+  const auto isError = attempt.mStatus >= kFirstServerError;
+  if (isError && MayRepeatFlight(aForwarder, aFlight, SendOutcome::Answered)) {
+    RecoverFlight(aForwarder,
+                  aFlight,
+                  SendOutcome::Answered,
+                  "the endpoint answered with an error");
+    return;
+  }
+  if (!isError) {
+    NoteSuccess(aForwarder, attempt.mEndpoint);
+  }
+  DeliverWhole(aForwarder, aFlight);
+}
+
+auto
+TakeEnd(Forwarder& aForwarder,
+        FlightId aId,
+        const wire::ExchangeResult& aResult) -> void
+{
+  auto* flight = FindFlight(aForwarder, aId);
+  if (flight == nullptr) {
+    return;
+  }
+  flight->mAttempt.mExchange = 0;
+  switch (aResult.mEnd) {
+    case wire::ExchangeEnd::Complete:
+      if (IsStream(*flight)) {
+        EndStream(aForwarder, *flight);
+      } else {
+        TakeWholeAnswer(aForwarder, *flight);
+      }
+      return;
+    case wire::ExchangeEnd::NotConnected:
+      RecoverFlight(aForwarder,
+                    *flight,
+                    SendOutcome::NotConnected,
+                    "no connection was made");
+      return;
+    case wire::ExchangeEnd::Broken:
+      RecoverFlight(aForwarder,
+                    *flight,
+                    SendOutcome::Unanswered,
+                    aResult.mWasKept ? "the kept connection broke"
+                                     : "the connection broke");
+      return;
+    case wire::ExchangeEnd::Malformed:
+    case wire::ExchangeEnd::TooLarge:
+      RecoverFlight(aForwarder,
+                    *flight,
+                    SendOutcome::NotAnAnswer,
+                    "the bytes are no answer");
+      return;
+  }
+}
+
+} // namespace
+
+auto
+MakeHandlers(Forwarder& aForwarder, FlightId aId) -> wire::ExchangeHandlers
+{
+  auto handlers = wire::ExchangeHandlers{};
+  handlers.mOnHead = [&aForwarder, aId](int aStatus,
+                                        const wire::Headers& aHeaders) {
+    TakeHead(aForwarder, aId, aStatus, aHeaders);
+  };
+  handlers.mOnPiece = [&aForwarder, aId](std::string_view aPiece) {
+    TakePiece(aForwarder, aId, aPiece);
+  };
+  handlers.mOnEnd = [&aForwarder, aId](const wire::ExchangeResult& aResult) {
+    TakeEnd(aForwarder, aId, aResult);
+  };
+  return handlers;
+}
+
+} // namespace cuminslip::forwarding
--- /dev/null
+++ b/src/forwarding/internal/ending.cpp
@@ -0,0 +1,160 @@
+#include "forwarding/internal/forwarderstate.h"
+#include "forwarding/types/forwardevents.h"
+
+namespace cuminslip::forwarding {
+
+namespace {
+
+/// Endpoints to which connections are tried for one request.
+constexpr auto kMostTried = std::size_t{ 4 };
+/// When a caller is to come back: an endpoint that refused is full, and has a
+/// place within about a short request's time; one that failed is replaced by
+/// others at once.
+constexpr auto kRefusedRetry = Millis(500);
+constexpr auto kFailedRetry = Millis(250);
+
+auto
+RepeatRuleOf(const routing::Route& aRoute) -> RepeatRule
+{
+  const auto mayRepeat =
+    aRoute.mKind == routing::RouteKind::Idempotent ||
+    (aRoute.mKind == routing::RouteKind::Streaming && aRoute.mIsResumable);
+  return mayRepeat ? RepeatRule::Always : RepeatRule::OnlyIfNotRun;
+}
+
+/// The kind of a failure that promises nothing about whether it ran.
+auto
+AfterRun(FailureKind aKind) -> FailureKind
+{
+  return aKind == FailureKind::TooLate || aKind == FailureKind::TimedOut
+           ? FailureKind::TimedOut
+           : FailureKind::EndpointFailed;
+}
+
+} // namespace
+
+auto
+FindFlight(Forwarder& aForwarder, FlightId aFlight) -> Flight*
+{
+  const auto it = aForwarder.mFlights.find(aFlight);
+  return it == aForwarder.mFlights.end() ? nullptr : it->second.get();
+}
+
+auto
+MayRepeatFlight(Forwarder& aForwarder,
+                const Flight& aFlight,
+                SendOutcome aOutcome) -> bool
+{
+  auto facts = RepeatFacts{};
+  const auto now = aForwarder.mPorts.mNow();
+  facts.mOutcome = aOutcome;
+  facts.mRule = RepeatRuleOf(*aFlight.mRoute);
+  facts.mSends = aFlight.mSends;
+  facts.mMaxSends = aFlight.mRoute->mMaxAttempts;
+  facts.mHasTime = now < aFlight.mDeadline;
+  facts.mHasBudget = MayDraw(aForwarder.mBudgets[aFlight.mService->mName],
+                             aForwarder.mSettings.mRetryBudget,
+                             aForwarder.mEntries.size(),
+                             now);
+  return MayRepeat(facts);
+}
+
+auto
+RemoveFlight(Forwarder& aForwarder, Flight& aFlight) -> void
+{
+  aForwarder.mPorts.mExchanges.mCancel(
+    std::exchange(aFlight.mAttempt.mExchange, 0));
+  aForwarder.mPorts.mTimers.mStop(aFlight.mDeadlineTimer);
+  aForwarder.mPorts.mTimers.mStop(aFlight.mClaimTimer);
+  aForwarder.mPorts.mTimers.mStop(aFlight.mHoldTimer);
+  ReleaseHolds(aForwarder, aFlight.mAttempt);
+  const auto flight =
+    std::move(aForwarder.mFlights.extract(aFlight.mId).mapped());
+  NoteWorkChanged(aForwarder, *flight);
+}
+
+auto
+FailFlight(Forwarder& aForwarder, Flight& aFlight, const Failure& aFailure)
+  -> void
+{
+  const auto isRefusal = !aFlight.mMayHaveRun && !aFlight.mHasStarted &&
+                         aFlight.mAttempt.mExchange == 0;
+  const auto failure =
+    isRefusal ? aFailure : Failure{ AfterRun(aFailure.mKind), {} };
+  ++aForwarder.mTimes.mFailures[failure.mKind];
+  NoteOutcome(aForwarder,
+              aFlight,
+              aFlight.mHasStarted ? ForwardOutcome::Cut
+              : isRefusal         ? ForwardOutcome::Refused
+                                  : ForwardOutcome::Failed);
+  const auto& event = aFlight.mHasStarted ? kForwardCutEvent
+                      : isRefusal         ? kForwardRefusedEvent
+                                          : kForwardFailedEvent;
+  const auto now = aForwarder.mPorts.mNow();
+  LogEvent(event,
+           { { "request", aFlight.mRequest.mId.mValue },
+             { "reason", ToText(failure.mKind) },
+             { "route", aFlight.mRoute ? aFlight.mRoute->mName : "" },
+             { "version", RoutingVersion(aForwarder) },
+             { "endpoint", aFlight.mAttempt.mEndpoint.mValue },
+             { "sends", aFlight.mSends },
+             { "events", aFlight.mEvents },
+             { "age_ms", MillisBetween(aFlight.mArrived, now).count() },
+             { "retry_after_ms",
+               failure.mRetryAfter ? failure.mRetryAfter->count() : -1 } });
+  if (aFlight.mHasStarted) {
+    aFlight.mCaller.mAbort();
+  } else {
+    aFlight.mCaller.mRespond(
+      aForwarder.mPorts.mCodec.mWriteFailure(aFlight.mRequest, failure));
+  }
+  RemoveFlight(aForwarder, aFlight);
+}
+
+auto
+RecoverFlight(Forwarder& aForwarder,
+              Flight& aFlight,
+              SendOutcome aOutcome,
+              std::string_view aReason) -> void
+{
+  const auto endpoint = aFlight.mAttempt.mEndpoint;
+  const auto isRefused = aOutcome == SendOutcome::RefusedNotRun;
+  const auto verdict = JudgeRun(aOutcome);
+  const auto now = aForwarder.mPorts.mNow();
+  aFlight.mMayHaveRun |= verdict != RunVerdict::NotRun;
+  LogEvent(kForwardSendFailedEvent,
+           { { "request", aFlight.mRequest.mId.mValue },
+             { "endpoint", endpoint.mValue },
+             { "reason", aReason },
+             { "status", aFlight.mAttempt.mStatus },
+             { "ran", verdict == RunVerdict::NotRun ? "no" : "unknown" },
+             { "events", aFlight.mEvents },
+             { "at_fault", aFlight.mAttempt.mAnswer.mAtFault },
+             { "sent_ms_ago",
+               MillisBetween(aFlight.mAttempt.mSentAt, now).count() } });
+  if (aOutcome != SendOutcome::Answered) {
+    NoteFailure(aForwarder, endpoint, aReason);
+  }
+  // NOTE: no endpoint has seen a request that found no connection.
+  if (aOutcome == SendOutcome::NotConnected) {
+    --aFlight.mSends;
+  }
+  const auto mayRepeat = MayRepeatFlight(aForwarder, aFlight, aOutcome) &&
+                         aFlight.mTried.size() <= kMostTried;
+  if (mayRepeat && aFlight.mHasStarted) {
+    ++aForwarder.mCounters.mResumed;
+    LogEvent(kForwardResumedEvent,
+             { { "request", aFlight.mRequest.mId.mValue },
+               { "after_event", aFlight.mLastEvent.value_or(0) } });
+  }
+  ReleaseHolds(aForwarder, aFlight.mAttempt);
+  aFlight.mAttempt.mWork.clear();
+  if (mayRepeat) {
+    PlaceFlight(aForwarder, aFlight);
+    return;
+  }
+  const auto retry = isRefused ? kRefusedRetry : kFailedRetry;
+  FailFlight(aForwarder, aFlight, { FailureKind::NoCapacity, retry });
+}
+
+} // namespace cuminslip::forwarding
--- /dev/null
+++ b/src/forwarding/internal/enginework.cpp
@@ -0,0 +1,102 @@
+#include "forwarding/internal/forwarderstate.h"
+
+#include <algorithm>
+
+namespace cuminslip::forwarding {
+
+namespace {
+
+auto
+AddWorkOf(const Forwarder& aForwarder,
+          const Flight& aFlight,
+          const EndpointId& aEngine,
+          EngineWork& aSum) -> void
+{
+  const auto now = aForwarder.mPorts.mNow();
+  for (const auto& given : aFlight.mAttempt.mWork) {
+    if (given.mEngine != aEngine) {
+      continue;
+    }
+    auto work = EngineWork{};
+    // NOTE: what is not read at its predicted time may still be read for a
+    // while; that a prompt is not read whole says little of one helper.
+    constexpr auto kOverdueMillis = 30.0;
+    const auto left =
+      std::chrono::duration<double, std::milli>(given.mReadUntil - now).count();
+    const auto isUnread =
+      aFlight.mEvents == 0 && (!given.mIsHelper || left > -kOverdueMillis);
+    if (isUnread) {
+      work.mReadMillis = std::max(left, kOverdueMillis);
+      work.mUnreadLong = given.mIsHelper ? 1 : 0;
+    }
+    if (!given.mIsHelper) {
+      const auto& timing = *aFlight.mService->mEngine;
+      const auto prompt = ToPromptWork(aForwarder, aFlight);
+      work.mStreams = 1;
+      work.mUnread = aFlight.mEvents == 0 ? 1 : 0;
+      work.mContextTokens = prompt.mPromptTokens;
+      work.mLongStreams = IsLongPrompt(timing, prompt) ? 1 : 0;
+      const auto pause = aFlight.mRoute->mPauseTarget;
+      work.mUnreadLong = work.mUnread * work.mLongStreams;
+      if (pause > Millis(0) && work.mLongStreams > 0) {
+        work.mPauseMillis = static_cast<double>(pause.count());
+      }
+    }
+    aSum = AddWork(aSum, work);
+  }
+}
+
+} // namespace
+
+auto
+ToPromptWork(const Forwarder& aForwarder, const Flight& aFlight) -> PromptWork
+{
+  const auto prompt = aFlight.mRequest.mPrompt.value_or(PromptFacts{});
+  const auto now = aForwarder.mPorts.mNow();
+  return { prompt.mPromptTokens,
+           prompt.mMaxOutputTokens,
+           aFlight.mRoute->mAnswerTarget,
+           aFlight.mStrictestPause,
+           MillisBetween(aFlight.mArrived, now),
+           MillisBetween(now, aFlight.mDeadline) };
+}
+
+auto
+OwnWorkOn(const Forwarder& aForwarder, const EndpointId& aEngine) -> EngineWork
+{
+  auto work = EngineWork{};
+  for (const auto& [id, flight] : aForwarder.mFlights) {
+    AddWorkOf(aForwarder, *flight, aEngine, work);
+  }
+  return work;
+}
+
+auto
+RemoteWorkOn(const Forwarder& aForwarder, const EndpointId& aEngine)
+  -> EngineWork
+{
+  auto work = EngineWork{};
+  const auto now = aForwarder.mPorts.mNow();
+  const auto key = Checksum(aEngine.mValue);
+  for (const auto& [instance, remote] : aForwarder.mRemote) {
+    const auto age = now - remote.mHeard;
+    const auto it = remote.mWork.find(key);
+    if (it == remote.mWork.end() || age > aForwarder.mSettings.mNoticeAge) {
+      continue;
+    }
+    auto known = it->second;
+    const auto passed = std::chrono::duration<double, std::milli>(age).count();
+    known.mReadMillis = std::max(known.mReadMillis - passed, 0.0);
+    work = AddWork(work, known);
+  }
+  return work;
+}
+
+auto
+WorkOn(const Forwarder& aForwarder, const EndpointId& aEngine) -> EngineWork
+{
+  return AddWork(OwnWorkOn(aForwarder, aEngine),
+                 RemoteWorkOn(aForwarder, aEngine));
+}
+
+} // namespace cuminslip::forwarding
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -142,6 +142,10 @@
 auto
 PlaceFlight(Forwarder& aForwarder, Flight& aFlight) -> void;
 
+/// What takes the answer to a flight's sending, as it comes.
+auto
+MakeHandlers(Forwarder& aForwarder, FlightId aFlight) -> wire::ExchangeHandlers;
+
 /// An exchange with an endpoint; its request is still to be set. No connection
 /// is made for an address that can't be read.
 auto
@@ -161,6 +165,13 @@
             const Flight& aFlight,
             ForwardOutcome aOutcome) -> void;
 
+/// True when the flight may be sent once more after aOutcome, by its route and
+/// the budget of repeats.
+auto
+MayRepeatFlight(Forwarder& aForwarder,
+                const Flight& aFlight,
+                SendOutcome aOutcome) -> bool;
+
 /// Forgets a flight and closes its exchange.
 auto
 RemoveFlight(Forwarder& aForwarder, Flight& aFlight) -> void;
@@ -172,6 +183,15 @@
               SendOutcome aOutcome,
               std::string_view aReason) -> void;
 
+/// True while better endpoints may still be heard of after a start, and the
+/// request has time.
+auto
+MayWaitForEndpoints(const Forwarder& aForwarder, const Flight& aFlight) -> bool;
+
+/// Leaves a long prompt waiting until engines are free.
+auto
+WaitForEngine(Flight& aFlight, std::size_t aCandidates) -> void;
+
 /// Looks at the waiting flights again, soon or after a short random pause.
 auto
 SchedulePlacement(Forwarder& aForwarder, bool aIsAtOnce) -> void;
@@ -213,6 +233,10 @@
             const EndpointId& aEndpoint,
             std::string_view aReason) -> void;
 
+/// The flight's prompt with the times that it has had and has left.
+auto
+ToPromptWork(const Forwarder& aForwarder, const Flight& aFlight) -> PromptWork;
+
 /// The work that this instance gave to an engine.
 auto
 OwnWorkOn(const Forwarder& aForwarder, const EndpointId& aEngine) -> EngineWork;
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -1,9 +1,7 @@
 #include "forwarding/internal/forwarderstate.h"
 #include "forwarding/types/forwardevents.h"
-#include "policy/passmodel.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace cuminslip::forwarding {
 
@@ -14,10 +12,6 @@
 /// those refused together do not return together.
 constexpr auto kRetryAfter = Millis(400);
 constexpr auto kRetrySpread = Millis(600);
-/// Time over which instances spread their looks at an engine that became free,
-/// for each of them: ten times what a notice to one more of them takes.
-constexpr auto kPlacementSpreadEach = Micros(2000);
-
 /// With more entry instances than this their notices come so seldom that the
 /// best engine by them is the best for all at once.
 constexpr auto kWellKnownEntries = std::size_t{ 16 };
@@ -72,19 +66,6 @@
   return sound.empty() ? doubtful : sound;
 }
 
-auto
-ToPromptWork(const Forwarder& aForwarder, const Flight& aFlight) -> PromptWork
-{
-  const auto prompt = aFlight.mRequest.mPrompt.value_or(PromptFacts{});
-  const auto now = aForwarder.mPorts.mNow();
-  return { prompt.mPromptTokens,
-           prompt.mMaxOutputTokens,
-           aFlight.mRoute->mAnswerTarget,
-           aFlight.mStrictestPause,
-           MillisBetween(aFlight.mArrived, now),
-           MillisBetween(now, aFlight.mDeadline) };
-}
-
 auto
 ToMicros(double aMillis) -> Micros
 {
@@ -92,46 +73,6 @@
   return Micros(static_cast<std::int64_t>(aMillis * kMicrosPerMilli));
 }
 
-auto
-AddWorkOf(const Forwarder& aForwarder,
-          const Flight& aFlight,
-          const EndpointId& aEngine,
-          EngineWork& aSum) -> void
-{
-  const auto now = aForwarder.mPorts.mNow();
-  for (const auto& given : aFlight.mAttempt.mWork) {
-    if (given.mEngine != aEngine) {
-      continue;
-    }
-    auto work = EngineWork{};
-    // NOTE: what is not read at its predicted time may still be read for a
-    // while; that a prompt is not read whole says little of one helper.
-    constexpr auto kOverdueMillis = 30.0;
-    const auto left =
-      std::chrono::duration<double, std::milli>(given.mReadUntil - now).count();
-    const auto isUnread =
-      aFlight.mEvents == 0 && (!given.mIsHelper || left > -kOverdueMillis);
-    if (isUnread) {
-      work.mReadMillis = std::max(left, kOverdueMillis);
-      work.mUnreadLong = given.mIsHelper ? 1 : 0;
-    }
-    if (!given.mIsHelper) {
-      const auto& timing = *aFlight.mService->mEngine;
-      const auto prompt = ToPromptWork(aForwarder, aFlight);
-      work.mStreams = 1;
-      work.mUnread = aFlight.mEvents == 0 ? 1 : 0;
-      work.mContextTokens = prompt.mPromptTokens;
-      work.mLongStreams = IsLongPrompt(timing, prompt) ? 1 : 0;
-      const auto pause = aFlight.mRoute->mPauseTarget;
-      work.mUnreadLong = work.mUnread * work.mLongStreams;
-      if (pause > Millis(0) && work.mLongStreams > 0) {
-        work.mPauseMillis = static_cast<double>(pause.count());
-      }
-    }
-    aSum = AddWork(aSum, work);
-  }
-}
-
 auto
 ListEngines(Forwarder& aForwarder, const std::vector<Candidate>& aCandidates)
   -> std::vector<EngineCandidate>
@@ -175,17 +116,6 @@
                            });
 }
 
-/// True while better endpoints may still be heard of after a start, and the
-/// request has time.
-auto
-MayWaitForEndpoints(const Forwarder& aForwarder, const Flight& aFlight) -> bool
-{
-  const auto now = aForwarder.mPorts.mNow();
-  const auto isEarly =
-    now - aFlight.mArrived < (aFlight.mDeadline - aFlight.mArrived) / 2;
-  return now < aForwarder.mSettledAt && isEarly && !aFlight.mHasStarted;
-}
-
 /// The attempt at the chosen engine and what each engine that helps does in it.
 auto
 MakeAttempt(const Forwarder& aForwarder,
@@ -248,20 +178,6 @@
              { "send", aFlight.mSends + 1 } });
 }
 
-auto
-WaitForEngine(Flight& aFlight, std::size_t aCandidates) -> void
-{
-  if (std::exchange(aFlight.mIsWaiting, true)) {
-    return;
-  }
-  LogEvent(kForwardWaitsEvent,
-           { { "request", aFlight.mRequest.mId.mValue },
-             { "route", aFlight.mRoute->mName },
-             { "prompt_tokens",
-               aFlight.mRequest.mPrompt.value_or(PromptFacts{}).mPromptTokens },
-             { "candidates", aCandidates } });
-}
-
 auto
 PlaceOnEngines(Forwarder& aForwarder,
                Flight& aFlight,
@@ -307,90 +223,8 @@
   SendFlight(aForwarder, aFlight, std::move(attempt));
 }
 
-/// Places the waiting flights: those that can still be on time first, then by
-/// arrival.
-auto
-PlaceWaiting(Forwarder& aForwarder) -> void
-{
-  const auto now = aForwarder.mPorts.mNow();
-  auto waiting = std::vector<std::tuple<bool, TimePoint, FlightId>>{};
-  for (const auto& [id, flight] : aForwarder.mFlights) {
-    if (flight->mIsWaiting) {
-      const auto isLate =
-        now >= flight->mArrived + flight->mRoute->mAnswerTarget;
-      waiting.emplace_back(isLate, flight->mArrived, id);
-    }
-  }
-  std::sort(waiting.begin(), waiting.end());
-  for (const auto& [isLate, arrived, id] : waiting) {
-    if (auto* flight = FindFlight(aForwarder, id)) {
-      PlaceFlight(aForwarder, *flight);
-    }
-  }
-}
-
 } // namespace
 
-auto
-SchedulePlacement(Forwarder& aForwarder, bool aIsAtOnce) -> void
-{
-  const auto hasWaiting =
-    std::any_of(aForwarder.mFlights.begin(),
-                aForwarder.mFlights.end(),
-                [](const auto& aItem) { return aItem.second->mIsWaiting; });
-  if (!hasWaiting || aForwarder.mPlacementTimer != 0) {
-    return;
-  }
-  // NOTE: all instances hear of a free engine at once; whoever is first tells
-  // the others within this time.
-  const auto longest = kPlacementSpreadEach * aForwarder.mEntries.size();
-  auto spread = std::uniform_int_distribution<std::int64_t>(
-    0, aIsAtOnce ? 0 : Micros(longest).count());
-  aForwarder.mPlacementTimer = aForwarder.mPorts.mTimers.mStart(
-    Micros(spread(aForwarder.mRandom)), [&aForwarder] {
-      aForwarder.mPlacementTimer = 0;
-      PlaceWaiting(aForwarder);
-    });
-}
-
-auto
-OwnWorkOn(const Forwarder& aForwarder, const EndpointId& aEngine) -> EngineWork
-{
-  auto work = EngineWork{};
-  for (const auto& [id, flight] : aForwarder.mFlights) {
-    AddWorkOf(aForwarder, *flight, aEngine, work);
-  }
-  return work;
-}
-
-auto
-RemoteWorkOn(const Forwarder& aForwarder, const EndpointId& aEngine)
-  -> EngineWork
-{
-  auto work = EngineWork{};
-  const auto now = aForwarder.mPorts.mNow();
-  const auto key = Checksum(aEngine.mValue);
-  for (const auto& [instance, remote] : aForwarder.mRemote) {
-    const auto age = now - remote.mHeard;
-    const auto it = remote.mWork.find(key);
-    if (it == remote.mWork.end() || age > aForwarder.mSettings.mNoticeAge) {
-      continue;
-    }
-    auto known = it->second;
-    const auto passed = std::chrono::duration<double, std::milli>(age).count();
-    known.mReadMillis = std::max(known.mReadMillis - passed, 0.0);
-    work = AddWork(work, known);
-  }
-  return work;
-}
-
-auto
-WorkOn(const Forwarder& aForwarder, const EndpointId& aEngine) -> EngineWork
-{
-  return AddWork(OwnWorkOn(aForwarder, aEngine),
-                 RemoteWorkOn(aForwarder, aEngine));
-}
-
 auto
 PlaceFlight(Forwarder& aForwarder, Flight& aFlight) -> void
 {
--- /dev/null
+++ b/src/forwarding/internal/waiting.cpp
@@ -0,0 +1,86 @@
+#include "forwarding/internal/forwarderstate.h"
+#include "forwarding/types/forwardevents.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cuminslip::forwarding {
+
+namespace {
+
+/// Time over which instances spread their looks at an engine that became free,
+/// for each of them: ten times what a notice to one more of them takes.
+constexpr auto kPlacementSpreadEach = Micros(2000);
+
+/// Places the waiting flights: those that can still be on time first, then by
+/// arrival.
+auto
+PlaceWaiting(Forwarder& aForwarder) -> void
+{
+  const auto now = aForwarder.mPorts.mNow();
+  auto waiting = std::vector<std::tuple<bool, TimePoint, FlightId>>{};
+  for (const auto& [id, flight] : aForwarder.mFlights) {
+    if (flight->mIsWaiting) {
+      const auto isLate =
+        now >= flight->mArrived + flight->mRoute->mAnswerTarget;
+      waiting.emplace_back(isLate, flight->mArrived, id);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const auto& [isLate, arrived, id] : waiting) {
+    if (auto* flight = FindFlight(aForwarder, id)) {
+      PlaceFlight(aForwarder, *flight);
+    }
+  }
+}
+
+} // namespace
+
+/// True while better endpoints may still be heard of after a start, and the
+/// request has time.
+auto
+MayWaitForEndpoints(const Forwarder& aForwarder, const Flight& aFlight) -> bool
+{
+  const auto now = aForwarder.mPorts.mNow();
+  const auto isEarly =
+    now - aFlight.mArrived < (aFlight.mDeadline - aFlight.mArrived) / 2;
+  return now < aForwarder.mSettledAt && isEarly && !aFlight.mHasStarted;
+}
+
+auto
+WaitForEngine(Flight& aFlight, std::size_t aCandidates) -> void
+{
+  if (std::exchange(aFlight.mIsWaiting, true)) {
+    return;
+  }
+  LogEvent(kForwardWaitsEvent,
+           { { "request", aFlight.mRequest.mId.mValue },
+             { "route", aFlight.mRoute->mName },
+             { "prompt_tokens",
+               aFlight.mRequest.mPrompt.value_or(PromptFacts{}).mPromptTokens },
+             { "candidates", aCandidates } });
+}
+
+auto
+SchedulePlacement(Forwarder& aForwarder, bool aIsAtOnce) -> void
+{
+  const auto hasWaiting =
+    std::any_of(aForwarder.mFlights.begin(),
+                aForwarder.mFlights.end(),
+                [](const auto& aItem) { return aItem.second->mIsWaiting; });
+  if (!hasWaiting || aForwarder.mPlacementTimer != 0) {
+    return;
+  }
+  // NOTE: all instances hear of a free engine at once; whoever is first tells
+  // the others within this time.
+  const auto longest = kPlacementSpreadEach * aForwarder.mEntries.size();
+  auto spread = std::uniform_int_distribution<std::int64_t>(
+    0, aIsAtOnce ? 0 : Micros(longest).count());
+  aForwarder.mPlacementTimer = aForwarder.mPorts.mTimers.mStart(
+    Micros(spread(aForwarder.mRandom)), [&aForwarder] {
+      aForwarder.mPlacementTimer = 0;
+      PlaceWaiting(aForwarder);
+    });
+}
+
+} // namespace cuminslip::forwarding
