--- a/src/policy/internal/enginelanes.cpp
+++ b/src/policy/internal/enginelanes.cpp
@@ -113,35 +113,24 @@
   return best;
 }
 
-/// The earliest engine of a random sample of aPlaces; of one more sample after
-/// the other while none is in time, and of all when the rules ask for no
-/// sample.
+/// Some of aPlaces at random, or all when aSample is 0.
 auto
-FindInSamples(const EngineTiming& aTiming,
-              const PromptWork& aPrompt,
-              std::span<const EngineCandidate> aEngines,
-              std::span<const std::size_t> aPlaces,
-              double aTarget,
-              const LaneRules& aRules) -> Place
+DrawSample(std::span<const EngineCandidate> aEngines,
+           std::span<const std::size_t> aPlaces,
+           std::size_t aSample) -> std::vector<std::size_t>
 {
-  const auto size = aRules.mSample == 0 ? aPlaces.size() : aRules.mSample;
-  auto drawn = std::vector<std::size_t>(aPlaces.begin(), aPlaces.end());
-  std::sort(drawn.begin(), drawn.end(), [&](auto aLeft, auto aRight) {
-    return aEngines[aLeft].mDraw < aEngines[aRight].mDraw;
-  });
-  auto best = Place{ drawn.front(), kNever };
-  for (auto i = std::size_t{ 0 }; i < drawn.size(); i += size) {
-    const auto sample =
-      std::span(drawn).subspan(i, std::min(size, drawn.size() - i));
-    const auto place = FindEarliest(aTiming, aPrompt, aEngines, sample, aRules);
-    if (place.mMillis < best.mMillis) {
-      best = place;
-    }
-    if (best.mMillis <= aTarget) {
-      break;
-    }
+  auto places = std::vector<std::size_t>(aPlaces.begin(), aPlaces.end());
+  if (aSample == 0 || places.size() <= aSample) {
+    return places;
   }
-  return best;
+  std::partial_sort(places.begin(),
+                    places.begin() + static_cast<std::ptrdiff_t>(aSample),
+                    places.end(),
+                    [&](auto aLeft, auto aRight) {
+                      return aEngines[aLeft].mDraw < aEngines[aRight].mDraw;
+                    });
+  places.resize(aSample);
+  return places;
 }
 
 auto
@@ -153,14 +142,17 @@
   const auto order = ListInOrder(aEngines);
   const auto packed = CountPacked(aTiming, aEngines, aRules);
   const auto places = std::span(order);
+  const auto inside =
+    FindEarliest(aTiming,
+                 aPrompt,
+                 aEngines,
+                 DrawSample(aEngines, places.last(packed), aRules.mSample),
+                 aRules);
   const auto target = ToMillis(aPrompt.mAnswerTarget - aPrompt.mWaited);
-  const auto inside = FindInSamples(
-    aTiming, aPrompt, aEngines, places.last(packed), target, aRules);
   if (inside.mMillis <= target || packed == order.size()) {
     return { inside.mEngine, {}, LaneReason::Packed, inside.mMillis };
   }
-  const auto any =
-    FindInSamples(aTiming, aPrompt, aEngines, places, target, aRules);
+  const auto any = FindEarliest(aTiming, aPrompt, aEngines, places, aRules);
   return { any.mEngine, {}, LaneReason::Spilled, any.mMillis };
 }
 
