Tell in a request's story whose engines others took

The story printed the prediction in the form 1.73E3, an empty one for plain requests, and nothing of claims. Whole milliseconds in the log, no prediction where there is none, and how often other instances took the engines. Two tests, which failed before.

--- a/src/client/internal/requeststory.cpp
+++ b/src/client/internal/requeststory.cpp
@@ -90,8 +90,13 @@
              " ms";
   }
   if (const auto* placed = FindLast(aLines, "forward_placed")) {
-    cause += "; placed " + TextOf(*placed, "reason") + ", predicted " +
-             TextOf(*placed, "first_event_ms") + " ms";
+    cause += "; placed " + TextOf(*placed, "reason");
+    const auto predicted = TextOf(*placed, "first_event_ms");
+    cause += predicted.empty() ? "" : ", predicted " + predicted + " ms";
+  }
+  if (const auto* given = FindLast(aLines, "claim_given_up")) {
+    cause += "; other instances took its engines, " + TextOf(*given, "claims") +
+             " times over";
   }
   if (FindLast(aLines, "forward_waits") != nullptr) {
     cause += "; it had waited for engines";
--- a/src/client/tests/requeststory_tests.cpp
+++ b/src/client/tests/requeststory_tests.cpp
@@ -86,6 +86,30 @@
     "longest pause 70 ms; placed packed, predicted 80 ms");
 }
 
+BOOST_AUTO_TEST_CASE(APlainRequestHasNoPrediction)
+{
+  const auto placed =
+    Line(10, "forward_placed", R"(,"endpoint":"e1","reason":"least_loaded")");
+  const auto delivered =
+    Line(30,
+         "forward_delivered",
+         R"(,"endpoint":"e1","status":200,"total_ms":20,"events":0)");
+  BOOST_TEST(CauseOf(placed + delivered) ==
+             "answered by e1 with status 200 after 20 ms; placed least_loaded");
+}
+
+BOOST_AUTO_TEST_CASE(EnginesThatOthersTookAreTold)
+{
+  const auto given = Line(12, "claim_given_up", R"(,"engines":4,"claims":2)");
+  const auto delivered =
+    Line(30,
+         "forward_delivered",
+         R"(,"endpoint":"e1","status":200,"total_ms":20,"events":0)");
+  BOOST_TEST(CauseOf(kPlaced + given + kPlaced + delivered) ==
+             "answered by e1 with status 200 after 20 ms; placed packed, "
+             "predicted 80 ms; other instances took its engines, 2 times over");
+}
+
 BOOST_AUTO_TEST_CASE(WhatIsMissingIsSaid)
 {
   BOOST_TEST(CauseOf("").starts_with("no line"));
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -2,6 +2,7 @@
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cuminslip::forwarding {
 
@@ -170,9 +171,9 @@
                aFlight.mRequest.mPrompt.value_or(PromptFacts{}).mPromptTokens },
              { "helpers", aChoice.mHelpers.size() },
              { "helper_ids", helperNames },
-             { "first_event_ms", aChoice.mFirstEventMillis },
+             { "first_event_ms", std::lround(aChoice.mFirstEventMillis) },
              { "engine_streams", aWork.mStreams },
-             { "engine_read_ms", aWork.mReadMillis },
+             { "engine_read_ms", std::lround(aWork.mReadMillis) },
              { "candidates", aCandidates },
              { "version", aFlight.mTable->mDocument.mVersion },
              { "send", aFlight.mSends + 1 } });
