--- a/src/client/internal/requeststory.cpp
+++ b/src/client/internal/requeststory.cpp
@@ -91,8 +91,9 @@
   }
   if (const auto* placed = FindLast(aLines, "forward_placed")) {
     cause += "; placed " + TextOf(*placed, "reason");
-    const auto predicted = TextOf(*placed, "first_event_ms");
-    cause += predicted.empty() ? "" : ", predicted " + predicted + " ms";
+    if (placed->contains("first_event_ms")) {
+      cause += ", predicted " + TextOf(*placed, "first_event_ms") + " ms";
+    }
   }
   if (const auto* given = FindLast(aLines, "claim_given_up")) {
     cause += "; other instances took its engines, " + TextOf(*given, "claims") +
