--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -13,6 +13,7 @@
 /// those refused together do not return together.
 constexpr auto kRetryAfter = Millis(400);
 constexpr auto kRetrySpread = Millis(600);
+
 /// With more entry instances than this their notices come so seldom that the
 /// best engine by them is the best for all at once.
 constexpr auto kWellKnownEntries = std::size_t{ 16 };
--- a/src/forwarding/internal/waiting.cpp
+++ b/src/forwarding/internal/waiting.cpp
@@ -36,8 +36,6 @@
 
 } // namespace
 
-/// True while better endpoints may still be heard of after a start, and the
-/// request has time.
 auto
 MayWaitForEndpoints(const Forwarder& aForwarder, const Flight& aFlight) -> bool
 {
