Accept fractions in the bounds of a platform

Ruled out: bounds that the platform rounds itself; its pages say that values may be fractions. The slack is a number now, as its consumer always took it; durations of settings and milliseconds of routing documents may have decimals and are rounded up to a whole millisecond. Sizes, counts and sequences stay whole.

--- a/src/documents/internal/units.cpp
+++ b/src/documents/internal/units.cpp
@@ -1,7 +1,9 @@
 #include "documents/units.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <span>
 
@@ -31,6 +33,19 @@
   Unit{ "B", 1 },
 };
 
+/// Returns the factor of the unit named after any spaces, or no value.
+auto
+FindFactor(std::string_view aText, std::span<const Unit> aUnits)
+  -> std::optional<std::int64_t>
+{
+  aText.remove_prefix(std::min(aText.find_first_not_of(' '), aText.size()));
+  const auto it =
+    std::find_if(aUnits.begin(), aUnits.end(), [&](const auto& aUnit) {
+      return aUnit.mName == aText;
+    });
+  return it == aUnits.end() ? std::nullopt : std::optional(it->mFactor);
+}
+
 auto
 ParseWithUnit(std::string_view aText, std::span<const Unit> aUnits)
   -> std::optional<std::int64_t>
@@ -39,21 +54,38 @@
   const auto* begin = aText.data();
   const auto* end = begin + aText.size();
   const auto [rest, ec] = std::from_chars(begin, end, number);
-  if (ec != std::errc{} || number < 0) {
+  const auto factor = FindFactor({ rest, end }, aUnits);
+  if (ec != std::errc{} || number < 0 || !factor ||
+      number > std::numeric_limits<std::int64_t>::max() / *factor) {
     return std::nullopt;
   }
-  auto name = std::string_view(rest, static_cast<std::size_t>(end - rest));
-  name.remove_prefix(std::min(name.find_first_not_of(' '), name.size()));
-  for (const auto& unit : aUnits) {
-    if (unit.mName != name) {
-      continue;
-    }
-    if (number > std::numeric_limits<std::int64_t>::max() / unit.mFactor) {
-      return std::nullopt;
-    }
-    return number * unit.mFactor;
+  return number * *factor;
+}
+
+/// Like ParseWithUnit, but the number may have decimals. Rounds up to a whole
+/// number of the smallest unit.
+auto
+ParseDecimalWithUnit(std::string_view aText, std::span<const Unit> aUnits)
+  -> std::optional<std::int64_t>
+{
+  const auto length =
+    std::min(aText.find_first_not_of("0123456789."), aText.size());
+  const auto digits = aText.substr(0, length);
+  if (digits.find('.') == std::string_view::npos) {
+    return ParseWithUnit(aText, aUnits);
+  }
+  auto number = 0.0;
+  const auto* end = digits.data() + digits.size();
+  const auto [rest, ec] = std::from_chars(digits.data(), end, number);
+  const auto factor = FindFactor(aText.substr(length), aUnits);
+  const auto hasDigitsAround = digits.front() != '.' && digits.back() != '.';
+  if (ec != std::errc{} || rest != end || !hasDigitsAround || !factor) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  const auto value = std::ceil(number * static_cast<double>(*factor));
+  constexpr auto kHighest = 9e15;
+  return value > kHighest ? std::nullopt
+                          : std::optional(static_cast<std::int64_t>(value));
 }
 
 auto
@@ -74,7 +106,7 @@
 auto
 ParseDuration(std::string_view aText) -> std::optional<Millis>
 {
-  const auto millis = ParseWithUnit(aText, kDurationUnits);
+  const auto millis = ParseDecimalWithUnit(aText, kDurationUnits);
   if (!millis) {
     return std::nullopt;
   }
--- a/src/documents/units.h
+++ b/src/documents/units.h
@@ -10,7 +10,8 @@
 /// Numbers with units, as written in settings and templates. Thread safe.
 namespace cuminslip::documents {
 
-/// Parses "500 ms", "2 s", "5 min" or "1 h"; no value for anything else.
+/// Parses "500 ms", "2 s", "1.5 s", "5 min" or "1 h"; no value for anything
+/// else. A fraction of a millisecond is rounded up.
 auto
 ParseDuration(std::string_view aText) -> std::optional<Millis>;
 
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -178,7 +178,7 @@
   forward.mPeerAddress = PeerAddressOf(settings);
   forward.mIncarnation = aGateway.mIncarnation;
   forward.mRetryBudget.mRatio = settings.mRetries.mRatio;
-  forward.mRetryBudget.mSlack = static_cast<double>(settings.mRetries.mSlack);
+  forward.mRetryBudget.mSlack = settings.mRetries.mSlack;
   forward.mRetryBudget.mWindow = settings.mRetries.mWindow;
   return forwarding::CreateForwarder(
     std::move(forward), MakeForwardPorts(aGateway), std::random_device{}());
--- a/src/settings/internal/settingssections.cpp
+++ b/src/settings/internal/settingssections.cpp
@@ -324,7 +324,7 @@
   retries.mRatio =
     documents::ReadNumber(section, "ratio", base.mRatio, { 0, 1 });
   retries.mSlack =
-    documents::ReadInteger(section, "slack", base.mSlack, { 0, kHighestCount });
+    documents::ReadNumber(section, "slack", base.mSlack, { 0, kHighestCount });
   retries.mWindow = documents::ReadDuration(section, "window", base.mWindow);
   CloseSection(section);
   return retries;
--- a/src/settings/tests/settings_tests.cpp
+++ b/src/settings/tests/settings_tests.cpp
@@ -247,6 +247,20 @@
   BOOST_TEST(settings.mValue->mRetries.mSlack == 104);
 }
 
+/// A platform scales its bounds with the size of a deployment.
+BOOST_AUTO_TEST_CASE(BoundsOfThePlatformMayBeFractions)
+{
+  auto text = std::string(kDiscovered);
+  text.replace(text.find("slack: 104"), 10, "slack: 34.73684210526316");
+  text.replace(text.find("window: 10 s"), 12, "window: 9.5 s");
+  const auto settings =
+    CollectOutcome<Settings>([&] { return ParseSettings(text, "s.yaml"); });
+  BOOST_REQUIRE_MESSAGE(settings.mValue.has_value(),
+                        FormatFindings(settings.mFindings));
+  BOOST_TEST(settings.mValue->mRetries.mSlack == 34.73684210526316);
+  BOOST_TEST((settings.mValue->mRetries.mWindow == Millis(9500)));
+}
+
 BOOST_AUTO_TEST_CASE(ContradictionsOfDiscoveryAreFound)
 {
   const auto cases = std::array{
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -176,7 +176,8 @@
 struct RetryBudgetSettings
 {
   double mRatio = 0.2;
-  std::int64_t mSlack = 0;
+  /// May be a fraction: a platform scales it with the size of its deployment.
+  double mSlack = 0;
   Millis mWindow{ 10000 };
 
   auto operator==(const RetryBudgetSettings&) const -> bool = default;
