Exchange load within groups of a large fleet only

Cause: each of 295 entry instances sent its load notices to all others: some 190,000 datagrams a second in the fleet, 650 received by each instance, which then looked through 294 maps for each of 200 engines at every choice; claims took 59 ms and looks at freed engines up to 590 ms, both grow with the fleet. Ruled out: an arbiter for each engine (a round trip for each claim, and short prompts still need to know what engines do), relays (one more thing to lose).

A fleet of more than 64 entry instances is divided by failure domain (policy/loadgroups.h), in parts of at most 64. An instance tells the instances of its group what it places on the group's engines. It uses engines of other groups only when its own are late (policy/borrowing.h), by summaries that each instance sends to its counterparts in the other groups twice a second; the lending group is told of the work. A fleet stays divided while a domain is cut off. Control instances name the failure domain of each entry instance; the lists of all control instances are joined, so that one that has just started doesn't make the others forget instances. Work of others is indexed by engine.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directory/types/endpointnotice.h"
+#include "directory/types/entryinstance.h"
 #include "forwarding/types/forwardports.h"
 #include "forwarding/types/forwardsettings.h"
 #include "forwarding/types/forwardtimes.h"
@@ -64,11 +65,11 @@
 auto
 RemoveSource(Forwarder& aForwarder, const std::string& aSource) -> void;
 
-/// Sets the peer addresses of all entry instances, which share the retry budget
-/// and exchange load notices.
+/// Sets all entry instances, this one included. They share the retry budget,
+/// and those of a load group exchange load notices.
 auto
-SetEntries(Forwarder& aForwarder, const std::vector<std::string>& aEntries)
-  -> void;
+SetEntries(Forwarder& aForwarder,
+           std::vector<directory::EntryInstance> aEntries) -> void;
 
 /// Applies the load notice of another entry instance.
 auto
--- a/src/forwarding/internal/claiming.cpp
+++ b/src/forwarding/internal/claiming.cpp
@@ -61,11 +61,12 @@
 {
   aFlight.mIsWaiting = false;
   aFlight.mAttempt = std::move(aAttempt);
-  if (aForwarder.mEntries.size() <= 1) {
+  const auto others =
+    GroupSize(aForwarder, aFlight.mAttempt.mWork.front().mGroup) - 1;
+  if (others == 0) {
     SendClaimed(aForwarder, aFlight);
     return;
   }
-  const auto others = aForwarder.mEntries.size() - 1;
   ++aFlight.mClaims;
   aFlight.mCompetingPrompts =
     CountCompetingPrompts(aForwarder, aFlight.mAttempt);
--- a/src/forwarding/internal/enginework.cpp
+++ b/src/forwarding/internal/enginework.cpp
@@ -79,16 +79,25 @@
   auto work = EngineWork{};
   const auto now = aForwarder.mPorts.mNow();
   const auto key = Checksum(aEngine.mValue);
-  for (const auto& [instance, remote] : aForwarder.mRemote) {
-    const auto age = now - remote.mHeard;
-    const auto it = remote.mWork.find(key);
-    if (it == remote.mWork.end() || age > aForwarder.mSettings.mMaxNoticeAge) {
-      continue;
+  const auto addWork = [&](const EngineWork& aWork, TimePoint aHeard) {
+    const auto age = now - aHeard;
+    if (age > aForwarder.mSettings.mMaxNoticeAge) {
+      return;
     }
-    auto known = it->second;
+    auto known = aWork;
     const auto passed = std::chrono::duration<double, std::milli>(age).count();
     known.mReadMillis = std::max(known.mReadMillis - passed, 0.0);
     work = AddWork(work, known);
+  };
+  const auto shares = aForwarder.mRemoteShares.find(key);
+  if (shares != aForwarder.mRemoteShares.end()) {
+    for (const auto& it : shares->second) {
+      addWork(it.mWork, it.mSource->mHeard);
+    }
+  }
+  const auto summary = aForwarder.mSummaries.find(key);
+  if (summary != aForwarder.mSummaries.end()) {
+    addWork(summary->second.mWork, summary->second.mHeard);
   }
   return work;
 }
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -289,13 +289,6 @@
   directory::RemoveSource(aForwarder.mView, aSource);
 }
 
-auto
-SetEntries(Forwarder& aForwarder, const std::vector<std::string>& aEntries)
-  -> void
-{
-  aForwarder.mEntries = aEntries;
-}
-
 auto
 HandleRequest(Forwarder& aForwarder,
               ForwardRequest aRequest,
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <unordered_map>
 
 namespace cuminslip::forwarding {
 
@@ -22,6 +23,7 @@
 {
   EndpointId mEngine;
   std::string mAddress;
+  LoadGroup mGroup;
   bool mIsHelper = false;
   /// Predicted end of the prefill of its part of the prompt.
   TimePoint mPrefillEnd{};
@@ -106,7 +108,23 @@
 {
   std::uint64_t mSequence = 0;
   TimePoint mHeard{};
-  std::map<std::uint64_t, EngineWork> mWork;
+  /// Checksums of the engines that have work of the instance.
+  std::vector<std::uint64_t> mEngines;
+};
+
+/// The work of another entry instance on one engine.
+struct RemoteShare
+{
+  /// Owned by Forwarder::mRemote.
+  const RemoteLoad* mSource = nullptr;
+  EngineWork mWork;
+};
+
+/// The work of all instances on an engine of another group.
+struct EngineSummary
+{
+  TimePoint mHeard{};
+  EngineWork mWork;
 };
 
 struct Forwarder
@@ -120,8 +138,18 @@
   std::map<FlightId, std::unique_ptr<Flight>> mFlights;
   FlightId mNextFlight = 1;
   std::map<std::string, SendRetryBudget> mBudgets;
-  std::vector<std::string> mEntries;
+  std::vector<directory::EntryInstance> mEntries;
+  GroupLayout mGroups;
+  LoadGroup mOwnGroup;
+  /// Peer addresses of the instances of each group, this one included.
+  std::map<LoadGroup, std::vector<std::string>> mMembers;
   std::map<std::string, RemoteLoad> mRemote;
+  /// The shares of mRemote, by checksum of the engine.
+  std::unordered_map<std::uint64_t, std::vector<RemoteShare>> mRemoteShares;
+  std::unordered_map<std::uint64_t, EngineSummary> mSummaries;
+  TimePoint mSummarySentAt{};
+  /// Other groups whose engines had work of this instance in the last notice.
+  std::set<LoadGroup> mNotifiedGroups;
   std::uint64_t mNoticeSequence = 0;
   std::uint64_t mLastReservation = 0;
   TimePoint mNoticeSentAt{};
@@ -247,12 +275,21 @@
 auto
 ToPromptWork(const Forwarder& aForwarder, const Flight& aFlight) -> PromptWork;
 
+/// Returns the group of an engine.
+auto
+GroupOfEngine(const Forwarder& aForwarder,
+              const directory::EndpointNotice& aEngine) -> LoadGroup;
+
+/// Returns the number of instances in a group, at least 1.
+auto
+GroupSize(const Forwarder& aForwarder, const LoadGroup& aGroup) -> std::size_t;
+
 /// Returns the work that this instance has assigned to an engine.
 auto
 OwnWorkOn(const Forwarder& aForwarder, const EndpointId& aEngine) -> EngineWork;
 
 /// Returns the work that the other entry instances have assigned to an engine,
-/// by their recent load notices.
+/// by their recent load notices, or by the summary of the engine's group.
 auto
 RemoteWorkOn(const Forwarder& aForwarder, const EndpointId& aEngine)
   -> EngineWork;
@@ -266,8 +303,9 @@
 auto
 NoteWorkChanged(Forwarder& aForwarder, const Flight& aFlight) -> void;
 
-/// Sends the load of this instance to the other entry instances if it changed,
-/// immediately when urgent, otherwise at the minimum interval.
+/// Sends the load of this instance to the other instances of the engines'
+/// groups if it changed, immediately when urgent, otherwise at the minimum
+/// interval.
 auto
 SendLoadNotice(Forwarder& aForwarder, bool aIsUrgent) -> void;
 
--- a/src/forwarding/internal/loadnotice.cpp
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -15,6 +15,7 @@
   auto root = message.initRoot<schema::LoadNotice>();
   root.setInstance(TextFrom(aNotice.mInstance));
   root.setSequence(aNotice.mSequence);
+  root.setIsSummary(aNotice.mIsSummary);
   auto shares = root.initShares(static_cast<unsigned>(aNotice.mShares.size()));
   auto n = 0U;
   for (const auto& it : aNotice.mShares) {
@@ -43,6 +44,7 @@
       auto notice = LoadNotice{};
       notice.mInstance = TextOf(aItem.getInstance());
       notice.mSequence = aItem.getSequence();
+      notice.mIsSummary = aItem.getIsSummary();
       for (const auto it : aItem.getShares()) {
         notice.mShares.push_back(
           { it.getEngine(),
--- a/src/forwarding/internal/loadsharing.cpp
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -12,22 +12,41 @@
 /// between notices.
 constexpr auto kUrgentTokens = std::int64_t{ 25000 };
 
+/// Returns the work of this instance by group of the engines.
 auto
-OwnShares(const Forwarder& aForwarder) -> std::vector<EngineShare>
+OwnShares(const Forwarder& aForwarder)
+  -> std::map<LoadGroup, std::vector<EngineShare>>
 {
-  auto engines = std::set<EndpointId>{};
+  auto engines = std::map<EndpointId, LoadGroup>{};
   for (const auto& [id, flight] : aForwarder.mFlights) {
     for (const auto& it : flight->mAttempt.mWork) {
-      engines.insert(it.mEngine);
+      engines.emplace(it.mEngine, it.mGroup);
     }
   }
-  auto shares = std::vector<EngineShare>{};
-  for (const auto& it : engines) {
-    shares.push_back({ Checksum(it.mValue), OwnWorkOn(aForwarder, it) });
+  auto shares = std::map<LoadGroup, std::vector<EngineShare>>{};
+  for (const auto& [engine, group] : engines) {
+    shares[group].push_back(
+      { Checksum(engine.mValue), OwnWorkOn(aForwarder, engine) });
   }
   return shares;
 }
 
+auto
+SendToGroup(const Forwarder& aForwarder,
+            const LoadGroup& aGroup,
+            const std::string& aBytes) -> void
+{
+  const auto it = aForwarder.mMembers.find(aGroup);
+  if (it == aForwarder.mMembers.end()) {
+    return;
+  }
+  for (const auto& address : it->second) {
+    if (address != aForwarder.mSettings.mPeerAddress) {
+      aForwarder.mPorts.mSendNotice(address, aBytes);
+    }
+  }
+}
+
 /// Returns a sequence number that increases also across restarts of this
 /// instance.
 auto
@@ -39,27 +58,155 @@
   return aForwarder.mNoticeSequence;
 }
 
+/// Returns the known work on the engines of this instance's group.
+auto
+SummarizeGroup(const Forwarder& aForwarder) -> std::vector<EngineShare>
+{
+  auto shares = std::vector<EngineShare>{};
+  for (const auto& [id, entry] : aForwarder.mView.mEntries) {
+    if (GroupOfEngine(aForwarder, entry.mNotice) != aForwarder.mOwnGroup) {
+      continue;
+    }
+    const auto work = WorkOn(aForwarder, id);
+    if (work != EngineWork{}) {
+      shares.push_back({ Checksum(id.mValue), work });
+    }
+  }
+  return shares;
+}
+
+/// Sends the load of the own group to some instances of each other group. Every
+/// instance there gets it from one instance of this group.
+auto
+SendSummary(Forwarder& aForwarder) -> void
+{
+  const auto now = aForwarder.mPorts.mNow();
+  const auto isDue =
+    now >= aForwarder.mSummarySentAt + aForwarder.mSettings.mSummaryInterval;
+  const auto own = aForwarder.mMembers.find(aForwarder.mOwnGroup);
+  if (aForwarder.mMembers.size() < 2 || !isDue ||
+      own == aForwarder.mMembers.end()) {
+    return;
+  }
+  aForwarder.mSummarySentAt = now;
+  const auto& members = own->second;
+  const auto rank = static_cast<std::size_t>(
+    std::find(
+      members.begin(), members.end(), aForwarder.mSettings.mPeerAddress) -
+    members.begin());
+  const auto bytes = EncodeLoadNotice({ aForwarder.mSettings.mPeerAddress,
+                                        NextSequence(aForwarder),
+                                        SummarizeGroup(aForwarder),
+                                        true });
+  for (const auto& [group, others] : aForwarder.mMembers) {
+    if (group == aForwarder.mOwnGroup) {
+      continue;
+    }
+    for (auto i = rank; i < others.size(); i += members.size()) {
+      aForwarder.mPorts.mSendNotice(others[i], bytes);
+    }
+  }
+}
+
+auto
+ApplySummary(Forwarder& aForwarder, const LoadNotice& aNotice) -> void
+{
+  const auto now = aForwarder.mPorts.mNow();
+  for (const auto& it : aNotice.mShares) {
+    aForwarder.mSummaries[it.mEngine] = { now, it.mWork };
+  }
+  std::erase_if(aForwarder.mSummaries, [&](const auto& aItem) {
+    return now - aItem.second.mHeard > aForwarder.mSettings.mMaxNoticeAge;
+  });
+}
+
+auto
+RemoveShares(Forwarder& aForwarder, const RemoteLoad& aRemote) -> void
+{
+  for (const auto engine : aRemote.mEngines) {
+    const auto it = aForwarder.mRemoteShares.find(engine);
+    std::erase_if(it->second, [&](const auto& aShare) {
+      return aShare.mSource == &aRemote;
+    });
+    if (it->second.empty()) {
+      aForwarder.mRemoteShares.erase(it);
+    }
+  }
+}
+
 } // namespace
 
+auto
+GroupOfEngine(const Forwarder& aForwarder,
+              const directory::EndpointNotice& aEngine) -> LoadGroup
+{
+  return GroupOf(
+    aForwarder.mGroups, aEngine.mFailureDomain, Checksum(aEngine.mId.mValue));
+}
+
+auto
+GroupSize(const Forwarder& aForwarder, const LoadGroup& aGroup) -> std::size_t
+{
+  const auto it = aForwarder.mMembers.find(aGroup);
+  return it == aForwarder.mMembers.end()
+           ? 1
+           : std::max<std::size_t>(it->second.size(), 1);
+}
+
+auto
+SetEntries(Forwarder& aForwarder,
+           std::vector<directory::EntryInstance> aEntries) -> void
+{
+  aForwarder.mEntries = std::move(aEntries);
+  auto domains = std::vector<FailureDomainId>{};
+  for (const auto& it : aForwarder.mEntries) {
+    domains.push_back(it.mFailureDomain);
+  }
+  auto groups =
+    DivideFleet(domains, aForwarder.mGroups, aForwarder.mSettings.mGroups);
+  if (groups != aForwarder.mGroups) {
+    aForwarder.mSummaries.clear();
+  }
+  aForwarder.mGroups = std::move(groups);
+  aForwarder.mOwnGroup = GroupOf(aForwarder.mGroups,
+                                 aForwarder.mSettings.mFailureDomain,
+                                 Checksum(aForwarder.mSettings.mPeerAddress));
+  aForwarder.mMembers.clear();
+  for (const auto& it : aForwarder.mEntries) {
+    const auto group =
+      GroupOf(aForwarder.mGroups, it.mFailureDomain, Checksum(it.mPeerAddress));
+    aForwarder.mMembers[group].push_back(it.mPeerAddress);
+  }
+}
+
 auto
 SendLoadNotice(Forwarder& aForwarder, bool aIsUrgent) -> void
 {
   const auto now = aForwarder.mPorts.mNow();
   const auto interval = aForwarder.mSettings.mNoticeIntervalPerInstance *
-                        aForwarder.mEntries.size();
+                        GroupSize(aForwarder, aForwarder.mOwnGroup);
   const auto isDue = aIsUrgent || now >= aForwarder.mNoticeSentAt + interval;
   if (!aForwarder.mIsNoticeDue || !isDue) {
     return;
   }
   aForwarder.mIsNoticeDue = false;
   aForwarder.mNoticeSentAt = now;
-  const auto bytes = EncodeLoadNotice({ aForwarder.mSettings.mPeerAddress,
-                                        NextSequence(aForwarder),
-                                        OwnShares(aForwarder) });
-  for (const auto& it : aForwarder.mEntries) {
-    if (it != aForwarder.mSettings.mPeerAddress) {
-      aForwarder.mPorts.mSendNotice(it, bytes);
+  auto shares = OwnShares(aForwarder);
+  // NOTE: groups that the last notice went to must learn that the work ended.
+  for (const auto& it : std::exchange(aForwarder.mNotifiedGroups, {})) {
+    shares[it];
+  }
+  shares[aForwarder.mOwnGroup];
+  const auto sequence = NextSequence(aForwarder);
+  for (const auto& [group, groupShares] : shares) {
+    if (group != aForwarder.mOwnGroup && !groupShares.empty()) {
+      aForwarder.mNotifiedGroups.insert(group);
     }
+    SendToGroup(
+      aForwarder,
+      group,
+      EncodeLoadNotice(
+        { aForwarder.mSettings.mPeerAddress, sequence, groupShares, false }));
   }
 }
 
@@ -86,16 +233,23 @@
                { "findings", FormatFindings(notice.mFindings) } });
     return;
   }
+  if (notice.mValue->mIsSummary) {
+    ApplySummary(aForwarder, *notice.mValue);
+    return;
+  }
   auto& remote = aForwarder.mRemote[notice.mValue->mInstance];
   if (notice.mValue->mSequence <= remote.mSequence) {
     return;
   }
   remote.mSequence = notice.mValue->mSequence;
   remote.mHeard = aForwarder.mPorts.mNow();
-  remote.mWork.clear();
+  RemoveShares(aForwarder, remote);
+  remote.mEngines.clear();
   for (const auto& it : notice.mValue->mShares) {
-    remote.mWork[it.mEngine] = it.mWork;
+    remote.mEngines.push_back(it.mEngine);
+    aForwarder.mRemoteShares[it.mEngine].push_back({ &remote, it.mWork });
   }
+  SendSummary(aForwarder);
   SchedulePlacement(aForwarder, false);
 }
 
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -14,8 +14,8 @@
 constexpr auto kRetryAfter = Millis(400);
 constexpr auto kRetrySpread = Millis(600);
 
-/// With more entry instances than this, load notices are so rare that all
-/// instances would choose the same best engine at the same time.
+/// With more entry instances in a group than this, load notices are so rare
+/// that all instances would choose the same best engine at the same time.
 constexpr auto kMaxEntriesForFullComparison = std::size_t{ 16 };
 /// Number of engines compared for a short prompt in that case.
 constexpr auto kSampledEngines = std::size_t{ 3 };
@@ -29,6 +29,15 @@
   const directory::EndpointNotice* mNotice = nullptr;
 };
 
+/// The choice among the engines of one group.
+struct GroupChoice
+{
+  LoadGroup mGroup;
+  std::vector<Candidate> mCandidates;
+  std::vector<EngineCandidate> mEngines;
+  LaneChoice mChoice;
+};
+
 auto
 RetryAfter(Forwarder& aForwarder) -> Millis
 {
@@ -120,26 +129,27 @@
 
 /// Creates the attempt at the chosen engine with the work of each helper.
 auto
-MakeAttempt(const Forwarder& aForwarder,
-            const std::vector<Candidate>& aCandidates,
-            const LaneChoice& aChoice) -> Attempt
+MakeAttempt(const Forwarder& aForwarder, const GroupChoice& aChosen) -> Attempt
 {
   const auto now = aForwarder.mPorts.mNow();
-  const auto& chosen = aCandidates[*aChoice.mEngine];
+  const auto& choice = aChosen.mChoice;
+  const auto& first = aChosen.mCandidates[*choice.mEngine];
   auto attempt = Attempt{};
-  attempt.mEndpoint = chosen.mId;
-  attempt.mAddress = chosen.mNotice->mAddress;
-  attempt.mWork.push_back({ chosen.mId,
+  attempt.mEndpoint = first.mId;
+  attempt.mAddress = first.mNotice->mAddress;
+  attempt.mWork.push_back({ first.mId,
                             attempt.mAddress,
+                            aChosen.mGroup,
                             false,
-                            now + ToMicros(aChoice.mFirstEventMillis),
+                            now + ToMicros(choice.mFirstEventMillis),
                             {},
                             0,
                             false });
-  for (const auto& helper : aChoice.mHelpers) {
-    const auto& it = aCandidates[helper.mEngine];
+  for (const auto& helper : choice.mHelpers) {
+    const auto& it = aChosen.mCandidates[helper.mEngine];
     attempt.mWork.push_back({ it.mId,
                               it.mNotice->mAddress,
+                              aChosen.mGroup,
                               true,
                               now + ToMicros(helper.mReadMillis),
                               {},
@@ -152,10 +162,10 @@
 auto
 LogPlacement(const Flight& aFlight,
              const Attempt& aAttempt,
-             const LaneChoice& aChoice,
-             const EngineWork& aWork,
-             std::size_t aCandidates) -> void
+             const GroupChoice& aChosen) -> void
 {
+  const auto& choice = aChosen.mChoice;
+  const auto& work = aChosen.mEngines[*choice.mEngine].mWork;
   auto helperNames = std::string{};
   for (const auto& assigned : aAttempt.mWork) {
     if (assigned.mIsHelper) {
@@ -167,33 +177,79 @@
              { "route", aFlight.mRoute->mName },
              { "account", aFlight.mAccount.mValue },
              { "endpoint", aAttempt.mEndpoint.mValue },
-             { "reason", ToText(aChoice.mReason) },
+             { "reason", ToText(choice.mReason) },
              { "prompt_tokens",
                aFlight.mRequest.mPrompt.value_or(PromptFacts{}).mPromptTokens },
-             { "helpers", aChoice.mHelpers.size() },
+             { "helpers", choice.mHelpers.size() },
              { "helper_ids", helperNames },
-             { "first_event_ms", std::lround(aChoice.mFirstEventMillis) },
-             { "engine_streams", aWork.mStreams },
-             { "engine_read_ms", std::lround(aWork.mReadMillis) },
-             { "candidates", aCandidates },
+             { "first_event_ms", std::lround(choice.mFirstEventMillis) },
+             { "engine_streams", work.mStreams },
+             { "engine_read_ms", std::lround(work.mReadMillis) },
+             { "candidates", aChosen.mCandidates.size() },
+             { "group", aChosen.mGroup.mFailureDomain.mValue },
+             { "group_part", aChosen.mGroup.mPart },
              { "version", aFlight.mTable->mDocument.mVersion },
              { "send", aFlight.mSends + 1 } });
 }
 
 auto
-PlaceOnEngines(Forwarder& aForwarder,
-               Flight& aFlight,
-               const std::vector<Candidate>& aCandidates) -> void
+ChooseInGroup(Forwarder& aForwarder,
+              const Flight& aFlight,
+              const LoadGroup& aGroup,
+              std::vector<Candidate> aCandidates) -> GroupChoice
 {
-  const auto prompt = ToPromptWork(aForwarder, aFlight);
-  const auto engines = ListEngines(aForwarder, aCandidates);
   auto rules = aForwarder.mSettings.mLanes;
-  if (aForwarder.mEntries.size() > kMaxEntriesForFullComparison) {
+  if (GroupSize(aForwarder, aGroup) > kMaxEntriesForFullComparison) {
     rules.mSample = kSampledEngines;
     rules.mPackShare = kReducedPackShare;
   }
-  const auto choice =
-    ChooseEngines(*aFlight.mService->mEngine, prompt, engines, rules);
+  auto engines = ListEngines(aForwarder, aCandidates);
+  auto choice = ChooseEngines(*aFlight.mService->mEngine,
+                              ToPromptWork(aForwarder, aFlight),
+                              engines,
+                              rules);
+  return {
+    aGroup, std::move(aCandidates), std::move(engines), std::move(choice)
+  };
+}
+
+/// Chooses engines of the own group, or of the best other group if the own one
+/// would be late.
+auto
+ChooseAmongGroups(Forwarder& aForwarder,
+                  const Flight& aFlight,
+                  const std::vector<Candidate>& aCandidates) -> GroupChoice
+{
+  auto groups = std::map<LoadGroup, std::vector<Candidate>>{};
+  for (const auto& it : aCandidates) {
+    groups[GroupOfEngine(aForwarder, *it.mNotice)].push_back(it);
+  }
+  const auto& own = aForwarder.mOwnGroup;
+  auto best = ChooseInGroup(aForwarder, aFlight, own, std::move(groups[own]));
+  groups.erase(own);
+  const auto& rules = aForwarder.mSettings.mBorrowing;
+  const auto prompt = ToPromptWork(aForwarder, aFlight);
+  if (!ShouldBorrow(prompt, best.mChoice, rules)) {
+    return best;
+  }
+  for (auto& [group, candidates] : groups) {
+    auto other =
+      ChooseInGroup(aForwarder, aFlight, group, std::move(candidates));
+    if (IsBetterBorrowed(best.mChoice, other.mChoice, rules)) {
+      best = std::move(other);
+    }
+  }
+  return best;
+}
+
+auto
+PlaceOnEngines(Forwarder& aForwarder,
+               Flight& aFlight,
+               const std::vector<Candidate>& aCandidates) -> void
+{
+  const auto prompt = ToPromptWork(aForwarder, aFlight);
+  const auto chosen = ChooseAmongGroups(aForwarder, aFlight, aCandidates);
+  const auto& choice = chosen.mChoice;
   if (choice.mReason == LaneReason::Wait) {
     WaitForEngine(aFlight, aCandidates.size());
     return;
@@ -210,12 +266,8 @@
       aForwarder, aFlight, { FailureKind::NoCapacity, RetryAfter(aForwarder) });
     return;
   }
-  auto attempt = MakeAttempt(aForwarder, aCandidates, choice);
-  LogPlacement(aFlight,
-               attempt,
-               choice,
-               engines[*choice.mEngine].mWork,
-               aCandidates.size());
+  auto attempt = MakeAttempt(aForwarder, chosen);
+  LogPlacement(aFlight, attempt, chosen);
   const auto isLong = choice.mReason == LaneReason::Together ||
                       choice.mReason == LaneReason::Alone;
   if (isLong) {
--- a/src/forwarding/internal/waiting.cpp
+++ b/src/forwarding/internal/waiting.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 /// Range of the random delay after which instances place prompts on an engine
-/// that became free, multiplied by the number of entry instances. Ten times the
-/// time to send a notice to one more instance.
+/// that became free, multiplied by the number of instances in the group. Ten
+/// times the time to send a notice to one more instance.
 constexpr auto kPlacementSpreadPerInstance = Micros(2000);
 
 /// Places the waiting flights: first those that can still meet their answer
@@ -73,7 +73,8 @@
   }
   // NOTE: all instances learn of a free engine at the same time. The first one
   // to use it announces that to the others within this delay.
-  const auto longest = kPlacementSpreadPerInstance * aForwarder.mEntries.size();
+  const auto longest =
+    kPlacementSpreadPerInstance * GroupSize(aForwarder, aForwarder.mOwnGroup);
   auto spread = std::uniform_int_distribution<std::int64_t>(
     0, aIsAtOnce ? 0 : Micros(longest).count());
   aForwarder.mPlacementTimer = aForwarder.mPorts.mTimers.mStart(
--- a/src/forwarding/loadnotice.capnp
+++ b/src/forwarding/loadnotice.capnp
@@ -21,4 +21,6 @@
   instance @0 :Text;
   sequence @1 :UInt64;
   shares @2 :List(EngineShare);
+  # The work of all instances on the engines of the sender's group.
+  isSummary @3 :Bool;
 }
--- a/src/forwarding/loadnotice.h
+++ b/src/forwarding/loadnotice.h
@@ -9,8 +9,9 @@
 #include <vector>
 
 /// Notices by which entry instances report to each other the work that they
-/// have assigned to engines. Each notice contains the full state, so that lost
-/// and duplicate ones do no harm. The functions are pure and thread safe.
+/// have assigned to the engines of the receiver's group. Each notice contains
+/// the full state, so that lost and duplicate ones do no harm. The functions
+/// are pure and thread safe.
 namespace cuminslip::forwarding {
 
 /// The work that one entry instance has assigned to one engine.
@@ -30,6 +31,8 @@
   /// Increases with each notice, also across restarts of the sender.
   std::uint64_t mSequence = 0;
   std::vector<EngineShare> mShares;
+  /// mShares is the work of all instances on the engines of the sender's group.
+  bool mIsSummary = false;
 
   auto operator==(const LoadNotice&) const -> bool = default;
 };
--- a/src/forwarding/tests/fakeworld.h
+++ b/src/forwarding/tests/fakeworld.h
@@ -52,7 +52,8 @@
     settings.mIncarnation = 1;
     settings.mRetryBudget.mSlack = 100;
     mForwarder = CreateForwarder(std::move(settings), MakePorts(), 1);
-    SetEntries(*mForwarder, { "10.0.0.1:7000", "10.0.0.2:7000" });
+    SetEntries(*mForwarder,
+               { { "10.0.0.1:7000", { "a" } }, { "10.0.0.2:7000", { "a" } } });
   }
 
   static auto MakeCodec() -> EndpointCodec
--- a/src/forwarding/tests/longprompts_tests.cpp
+++ b/src/forwarding/tests/longprompts_tests.cpp
@@ -133,9 +133,9 @@
 
 BOOST_AUTO_TEST_CASE(InstancesLookAtFreedEnginesAtDifferentTimes)
 {
-  auto entries = std::vector<std::string>{};
+  auto entries = std::vector<directory::EntryInstance>{};
   for (auto i = 1; i <= 60; ++i) {
-    entries.push_back("10.0.0." + std::to_string(i) + ":7000");
+    entries.push_back({ "10.0.0." + std::to_string(i) + ":7000", { "a" } });
   }
   SetEntries(*mForwarder, entries);
   auto pauses = std::set<Millis>{};
@@ -232,7 +232,7 @@
 
 BOOST_AUTO_TEST_CASE(ASingleInstanceSkipsTheClaim)
 {
-  SetEntries(*mForwarder, { "10.0.0.1:7000" });
+  SetEntries(*mForwarder, { { "10.0.0.1:7000", { "a" } } });
   BeginLong(154000);
   BOOST_TEST(mSends.size() == 1U);
 }
--- a/src/forwarding/types/forwardsettings.h
+++ b/src/forwarding/types/forwardsettings.h
@@ -2,7 +2,9 @@
 
 #include "base/clock.h"
 #include "base/types/ids.h"
+#include "policy/borrowing.h"
 #include "policy/enginelanes.h"
+#include "policy/loadgroups.h"
 #include "policy/retrybudget.h"
 
 #include <string>
@@ -17,6 +19,8 @@
   Incarnation mIncarnation = 0;
   RetryBudgetRules mRetryBudget;
   LaneRules mLanes;
+  GroupRules mGroups;
+  BorrowRules mBorrowing;
   /// Maximum time for an endpoint to accept a connection.
   Millis mConnectTimeout{ 500 };
   /// Lower bound of the connect timeout for routes with a short answer target.
@@ -26,14 +30,16 @@
   /// flight.
   Millis mCallerCheckInterval{ 100 };
   /// Minimum interval between load notices that are not urgent, multiplied by
-  /// the number of entry instances. An instance then receives at most 800 of
-  /// them per second, however many instances send.
+  /// the number of instances in the group. An instance then receives at most
+  /// 800 of them per second, however many instances send.
   Micros mNoticeIntervalPerInstance{ 1250 };
   /// Duration of the claim of a long prompt's engines before it is sent,
-  /// multiplied by the number of other entry instances. About the time to send
-  /// a notice to one more instance on a link of 20 Mbit/s and a tenth of a
-  /// core.
+  /// multiplied by the number of other instances in the group. About the time
+  /// to send a notice to one more instance on a link of 20 Mbit/s and a tenth
+  /// of a core.
   Micros mClaimTimePerInstance{ 200 };
+  /// Minimum interval between summaries of the group's load for other groups.
+  Millis mSummaryInterval{ 500 };
   /// Load notices of other instances are ignored after this time.
   Millis mMaxNoticeAge{ 3000 };
   /// Ejection time after a failed call to an endpoint. Doubles with each
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -129,12 +129,12 @@
       forwarding::RemoveSource(*aGateway.mForwarder, source);
     });
   };
-  callbacks.mOnEntries = [&aGateway,
-                          post](const std::vector<std::string>& aEntries) {
-    post([&aGateway, entries = aEntries] {
-      forwarding::SetEntries(*aGateway.mForwarder, entries);
-    });
-  };
+  callbacks.mOnEntries =
+    [&aGateway, post](const std::vector<directory::EntryInstance>& aEntries) {
+      post([&aGateway, entries = aEntries] {
+        forwarding::SetEntries(*aGateway.mForwarder, entries);
+      });
+    };
   return callbacks;
 }
 
--- a/src/peers/internal/controlwatcher.cpp
+++ b/src/peers/internal/controlwatcher.cpp
@@ -98,6 +98,9 @@
   if (mContext.mCallbacks.mOnSourceLost) {
     mContext.mCallbacks.mOnSourceLost(aAddress);
   }
+  source.mEntries.clear();
+  source.mEntriesDigest = 0;
+  PassOnEntries();
 }
 
 auto
@@ -119,7 +122,7 @@
     PutInForce(mContext, std::exchange(source.mPages, {}));
   }
   TakeEndpoints(aAddress, aResponse);
-  TakeInstances(aResponse);
+  TakeInstances(aAddress, aResponse);
   const auto age = Millis(aResponse.getQuorumAgeMillis());
   TakeQuorumAge(mContext, age, aSentAt);
   const auto isFresh = IsFreshAge(age);
@@ -151,18 +154,42 @@
 }
 
 auto
-ControlWatcher::TakeInstances(const WatchResponse& aResponse) -> void
+ControlWatcher::TakeInstances(const std::string& aAddress,
+                              const WatchResponse& aResponse) -> void
 {
   for (const auto it : aResponse.getControls()) {
     const auto control = ReadJoiner(it).mInstance;
     mContext.mLearntControls[control.mAddress] = control;
   }
-  auto entries = std::vector<std::string>{};
-  for (const auto it : aResponse.getEntries()) {
-    entries.push_back({ it.cStr(), it.size() });
+  const auto addresses = aResponse.getEntries();
+  const auto domains = aResponse.getEntryDomains();
+  if (addresses.size() == 0) {
+    return;
+  }
+  auto& entries = mSources[aAddress].mEntries;
+  entries.clear();
+  for (auto i = 0U; i < addresses.size(); ++i) {
+    const auto domain =
+      i < domains.size() ? FromText(domains[i]) : std::string{};
+    entries.push_back({ FromText(addresses[i]), { domain } });
+  }
+  PassOnEntries();
+}
+
+auto
+ControlWatcher::PassOnEntries() -> void
+{
+  auto entries = std::set<directory::EntryInstance>{};
+  for (const auto& [address, source] : mSources) {
+    entries.insert(source.mEntries.begin(), source.mEntries.end());
+  }
+  // NOTE: without any source the last known instances are kept.
+  if (entries.empty() || entries == mEntries) {
+    return;
   }
-  if (!entries.empty() && mContext.mCallbacks.mOnEntries) {
-    mContext.mCallbacks.mOnEntries(entries);
+  mEntries = std::move(entries);
+  if (mContext.mCallbacks.mOnEntries) {
+    mContext.mCallbacks.mOnEntries({ mEntries.begin(), mEntries.end() });
   }
 }
 
--- a/src/peers/internal/controlwatcher.h
+++ b/src/peers/internal/controlwatcher.h
@@ -23,6 +23,7 @@
     std::uint64_t mEpoch = 0;
     std::uint64_t mChange = 0;
     std::uint64_t mEntriesDigest = 0;
+    std::vector<directory::EntryInstance> mEntries;
     bool mIsReached = false;
     int mFailures = 0;
     /// Pages of an update that is not complete yet.
@@ -39,13 +40,17 @@
                     TimePoint aSentAt) -> void;
   auto TakeEndpoints(const std::string& aAddress,
                      const WatchResponse& aResponse) -> void;
-  auto TakeInstances(const WatchResponse& aResponse) -> void;
+  auto TakeInstances(const std::string& aAddress,
+                     const WatchResponse& aResponse) -> void;
+  /// Passes on the entry instances of all sources if they changed.
+  auto PassOnEntries() -> void;
   auto LoseSource(const std::string& aAddress, const kj::Exception& aReason)
     -> void;
   auto Pause(Millis aTime) -> kj::Promise<void>;
 
   PeerContext& mContext;
   std::map<std::string, Source> mSources;
+  std::set<directory::EntryInstance> mEntries;
 };
 
 } // namespace cuminslip
--- a/src/peers/internal/endpointdirectory.cpp
+++ b/src/peers/internal/endpointdirectory.cpp
@@ -71,15 +71,16 @@
   }
 }
 
-/// The peer addresses of the entry instances that watch this one, in order.
+/// The entry instances that watch this one, in the order of their names.
 auto
-LiveEntries(const PeerContext& aContext) -> std::vector<std::string>
+LiveEntries(const PeerContext& aContext)
+  -> std::vector<directory::EntryInstance>
 {
-  auto entries = std::vector<std::string>{};
+  auto entries = std::vector<directory::EntryInstance>{};
   for (const auto& [instance, it] : aContext.mSubscribers) {
     const auto age = MillisBetween(it.mHeard, aContext.mNow());
     if (!it.mAddress.empty() && age < kEntryAge) {
-      entries.push_back(it.mAddress);
+      entries.push_back({ it.mAddress, it.mFailureDomain });
     }
   }
   return entries;
@@ -197,7 +198,10 @@
   }
   const auto entries = LiveEntries(aContext);
   const auto known = KnownControls(aContext);
-  auto places = entries;
+  auto places = std::vector<std::string>{};
+  for (const auto& it : entries) {
+    places.push_back(it.mPeerAddress + " " + it.mFailureDomain.mValue);
+  }
   for (const auto& it : known) {
     places.push_back("control " + it.mAddress);
   }
@@ -206,10 +210,13 @@
   if (digest == aParams.getEntriesDigest()) {
     return;
   }
-  auto names = aResults.initEntries(static_cast<unsigned>(entries.size()));
+  const auto count = static_cast<unsigned>(entries.size());
+  auto addresses = aResults.initEntries(count);
+  auto domains = aResults.initEntryDomains(count);
   n = 0;
   for (const auto& it : entries) {
-    names.set(n++, ToText(it));
+    addresses.set(n, ToText(it.mPeerAddress));
+    domains.set(n++, ToText(it.mFailureDomain.mValue));
   }
   auto controls = aResults.initControls(static_cast<unsigned>(known.size()));
   n = 0;
--- a/src/peers/peer.capnp
+++ b/src/peers/peer.capnp
@@ -76,6 +76,7 @@
     -> (quorumAgeMillis :Int64, templates :List(PulledTemplate),
         epoch :UInt64, change :UInt64, endpoints :List(EndpointRow),
         entriesDigest :UInt64, entries :List(Text),
-        controls :List(Joiner), more :Bool);
+        controls :List(Joiner), more :Bool,
+        entryDomains :List(Text));
   share @12 (endpoints :List(EndpointRow)) -> ();
 }
--- a/src/peers/peertask.h
+++ b/src/peers/peertask.h
@@ -2,6 +2,7 @@
 
 #include "base/findings.h"
 #include "control/types/command.h"
+#include "directory/types/entryinstance.h"
 #include "peers/types/peerreports.h"
 #include "peers/types/peersettings.h"
 
@@ -23,8 +24,9 @@
   /// A control instance can no longer be reached: what it told of silence is
   /// void.
   std::function<void(const std::string& aSource)> mOnSourceLost;
-  /// The peer addresses of the entry instances, this one included.
-  std::function<void(const std::vector<std::string>&)> mOnEntries;
+  /// The entry instances that any reachable control instance knows, this one
+  /// included, in order.
+  std::function<void(const std::vector<directory::EntryInstance>&)> mOnEntries;
   /// A message sent by SendToPeer of another instance.
   std::function<void(const InstanceId& aFrom, const std::string& aBytes)>
     mOnPeerMessage;
--- a/src/peers/tests/peertask_tests.cpp
+++ b/src/peers/tests/peertask_tests.cpp
@@ -107,6 +107,26 @@
   BOOST_TEST(!status.mIsIsolated);
 }
 
+BOOST_AUTO_TEST_CASE(EntryInstancesLearnOfEachOtherAndTheirDomains)
+{
+  auto group = TestGroup(1, 2);
+  for (auto n = 0U; n < 3; ++n) {
+    group.mSettings[n].mFollowsAllControls = true;
+    group.Start(n);
+  }
+  const auto expected = std::set<directory::EntryInstance>{
+    { group.mSettings[1].mAddress, { "domain-1" } },
+    { group.mSettings[2].mAddress, { "domain-2" } }
+  };
+  for (const auto n : { 1U, 2U }) {
+    auto& seen = *group.mSeen[n];
+    BOOST_TEST(TestGroup::WaitUntil([&] {
+      const auto lock = std::lock_guard(seen.mMutex);
+      return std::set(seen.mEntries.begin(), seen.mEntries.end()) == expected;
+    }));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AWrongPeerKeyIsRefused)
 {
   auto group = TestGroup(1, 1);
--- a/src/peers/tests/testinstance.h
+++ b/src/peers/tests/testinstance.h
@@ -31,6 +31,7 @@
     Revision mRevision = 0;
     bool mHasFallen = false;
     std::set<std::string> mMessages;
+    std::vector<directory::EntryInstance> mEntries;
   };
 
   std::vector<PeerSettings> mSettings;
@@ -120,6 +121,11 @@
       seen->mMessages.insert(aBytes);
       seen->mChanged.notify_all();
     };
+    callbacks.mOnEntries =
+      [seen](const std::vector<directory::EntryInstance>& aEntries) {
+        const auto lock = std::lock_guard(seen->mMutex);
+        seen->mEntries = aEntries;
+      };
     auto outcome = CollectOutcome<std::unique_ptr<PeerTask>>(
       [&] { return StartPeerTask(mSettings[aNumber], callbacks); });
     if (outcome.mValue) {
--- a/src/policy/internal/enginelanes.cpp
+++ b/src/policy/internal/enginelanes.cpp
@@ -89,27 +89,37 @@
   double mMillis = kNever;
 };
 
-/// Finds the engine of aPlaces with the earliest first event. Engines in the
-/// own failure domain are preferred if times differ by less than mTie.
+/// Predicts the first event of a short prompt on one engine. Adds mTie if the
+/// engine is in another failure domain.
 auto
-FindEarliest(const EngineTiming& aTiming,
+PredictShort(const EngineTiming& aTiming,
              const PromptWork& aPrompt,
-             std::span<const EngineCandidate> aEngines,
-             std::span<const std::size_t> aPlaces,
-             const LaneRules& aRules) -> Place
+             const EngineCandidate& aEngine,
+             const LaneRules& aRules) -> double
 {
   // NOTE: if the memory is full, a prompt waits until another stream ends.
   constexpr auto kNoMemoryMillis = 2000.0;
   const auto read = PrefillMillis(aTiming, aPrompt.mPromptTokens);
   const auto tokens = aPrompt.mPromptTokens + aPrompt.mOutputTokens;
+  const auto distance =
+    aEngine.mIsInOwnFailureDomain ? 0.0 : ToMillis(aRules.mTie);
+  const auto hasMemory =
+    aEngine.mWork.mContextTokens + tokens <= aTiming.mKvCacheTokens;
+  return FirstEventMillis(aTiming, aEngine, read) + distance +
+         (hasMemory ? 0.0 : kNoMemoryMillis);
+}
+
+/// Finds the engine of aPlaces with the earliest first event.
+auto
+FindEarliest(const EngineTiming& aTiming,
+             const PromptWork& aPrompt,
+             std::span<const EngineCandidate> aEngines,
+             std::span<const std::size_t> aPlaces,
+             const LaneRules& aRules) -> Place
+{
   auto best = Place{ aPlaces.front(), kNever };
   for (const auto i : aPlaces) {
-    const auto distance =
-      aEngines[i].mIsInOwnFailureDomain ? 0.0 : ToMillis(aRules.mTie);
-    const auto hasMemory =
-      aEngines[i].mWork.mContextTokens + tokens <= aTiming.mKvCacheTokens;
-    const auto time = FirstEventMillis(aTiming, aEngines[i], read) + distance +
-                      (hasMemory ? 0.0 : kNoMemoryMillis);
+    const auto time = PredictShort(aTiming, aPrompt, aEngines[i], aRules);
     if (time < best.mMillis) {
       best = { i, time };
     }
@@ -154,10 +164,21 @@
                  DrawSample(aEngines, places.last(packed), aRules.mSample),
                  aRules);
   const auto target = ToMillis(aPrompt.mAnswerTarget - aPrompt.mWaited);
-  if (inside.mMillis <= target || packed == order.size()) {
+  if (inside.mMillis <= target) {
     return { inside.mEngine, {}, LaneReason::Packed, inside.mMillis };
   }
-  const auto any = FindEarliest(aTiming, aPrompt, aEngines, places, aRules);
+  auto inTime = std::vector<std::size_t>{};
+  std::copy_if(
+    places.begin(), places.end(), std::back_inserter(inTime), [&](auto aPlace) {
+      return PredictShort(aTiming, aPrompt, aEngines[aPlace], aRules) <= target;
+    });
+  const auto wider =
+    inTime.empty() ? std::vector<std::size_t>(order) : std::move(inTime);
+  const auto any = FindEarliest(aTiming,
+                                aPrompt,
+                                aEngines,
+                                DrawSample(aEngines, wider, aRules.mSample),
+                                aRules);
   return { any.mEngine, {}, LaneReason::Spilled, any.mMillis };
 }
 
--- a/src/policy/tests/enginelanes_tests.cpp
+++ b/src/policy/tests/enginelanes_tests.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 using namespace cuminslip;
 
@@ -138,6 +139,33 @@
   BOOST_TEST(*choice.mEngine != 3U);
 }
 
+/// A burst of short prompts fills all engines up to their packed share while
+/// most of them still prefill parts of long prompts. With a sample, the engines
+/// that are in time must be found; the baseline took the best of three at
+/// random.
+BOOST_AUTO_TEST_CASE(ABurstFindsTheEnginesThatAreInTime)
+{
+  auto engines = Engines(60);
+  auto random = std::mt19937_64(7);
+  for (auto i = std::size_t{ 0 }; i < engines.size(); ++i) {
+    AddShorts(engines[i], 9);
+    engines[i].mWork.mReadMillis = i % 6 == 0 ? 0 : 1500;
+  }
+  auto rules = LaneRules{};
+  rules.mSample = 3;
+  rules.mPackShare = 0.5;
+  auto used = std::set<std::size_t>{};
+  for (auto i = 0; i < 100; ++i) {
+    for (auto& it : engines) {
+      it.mRandomKey = random();
+    }
+    const auto choice = ChooseEngines(Timing(), ShortPrompt(), engines, rules);
+    BOOST_TEST(choice.mFirstEventMillis <= 300);
+    used.insert(*choice.mEngine);
+  }
+  BOOST_TEST(used.size() == 10U, "all engines in time are used");
+}
+
 BOOST_AUTO_TEST_CASE(ALongPromptIsPrefilledByManyEnginesInTime)
 {
   const auto choice = Choose(LongPrompt(), Engines(23));
