--- a/src/forwarding/internal/loadsharing.cpp
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -166,6 +166,10 @@
     DivideFleet(domains, aForwarder.mGroups, aForwarder.mSettings.mGroups);
   if (groups != aForwarder.mGroups) {
     aForwarder.mSummaries.clear();
+    LogEvent(kLoadGroupsEvent,
+             { { "instances", aForwarder.mEntries.size() },
+               { "domains", groups.mParts.size() },
+               { "former_domains", aForwarder.mGroups.mParts.size() } });
   }
   aForwarder.mGroups = std::move(groups);
   aForwarder.mOwnGroup = GroupOf(aForwarder.mGroups,
--- a/src/forwarding/types/forwardevents.h
+++ b/src/forwarding/types/forwardevents.h
@@ -38,5 +38,7 @@
   Event{ 2014, "holds_ready", Severity::Info };
 inline constexpr auto kClaimAbandonedEvent =
   Event{ 2015, "claim_given_up", Severity::Info };
+inline constexpr auto kLoadGroupsEvent =
+  Event{ 2016, "load_groups_changed", Severity::Info };
 
 } // namespace cuminslip::forwarding
