--- a/src/control/internal/messagecodec.cpp
+++ b/src/control/internal/messagecodec.cpp
@@ -35,6 +35,7 @@
     auto to = mRoot.initPreVoteReply();
     to.setTerm(aFrom.mTerm);
     to.setGranted(aFrom.mIsGranted);
+    to.setFreshStart(aFrom.mIsFreshStart);
   }
 
   auto operator()(const VoteRequest& aFrom) -> void
@@ -42,6 +43,7 @@
     auto to = mRoot.initVoteRequest();
     to.setLastIndex(aFrom.mLastIndex);
     to.setLastTerm(aFrom.mLastTerm);
+    to.setEarly(aFrom.mIsEarly);
   }
 
   auto operator()(const VoteReply& aFrom) -> void
@@ -147,10 +149,12 @@
     }
     case schema::ControlMessage::PRE_VOTE_REPLY:
       return PreVoteReply{ aFrom.getPreVoteReply().getTerm(),
-                           aFrom.getPreVoteReply().getGranted() };
+                           aFrom.getPreVoteReply().getGranted(),
+                           aFrom.getPreVoteReply().getFreshStart() };
     case schema::ControlMessage::VOTE_REQUEST:
       return VoteRequest{ aFrom.getVoteRequest().getLastIndex(),
-                          aFrom.getVoteRequest().getLastTerm() };
+                          aFrom.getVoteRequest().getLastTerm(),
+                          aFrom.getVoteRequest().getEarly() };
     case schema::ControlMessage::VOTE_REPLY:
       return VoteReply{ aFrom.getVoteReply().getGranted() };
     case schema::ControlMessage::APPEND_REQUEST:
--- a/src/control/internal/snapshottransfer.cpp
+++ b/src/control/internal/snapshottransfer.cpp
@@ -144,6 +144,7 @@
   }
   ResetElectionDeadline(aContext);
   state.mLeaderContact = aContext.mNow;
+  state.mIsFreshStart = false;
   if (aPiece.mIndex <= state.mCommit) {
     ReplyAfterWrite(
       aContext,
