--- a/src/control/control.capnp
+++ b/src/control/control.capnp
@@ -67,13 +67,11 @@
   term @0 :UInt64;
   lastIndex @1 :UInt64;
   lastTerm @2 :UInt64;
-  early @3 :Bool;
 }
 
 struct VoteReply {
   term @0 :UInt64;
   granted @1 :Bool;
-  freshStart @2 :Bool;
 }
 
 struct AppendRequest {
--- a/src/control/internal/corestep.cpp
+++ b/src/control/internal/corestep.cpp
@@ -64,8 +64,6 @@
   } else if (state.mVote.mCluster != 0 &&
              aContext.mNow >= state.mElectionDeadline) {
     StartPreVote(aContext);
-  } else if (state.mVote.mCluster != 0) {
-    TryEarlyElection(aContext);
   }
 }
 
--- a/src/control/internal/election.cpp
+++ b/src/control/internal/election.cpp
@@ -37,68 +37,28 @@
   return quorum > 0 && static_cast<std::size_t>(votes) >= quorum;
 }
 
+template<class Body>
 auto
-OtherVoters(const CoreState& aState) -> std::vector<Member>
+SendToVoters(StepContext& aContext, const Body& aBody, bool aIsAfterWrite)
+  -> void
 {
-  auto voters = std::vector<Member>{};
-  for (const auto& it : CurrentMembership(aState).mMembers) {
-    if (it.mId != aState.mVote.mMember && it.mRole == MemberRole::Voter) {
-      voters.push_back(it);
+  for (const auto& it : CurrentMembership(aContext.mState).mMembers) {
+    if (it.mId == aContext.mState.mVote.mMember ||
+        it.mRole != MemberRole::Voter) {
+      continue;
     }
+    auto message =
+      OutgoingMessage{ it.mAddress, MakeMessage(aContext, it.mId, aBody) };
+    auto& queue =
+      aIsAfterWrite ? aContext.mDeferredMessages : aContext.mOutput.mMessages;
+    queue.push_back(std::move(message));
   }
-  return voters;
 }
 
 auto
-SendPreVoteRequests(StepContext& aContext) -> void
-{
-  const auto& state = aContext.mState;
-  for (const auto& it : OtherVoters(state)) {
-    SendNow(aContext,
-            it,
-            PreVoteRequest{ state.mVote.mTerm + 1,
-                            LastIndex(state.mLog),
-                            LastTerm(state.mLog) });
-  }
-}
-
-/// Returns true if all voters, this one included, have stated a fresh start,
-/// and the membership is known to be committed.
-auto
-HasOnlyFreshVoters(const CoreState& aState) -> bool
-{
-  const auto isCommitted = aState.mMemberships.back().mIndex <= aState.mCommit;
-  const auto others = OtherVoters(aState);
-  return isCommitted && aState.mIsFreshStart &&
-         std::all_of(others.begin(), others.end(), [&](const auto& aItem) {
-           return aState.mFreshVoters.contains(aItem.mId);
-         });
-}
-
-/// Returns true if the votes are sufficient. An early election needs all of
-/// them and a membership known to be committed: a leader that may hold a lease
-/// is then one of the voters, and a leader grants no vote. Ordinary votes are
-/// granted only when no lease is left, so that a quorum is sufficient.
-auto
-HasEnoughVotes(const CoreState& aState) -> bool
-{
-  const auto isEarly =
-    aState.mRole == CoreRole::Candidate && aState.mIsEarlyElection;
-  if (!isEarly) {
-    return HasQuorumOfVotes(aState);
-  }
-  const auto others = OtherVoters(aState);
-  return aState.mVotes.contains(aState.mVote.mMember) &&
-         std::all_of(others.begin(), others.end(), [&](const auto& aItem) {
-           return aState.mVotes.contains(aItem.mId);
-         });
-}
-
-auto
-StartElection(StepContext& aContext, bool aIsEarly) -> void
+StartElection(StepContext& aContext) -> void
 {
   auto& state = aContext.mState;
-  state.mIsEarlyElection = aIsEarly;
   state.mRole = CoreRole::Candidate;
   state.mVote.mTerm += 1;
   state.mVote.mVote = state.mVote.mMember;
@@ -109,13 +69,8 @@
     aContext, CoreEventKind::ElectionStarted, state.mVote.mMember, "vote");
   // NOTE: the vote for itself counts, and the requests are sent, only once it
   // is durable.
-  for (const auto& it : OtherVoters(state)) {
-    const auto request = VoteRequest{ LastIndex(state.mLog),
-                                      LastTerm(state.mLog),
-                                      state.mIsEarlyElection };
-    aContext.mDeferredMessages.push_back(
-      { it.mAddress, MakeMessage(aContext, it.mId, request) });
-  }
+  SendToVoters(
+    aContext, VoteRequest{ LastIndex(state.mLog), LastTerm(state.mLog) }, true);
 }
 
 auto
@@ -124,14 +79,11 @@
                      const PreVoteRequest& aRequest) -> void
 {
   const auto& state = aContext.mState;
-  const auto isAcceptable =
-    aRequest.mTerm > state.mVote.mTerm &&
+  const auto isGranted =
+    !IsLeaderProtected(aContext) && aRequest.mTerm > state.mVote.mTerm &&
     IsUpToDate(state.mLog, aRequest.mLastIndex, aRequest.mLastTerm);
-  ReplyAfterWrite(aContext,
-                  aMessage,
-                  PreVoteReply{ aRequest.mTerm,
-                                isAcceptable && !IsLeaderProtected(aContext),
-                                isAcceptable && state.mIsFreshStart });
+  ReplyAfterWrite(
+    aContext, aMessage, PreVoteReply{ aRequest.mTerm, isGranted });
 }
 
 auto
@@ -141,19 +93,10 @@
 {
   auto& state = aContext.mState;
   if (state.mRole != CoreRole::PreCandidate ||
-      aReply.mTerm != state.mVote.mTerm + 1) {
-    return;
-  }
-  if (aReply.mIsGranted) {
-    state.mVotes.insert(aMessage.mFrom);
-  }
-  if (aReply.mIsFreshStart) {
-    state.mFreshVoters.insert(aMessage.mFrom);
-  }
-  if (IsLeaderProtected(aContext) && HasOnlyFreshVoters(state)) {
-    StartElection(aContext, true);
+      aReply.mTerm != state.mVote.mTerm + 1 || !aReply.mIsGranted) {
     return;
   }
+  state.mVotes.insert(aMessage.mFrom);
   CountVotes(aContext);
 }
 
@@ -163,9 +106,7 @@
                   const VoteRequest& aRequest) -> void
 {
   auto& state = aContext.mState;
-  const auto isProtected =
-    IsLeaderProtected(aContext) && !(aRequest.mIsEarly && state.mIsFreshStart);
-  if (aMessage.mTerm < state.mVote.mTerm || isProtected) {
+  if (aMessage.mTerm < state.mVote.mTerm || IsLeaderProtected(aContext)) {
     ReplyAfterWrite(aContext, aMessage, VoteReply{ false });
     return;
   }
@@ -270,45 +211,22 @@
   state.mRole = CoreRole::PreCandidate;
   state.mLeader = 0;
   state.mVotes = { state.mVote.mMember };
-  state.mFreshVoters.clear();
-  SendPreVoteRequests(aContext);
+  SendToVoters(aContext,
+               PreVoteRequest{ state.mVote.mTerm + 1,
+                               LastIndex(state.mLog),
+                               LastTerm(state.mLog) },
+               false);
   CountVotes(aContext);
 }
 
-auto
-TryEarlyElection(StepContext& aContext) -> void
-{
-  auto& state = aContext.mState;
-  if (!state.mIsFreshStart || !IsLeaderProtected(aContext) ||
-      aContext.mNow < state.mNextFreshAttempt ||
-      QuorumSize(CurrentMembership(state)) < 2 ||
-      !IsVoter(CurrentMembership(state), state.mVote.mMember)) {
-    return;
-  }
-  const auto spread = Micros(state.mOptions.mFreshAttemptMax) -
-                      Micros(state.mOptions.mFreshAttemptMin);
-  const auto extra = NextRandom(state.mRandom) %
-                     (static_cast<std::uint64_t>(spread.count()) + 1);
-  const auto isFirst = state.mNextFreshAttempt == TimePoint{};
-  state.mNextFreshAttempt =
-    aContext.mNow + state.mOptions.mFreshAttemptMin + Micros(extra);
-  if (isFirst) {
-    return;
-  }
-  state.mRole = CoreRole::PreCandidate;
-  state.mVotes = { state.mVote.mMember };
-  state.mFreshVoters.clear();
-  SendPreVoteRequests(aContext);
-}
-
 auto
 CountVotes(StepContext& aContext) -> void
 {
-  if (!HasEnoughVotes(aContext.mState)) {
+  if (!HasQuorumOfVotes(aContext.mState)) {
     return;
   }
   if (aContext.mState.mRole == CoreRole::PreCandidate) {
-    StartElection(aContext, false);
+    StartElection(aContext);
   } else if (aContext.mState.mRole == CoreRole::Candidate) {
     BecomeLeader(aContext);
   }
--- a/src/control/internal/messagecodec.cpp
+++ b/src/control/internal/messagecodec.cpp
@@ -35,7 +35,6 @@
     auto to = mRoot.initPreVoteReply();
     to.setTerm(aFrom.mTerm);
     to.setGranted(aFrom.mIsGranted);
-    to.setFreshStart(aFrom.mIsFreshStart);
   }
 
   auto operator()(const VoteRequest& aFrom) -> void
@@ -43,7 +42,6 @@
     auto to = mRoot.initVoteRequest();
     to.setLastIndex(aFrom.mLastIndex);
     to.setLastTerm(aFrom.mLastTerm);
-    to.setEarly(aFrom.mIsEarly);
   }
 
   auto operator()(const VoteReply& aFrom) -> void
@@ -149,12 +147,10 @@
     }
     case schema::ControlMessage::PRE_VOTE_REPLY:
       return PreVoteReply{ aFrom.getPreVoteReply().getTerm(),
-                           aFrom.getPreVoteReply().getGranted(),
-                           aFrom.getPreVoteReply().getFreshStart() };
+                           aFrom.getPreVoteReply().getGranted() };
     case schema::ControlMessage::VOTE_REQUEST:
       return VoteRequest{ aFrom.getVoteRequest().getLastIndex(),
-                          aFrom.getVoteRequest().getLastTerm(),
-                          aFrom.getVoteRequest().getEarly() };
+                          aFrom.getVoteRequest().getLastTerm() };
     case schema::ControlMessage::VOTE_REPLY:
       return VoteReply{ aFrom.getVoteReply().getGranted() };
     case schema::ControlMessage::APPEND_REQUEST:
--- a/src/control/internal/replication.cpp
+++ b/src/control/internal/replication.cpp
@@ -156,7 +156,6 @@
 {
   auto& state = aContext.mState;
   state.mRole = CoreRole::Leader;
-  state.mIsFreshStart = false;
   state.mLeader = state.mVote.mMember;
   state.mLeaderSince = aContext.mNow;
   state.mNextHeartbeat = aContext.mNow + state.mOptions.mHeartbeat;
@@ -300,7 +299,6 @@
   }
   ResetElectionDeadline(aContext);
   state.mLeaderContact = aContext.mNow;
-  state.mIsFreshStart = false;
   const auto contact = aContext.mNow - aRequest.mQuorumAge;
   state.mQuorumContact =
     std::max(state.mQuorumContact.value_or(contact), contact);
--- a/src/control/internal/snapshottransfer.cpp
+++ b/src/control/internal/snapshottransfer.cpp
@@ -144,7 +144,6 @@
   }
   ResetElectionDeadline(aContext);
   state.mLeaderContact = aContext.mNow;
-  state.mIsFreshStart = false;
   if (aPiece.mIndex <= state.mCommit) {
     ReplyAfterWrite(
       aContext,
--- a/src/control/internal/stepcontext.h
+++ b/src/control/internal/stepcontext.h
@@ -65,13 +65,6 @@
 auto
 StartPreVote(StepContext& aContext) -> void;
 
-/// Attempts an election before the election timeout when it is due. A member
-/// that has just started protects the lease of an earlier leader by waiting;
-/// when all voters grant their votes, there is none. Does nothing after a
-/// contact with a leader.
-auto
-TryEarlyElection(StepContext& aContext) -> void;
-
 auto
 CountVotes(StepContext& aContext) -> void;
 
--- a/src/control/tests/controlcodec_tests.cpp
+++ b/src/control/tests/controlcodec_tests.cpp
@@ -37,9 +37,8 @@
   const auto time = TimePoint(Micros(12345));
   const auto bodies = std::vector<ControlBody>{
     PreVoteRequest{ 1, 2, 3 },
-    PreVoteReply{ 1, true, false },
-    PreVoteReply{ 1, false, true },
-    VoteRequest{ 2, 3, true },
+    PreVoteReply{ 1, true },
+    VoteRequest{ 2, 3 },
     VoteReply{ true },
     AppendRequest{ 3, 2, { entry, entry }, 3, time, Millis(4) },
     AppendReply{ true, 3, 4, time },
--- a/src/control/types/controlmessage.h
+++ b/src/control/types/controlmessage.h
@@ -23,9 +23,6 @@
 {
   Term mTerm = 0;
   bool mIsGranted = false;
-  /// The sender has had no contact with a leader since its start, and would
-  /// grant the vote but for the lease that it may have granted before.
-  bool mIsFreshStart = false;
 
   auto operator==(const PreVoteReply&) const -> bool = default;
 };
@@ -34,9 +31,6 @@
 {
   Revision mLastIndex = 0;
   Term mLastTerm = 0;
-  /// The sender leads only if all voters grant it; those that have just started
-  /// may.
-  bool mIsEarly = false;
 
   auto operator==(const VoteRequest&) const -> bool = default;
 };
--- a/src/control/types/corestate.h
+++ b/src/control/types/corestate.h
@@ -19,10 +19,6 @@
   /// quorum.
   Millis mElectionMin{ 1600 };
   Millis mElectionMax{ 3200 };
-  /// Range of the random delay between a member's attempts at an early election
-  /// after its start.
-  Millis mFreshAttemptMin{ 50 };
-  Millis mFreshAttemptMax{ 350 };
   /// Margin for clock drift, in percent, by which a lease is shortened.
   int mDriftPercent = 10;
   std::size_t mMaxMessageBytes = std::size_t{ 512 } * 1024;
@@ -120,13 +116,6 @@
   TimePoint mLeaderContact{};
   TimePoint mElectionDeadline{};
   std::set<MemberId> mVotes;
-  /// This member has had no contact with a leader since its start.
-  bool mIsFreshStart = true;
-  TimePoint mNextFreshAttempt{};
-  /// Other voters that stated a fresh start in answer to the latest attempt.
-  std::set<MemberId> mFreshVoters;
-  /// The election under way needs the votes of all voters.
-  bool mIsEarlyElection = false;
   std::uint64_t mRandom = 0;
   /// When a quorum was last known to be reachable, by the local clock; none if
   /// it never was.
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -12,9 +12,9 @@
 
 /// Retry-after time of an instance without a routing document.
 constexpr auto kNotReadyRetry = Millis(500);
-/// Random part of the Retry-After time after a start, so that callers refused
-/// together do not return together.
-constexpr auto kStartupRetrySpread = Millis(400);
+/// Maximum time that a request waits for the first routing document: the time
+/// that control instances need to elect a leader when all are started together.
+constexpr auto kMaxStartupWait = Millis(2000);
 /// Duration of the discovery of endpoints after the first routing document: one
 /// and a half times the shortest heartbeat interval that the platform
 /// specifies.
@@ -142,37 +142,20 @@
   PlaceFlight(aForwarder, aFlight);
 }
 
-auto
-RefuseAtStartup(Forwarder& aForwarder, Flight& aFlight, Millis aRetryAfter)
-  -> void
-{
-  auto spread =
-    std::uniform_int_distribution<std::int64_t>(0, kStartupRetrySpread.count());
-  FailFlight(aForwarder,
-             aFlight,
-             { FailureKind::NotReady,
-               aRetryAfter + Millis(spread(aForwarder.mRandom)) });
-}
-
-/// Lets a request wait for the first routing document if that arrives soon.
+/// Lets a request wait for the first routing document, which arrives soon when
+/// the whole system is started.
 auto
 WaitForDocument(Forwarder& aForwarder, Flight& aFlight) -> void
 {
-  const auto decision = DecideStartup(
-    MillisBetween(aForwarder.mStartedAt, aForwarder.mPorts.mNow()),
-    aFlight.mRequest.mAllowance,
-    aForwarder.mSettings.mStartup);
-  if (decision.mWait == Millis(0)) {
-    RefuseAtStartup(aForwarder, aFlight, decision.mRetryAfter);
-    return;
-  }
+  const auto allowance =
+    aFlight.mRequest.mAllowance.value_or(2 * kMaxStartupWait);
   aFlight.mIsUnadmitted = true;
   aFlight.mDeadlineTimer = aForwarder.mPorts.mTimers.mStart(
-    decision.mWait,
-    [&aForwarder, id = aFlight.mId, retry = decision.mRetryAfter] {
+    std::min(kMaxStartupWait, allowance / 2), [&aForwarder, id = aFlight.mId] {
       if (auto* flight = FindFlight(aForwarder, id)) {
         flight->mDeadlineTimer = 0;
-        RefuseAtStartup(aForwarder, *flight, retry);
+        FailFlight(
+          aForwarder, *flight, { FailureKind::NotReady, kNotReadyRetry });
       }
     });
 }
@@ -242,7 +225,6 @@
   forwarder->mSettings = std::move(aSettings);
   forwarder->mPorts = std::move(aPorts);
   forwarder->mRandom.seed(aSeed);
-  forwarder->mStartedAt = forwarder->mPorts.mNow();
   return forwarder;
 }
 
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -132,7 +132,6 @@
   ForwardSettings mSettings;
   ForwardPorts mPorts;
   std::mt19937_64 mRandom;
-  TimePoint mStartedAt{};
   std::shared_ptr<const routing::RoutingTable> mTable;
   directory::EndpointView mView;
   std::map<EndpointId, EndpointHealth> mHealth;
--- a/src/forwarding/tests/forwarder_tests.cpp
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -68,7 +68,6 @@
 BOOST_AUTO_TEST_CASE(WithoutADocumentCallersAreToldToRetry)
 {
   auto world = FakeWorld{};
-  world.Run(StartupRules{}.mUsualTime);
   auto request = MakeRequest("read");
   request.mAllowance = Millis(1000);
   const auto caller = world.Ask(request);
@@ -81,22 +80,6 @@
     wire::FindHeader(caller->mResponse->mHeaders, "retry").has_value());
 }
 
-/// Callers leave after about two seconds without an answer.
-BOOST_AUTO_TEST_CASE(WithoutADocumentCallersAreRefusedBeforeTheyLeave)
-{
-  auto world = FakeWorld{};
-  const auto caller = world.Ask(MakeRequest("read"));
-  world.Run(Millis(999));
-  BOOST_TEST(!caller->mResponse.has_value());
-  world.Run(Millis(1));
-
-  BOOST_REQUIRE(caller->mResponse.has_value());
-  BOOST_TEST(caller->mResponse->mBody == "not_ready");
-  const auto retry = wire::FindHeader(caller->mResponse->mHeaders, "retry");
-  BOOST_REQUIRE(retry.has_value());
-  BOOST_TEST(std::stoi(*retry) >= 500);
-}
-
 BOOST_AUTO_TEST_CASE(ALowerVersionIsIgnored)
 {
   ApplyRouting(*mForwarder, MakeTable(MakeDocument(9)));
--- a/src/forwarding/types/forwardsettings.h
+++ b/src/forwarding/types/forwardsettings.h
@@ -6,7 +6,6 @@
 #include "policy/enginelanes.h"
 #include "policy/loadgroups.h"
 #include "policy/retrybudget.h"
-#include "policy/startupwait.h"
 
 #include <string>
 
@@ -22,7 +21,6 @@
   LaneRules mLanes;
   GroupRules mGroups;
   BorrowRules mBorrowing;
-  StartupRules mStartup;
   /// Maximum time for an endpoint to accept a connection.
   Millis mConnectTimeout{ 500 };
   /// Lower bound of the connect timeout for routes with a short answer target.
