--- a/Makefile
+++ b/Makefile
@@ -49,9 +49,12 @@
 check-format:
 	scripts/sources | xargs clang-format --dry-run -Werror
 
+# Empty to lint also the files that were clean before: make lint LINT_KEY=
+LINT_KEY = $(shell scripts/lint-key)
+
 lint: build
-	scripts/sources | grep '\.cpp$$' | xargs -P $$(nproc) -n 1 \
-	  scripts/lint-one $(BUILD)
+	scripts/sources | grep '\.cpp$$' | LINT_KEY=$(LINT_KEY) \
+	  xargs -P $$(nproc) -n 1 scripts/lint-one $(BUILD)
 
 bench-decisions: build
 	$(BUILD)/bench/cuminslip_decision_bench
