Reach control instances soon after a loss of power

The first attempt met machines without power, which drop what opens a connection; the system opens it anew after a second, and the watch itself waited for 2.5 s. Others were refused twice and paused for 250 and 500 ms. Ruled out: the election, at 50.5 s: documents known to be committed come before it. Until a control instance has answered once, an attempt is given up after 400 ms, then 800 and 1,600, and repeated after 100 ms (peers/types/watchtimes.h).

--- a/src/peers/internal/controlwatcher.cpp
+++ b/src/peers/internal/controlwatcher.cpp
@@ -2,8 +2,7 @@
 
 #include "peers/internal/rpcparts.h"
 #include "peers/types/peersevents.h"
-
-#include <algorithm>
+#include "peers/types/watchtimes.h"
 
 namespace cuminslip {
 
@@ -11,11 +10,6 @@
 
 /// How long a source keeps a watch open without news.
 constexpr auto kWatchWait = Millis(1500);
-/// A connection that has gone silent is found out after this long: a watch and
-/// a second for the way and a busy source.
-constexpr auto kWatchLimit = Millis(2500);
-/// Pause before a source that failed is asked again; doubles three times.
-constexpr auto kFailurePause = Millis(250);
 /// Pause between looks for sources that are not watched yet.
 constexpr auto kLookPause = Millis(500);
 
@@ -68,17 +62,19 @@
     source.mIsReached ? static_cast<std::uint32_t>(kWatchWait.count()) : 0);
   request.setAddress(ToText(mContext.mSettings.mAddress));
   kj::Promise<WatchResponse> sent = request.send();
-  return mContext.mLinks.WithLimit(aAddress, kWatchLimit, kj::mv(sent))
+  const auto times = WatchTimesAfter(source.mFailures, source.mWasReached);
+  return mContext.mLinks.WithLimit(aAddress, times.mLimit, kj::mv(sent))
     .then(
       [this, aAddress, sentAt = mContext.mNow()](
         WatchResponse aResponse) -> kj::Promise<void> {
         TakeResponse(aAddress, aResponse, sentAt);
         return kj::READY_NOW;
       },
-      [this, aAddress](kj::Exception&& aException) -> kj::Promise<void> {
+      [this, aAddress, pause = times.mPause](
+        kj::Exception&& aException) -> kj::Promise<void> {
         LoseSource(aAddress, aException);
-        const auto failures = std::min(mSources[aAddress].mFailures++, 3);
-        return Pause(kFailurePause * (1 << failures));
+        ++mSources[aAddress].mFailures;
+        return Pause(pause);
       })
     .then([this, aAddress] { return Watch(aAddress); });
 }
@@ -110,6 +106,7 @@
 {
   auto& source = mSources[aAddress];
   source.mFailures = 0;
+  source.mWasReached = true;
   if (!std::exchange(source.mIsReached, true)) {
     LogEvent(kControlWatchedEvent,
              { { "address", aAddress },
--- a/src/peers/internal/controlwatcher.h
+++ b/src/peers/internal/controlwatcher.h
@@ -25,6 +25,8 @@
     std::uint64_t mEntriesDigest = 0;
     std::vector<directory::EntryInstance> mEntries;
     bool mIsReached = false;
+    /// It has answered since this instance started.
+    bool mWasReached = false;
     int mFailures = 0;
     /// Pages of an update that is not complete yet.
     std::vector<StoredTemplate> mPages;
