--- a/src/forwarding/internal/loadsharing.cpp
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -125,6 +125,10 @@
 {
   for (const auto engine : aRemote.mEngines) {
     const auto it = aForwarder.mRemoteShares.find(engine);
+    // NOTE: a notice may name an engine twice.
+    if (it == aForwarder.mRemoteShares.end()) {
+      continue;
+    }
     std::erase_if(it->second, [&](const auto& aShare) {
       return aShare.mSource == &aRemote;
     });
--- a/src/forwarding/tests/loadgroups_tests.cpp
+++ b/src/forwarding/tests/loadgroups_tests.cpp
@@ -138,6 +138,23 @@
   BOOST_TEST((TakeNotified() == Counts{ { "summary b", 1 } }));
 }
 
+BOOST_AUTO_TEST_CASE(ANoticeThatNamesAnEngineTwiceDoesNoHarm)
+{
+  const auto share =
+    EngineShare{ Checksum("a1"), { 0, 0, 9000, 0, kNoPauseLimitMillis, 0, 3 } };
+  for (const auto sequence : { 1U, 2U }) {
+    HandleLoadNotice(
+      *mForwarder,
+      EncodeLoadNotice(
+        { AddressOf("a", 2), sequence, { share, share }, false }));
+  }
+  HandleLoadNotice(*mForwarder,
+                   EncodeLoadNotice({ AddressOf("a", 2), 3, {}, false }));
+  AskLong();
+  Run(Millis(8));
+  BOOST_TEST(mSends.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(BusyEnginesOfOtherGroupsAreNotBorrowed)
 {
   auto shares = std::vector<EngineShare>{};
