Log and count the request limits that endpoints state in their answers

Now the head of each answer is read: endpoint_limit_changed says what an endpoint states, forward_placed the limit of the chosen endpoint, and two counters the answers with a limit and the requests sent in spite of one. Unreadable values are ignored, counted, and logged once for an endpoint. No decision changes.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -36,6 +36,11 @@
   std::uint64_t mSends = 0;
   std::uint64_t mRepeats = 0;
   std::uint64_t mResumed = 0;
+  /// Answers whose endpoint stated a request limit.
+  std::uint64_t mLimitedAnswers = 0;
+  /// Requests sent to endpoints that had stated one.
+  std::uint64_t mLimitedSends = 0;
+  std::uint64_t mMalformedStatements = 0;
 
   auto operator==(const ForwardCounters&) const -> bool = default;
 };
--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -97,6 +97,7 @@
   auto& attempt = flight->mAttempt;
   attempt.mStatus = aStatus;
   attempt.mAnswer = aForwarder.mPorts.mCodec.mReadAnswer(aStatus, aHeaders);
+  NoteStatement(aForwarder, attempt.mEndpoint, attempt.mAnswer.mStatement);
   if (attempt.mAnswer.mLoad) {
     auto& health = aForwarder.mHealth[attempt.mEndpoint];
     health.mLoad = attempt.mAnswer.mLoad;
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -101,6 +101,10 @@
   TimePoint mEjectedUntil{};
   std::optional<ReportedLoad> mLoad;
   TimePoint mLoadAt{};
+  /// The limit that the last answer stated.
+  std::optional<double> mRequestRate;
+  TimePoint mRequestRateAt{};
+  bool mHasMalformedStatement = false;
 };
 
 /// The load reported by another entry instance.
@@ -266,6 +270,12 @@
 auto
 NoteSuccess(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void;
 
+/// Records what an answer states about its endpoint.
+auto
+NoteStatement(Forwarder& aForwarder,
+              const EndpointId& aEndpoint,
+              const EndpointStatement& aStatement) -> void;
+
 auto
 NoteFailure(Forwarder& aForwarder,
             const EndpointId& aEndpoint,
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -159,8 +159,20 @@
   return attempt;
 }
 
+/// Returns the request limit that an endpoint stated, for logs; -1 for none.
 auto
-LogPlacement(const Flight& aFlight,
+StatedRate(const Forwarder& aForwarder, const EndpointId& aEndpoint) -> double
+{
+  constexpr auto kNone = -1.0;
+  const auto it = aForwarder.mHealth.find(aEndpoint);
+  return it == aForwarder.mHealth.end()
+           ? kNone
+           : it->second.mRequestRate.value_or(kNone);
+}
+
+auto
+LogPlacement(const Forwarder& aForwarder,
+             const Flight& aFlight,
              const Attempt& aAttempt,
              const GroupChoice& aChosen) -> void
 {
@@ -185,6 +197,7 @@
              { "first_event_ms", std::lround(choice.mFirstEventMillis) },
              { "engine_streams", work.mStreams },
              { "engine_read_ms", std::lround(work.mReadMillis) },
+             { "limit_per_s", StatedRate(aForwarder, aAttempt.mEndpoint) },
              { "candidates", aChosen.mCandidates.size() },
              { "group", aChosen.mGroup.mFailureDomain.mValue },
              { "group_part", aChosen.mGroup.mPart },
@@ -267,7 +280,7 @@
     return;
   }
   auto attempt = MakeAttempt(aForwarder, chosen);
-  LogPlacement(aFlight, attempt, chosen);
+  LogPlacement(aForwarder, aFlight, attempt, chosen);
   const auto isLong = choice.mReason == LaneReason::Together ||
                       choice.mReason == LaneReason::Alone;
   if (isLong) {
@@ -307,6 +320,7 @@
              { "endpoint", chosen.mId.mValue },
              { "reason", "least_loaded" },
              { "candidates", candidates.size() },
+             { "limit_per_s", StatedRate(aForwarder, chosen.mId) },
              { "version", aFlight.mTable->mDocument.mVersion },
              { "send", aFlight.mSends + 1 } });
   SendFlight(aForwarder, aFlight, std::move(attempt));
--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -55,6 +55,9 @@
     ++aForwarder.mCounters.mRepeats;
   }
   ++aForwarder.mCounters.mSends;
+  if (aForwarder.mHealth[aAttempt.mEndpoint].mRequestRate) {
+    ++aForwarder.mCounters.mLimitedSends;
+  }
   aFlight.mTried.insert(aAttempt.mEndpoint);
   aAttempt.mSentAt = now;
   aFlight.mAttempt = std::move(aAttempt);
--- a/src/forwarding/types/forwardevents.h
+++ b/src/forwarding/types/forwardevents.h
@@ -40,5 +40,9 @@
   Event{ 2015, "claim_given_up", Severity::Info };
 inline constexpr auto kLoadGroupsEvent =
   Event{ 2016, "load_groups_changed", Severity::Info };
+inline constexpr auto kRequestLimitEvent =
+  Event{ 2017, "endpoint_limit_changed", Severity::Info };
+inline constexpr auto kStatementIgnoredEvent =
+  Event{ 2018, "endpoint_statement_ignored", Severity::Warning };
 
 } // namespace cuminslip::forwarding
--- a/src/forwarding/types/forwardrequest.h
+++ b/src/forwarding/types/forwardrequest.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/types/ids.h"
+#include "forwarding/types/endpointstatement.h"
 #include "wire/types/httpmessage.h"
 
 #include <cstdint>
@@ -93,6 +94,7 @@
   /// The answer was created by the endpoint itself, for a request that ran.
   bool mIsGenuine = false;
   std::optional<ReportedLoad> mLoad;
+  EndpointStatement mStatement;
   /// Address of another endpoint that caused a refusal.
   std::string mAtFault;
   /// Headers to return to the caller.
