Keep within the request limits that endpoints state, over all instances

Reading it in each instance alone would not do (hypothesis 2): with N instances the fleet sends N times the limit, and with equal shares a large fleet still may, since each instance can save up one request.

Now answers, of requests and of reservations, are read as evidence on their endpoint and its incarnation. A limit is divided among a few holders, floor(rate) + 3, chosen by rendezvous hashing over all instances that are or were listed in the last two hours, so that instances which lost sight of each other still add up to it; most holders are in the endpoint's failure domain. A holder's bucket starts empty. Every way to send passes through the same check: first attempts, repeats, resumed streams, waiting and claimed prompts, reservations. Long prompts use no limited engines for parts. Only an endpoint's own answer to a request that was sent after the limit was last learned ends it; holders try with ordinary short requests. Load notices carry limits with a version, as advice, 32 at most in turn.

Without another endpoint a request is refused at once, with the time until this instance's share allows one.

Ruled out as designs: an equal share for each instance (above); grants by one arbiter for each endpoint (a round trip for each request, and a cut between the arbiter and the endpoint's domain leaves it unused); a short memory of vanished instances (both sides of a cut use all).

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -41,6 +41,8 @@
   /// Requests sent to endpoints that had stated one.
   std::uint64_t mLimitedSends = 0;
   std::uint64_t mMalformedStatements = 0;
+  /// Requests refused because the limits of endpoints were exhausted.
+  std::uint64_t mLimitRefusals = 0;
 
   auto operator==(const ForwardCounters&) const -> bool = default;
 };
@@ -101,4 +103,8 @@
 auto
 TimesOf(const Forwarder& aForwarder) -> const ForwardTimes&;
 
+/// Returns the number of endpoints with a request limit in force.
+auto
+CountLimitedEndpoints(const Forwarder& aForwarder) -> std::size_t;
+
 } // namespace cuminslip::forwarding
--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/limits.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -97,7 +98,12 @@
   auto& attempt = flight->mAttempt;
   attempt.mStatus = aStatus;
   attempt.mAnswer = aForwarder.mPorts.mCodec.mReadAnswer(aStatus, aHeaders);
-  NoteStatement(aForwarder, attempt.mEndpoint, attempt.mAnswer.mStatement);
+  NoteStatement(aForwarder,
+                { attempt.mEndpoint,
+                  attempt.mIncarnation,
+                  attempt.mSentAt,
+                  attempt.mAnswer.mIsGenuine },
+                attempt.mAnswer.mStatement);
   if (attempt.mAnswer.mLoad) {
     auto& health = aForwarder.mHealth[attempt.mEndpoint];
     health.mLoad = attempt.mAnswer.mLoad;
--- a/src/forwarding/internal/claiming.cpp
+++ b/src/forwarding/internal/claiming.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/limits.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -40,6 +41,11 @@
 auto
 EndClaim(Forwarder& aForwarder, Flight& aFlight) -> void
 {
+  // NOTE: the endpoint may have stated a limit since it was chosen.
+  if (!MaySendNow(CheckLimit(aForwarder, aFlight.mAttempt))) {
+    PlaceAgain(aForwarder, aFlight);
+    return;
+  }
   const auto rivals = CountCompetingPrompts(aForwarder, aFlight.mAttempt);
   if (rivals <= aFlight.mCompetingPrompts || aFlight.mClaims >= kMaxClaims) {
     SendClaimed(aForwarder, aFlight);
--- a/src/forwarding/internal/ending.cpp
+++ b/src/forwarding/internal/ending.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/limits.h"
 #include "forwarding/types/forwardevents.h"
 
 namespace cuminslip::forwarding {
@@ -142,6 +143,7 @@
   // NOTE: without a connection, no endpoint received the request.
   if (aOutcome == SendOutcome::NotConnected) {
     --aFlight.mSends;
+    ReturnSend(aForwarder, endpoint);
   }
   const auto mayRepeat = MayRepeatFlight(aForwarder, aFlight, aOutcome) &&
                          aFlight.mTried.size() <= kMaxTriedEndpoints;
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -5,6 +5,8 @@
 #include "forwarding/eventsplitter.h"
 #include "forwarding/forwarder.h"
 #include "forwarding/loadnotice.h"
+#include "policy/instanceroster.h"
+#include "policy/requestlimits.h"
 #include "policy/runverdict.h"
 
 #include <map>
@@ -38,6 +40,8 @@
 {
   wire::ExchangeId mExchange = 0;
   EndpointId mEndpoint;
+  /// Incarnation of the endpoint when the request was sent.
+  Incarnation mIncarnation = 0;
   std::string mAddress;
   TimePoint mSentAt{};
   int mStatus = 0;
@@ -101,12 +105,26 @@
   TimePoint mEjectedUntil{};
   std::optional<ReportedLoad> mLoad;
   TimePoint mLoadAt{};
-  /// The limit that the last answer stated.
-  std::optional<double> mRequestRate;
-  TimePoint mRequestRateAt{};
   bool mHasMalformedStatement = false;
 };
 
+/// The request limit of one incarnation of an endpoint, and this instance's use
+/// of it.
+struct LimitState
+{
+  Incarnation mIncarnation = 0;
+  RequestLimit mLimit;
+  /// When an answer last stated the limit, or another instance reported it. An
+  /// answer to an earlier request can't end it.
+  TimePoint mLearnedAt{};
+  /// The last answer to this instance.
+  TimePoint mAnsweredAt{};
+  SendAllowance mAllowance;
+  /// This instance's share at the roster's version mShareVersion.
+  double mShare = 0;
+  std::uint64_t mShareVersion = 0;
+};
+
 /// The load reported by another entry instance.
 struct RemoteLoad
 {
@@ -143,6 +161,10 @@
   FlightId mNextFlight = 1;
   std::map<std::string, SendRetryBudget> mBudgets;
   std::vector<directory::EntryInstance> mEntries;
+  InstanceRoster mRoster;
+  /// By checksum of the endpoint's id.
+  std::unordered_map<std::uint64_t, LimitState> mLimits;
+  std::size_t mNextReportedLimit = 0;
   GroupLayout mGroups;
   LoadGroup mOwnGroup;
   /// Peer addresses of the instances of each group, this one included.
@@ -270,12 +292,6 @@
 auto
 NoteSuccess(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void;
 
-/// Records what an answer states about its endpoint.
-auto
-NoteStatement(Forwarder& aForwarder,
-              const EndpointId& aEndpoint,
-              const EndpointStatement& aStatement) -> void;
-
 auto
 NoteFailure(Forwarder& aForwarder,
             const EndpointId& aEndpoint,
--- a/src/forwarding/internal/health.cpp
+++ b/src/forwarding/internal/health.cpp
@@ -13,33 +13,6 @@
   health.mEjectedUntil = {};
 }
 
-auto
-NoteStatement(Forwarder& aForwarder,
-              const EndpointId& aEndpoint,
-              const EndpointStatement& aStatement) -> void
-{
-  auto& health = aForwarder.mHealth[aEndpoint];
-  if (aStatement.mIsMalformed) {
-    ++aForwarder.mCounters.mMalformedStatements;
-    if (!std::exchange(health.mHasMalformedStatement, true)) {
-      LogEvent(kStatementIgnoredEvent, { { "endpoint", aEndpoint.mValue } });
-    }
-    return;
-  }
-  if (aStatement.mRequestRate) {
-    ++aForwarder.mCounters.mLimitedAnswers;
-    health.mRequestRateAt = aForwarder.mPorts.mNow();
-  }
-  if (aStatement.mRequestRate == health.mRequestRate) {
-    return;
-  }
-  LogEvent(kRequestLimitEvent,
-           { { "endpoint", aEndpoint.mValue },
-             { "limit_per_s", aStatement.mRequestRate.value_or(-1) },
-             { "former_per_s", health.mRequestRate.value_or(-1) } });
-  health.mRequestRate = aStatement.mRequestRate;
-}
-
 auto
 NoteFailure(Forwarder& aForwarder,
             const EndpointId& aEndpoint,
--- a/src/forwarding/internal/holding.cpp
+++ b/src/forwarding/internal/holding.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/limits.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -31,9 +32,21 @@
     { aWork.mHolding, aWork.mHoldTokens, aLease }, aWork.mAddress);
   auto handlers = wire::ExchangeHandlers{};
   const auto isHeld = std::make_shared<bool>(false);
-  handlers.mOnHead = [&aForwarder, isHeld](int aStatus, const wire::Headers&) {
-    *isHeld = aForwarder.mPorts.mCodec.mIsReserved(aStatus);
-  };
+  auto source = StatementSource{};
+  source.mEndpoint = aWork.mEngine;
+  source.mSentAt = aForwarder.mPorts.mNow();
+  const auto entry = aForwarder.mView.mEntries.find(aWork.mEngine);
+  if (entry != aForwarder.mView.mEntries.end()) {
+    source.mIncarnation = entry->second.mNotice.mIncarnation;
+  }
+  handlers.mOnHead =
+    [&aForwarder, isHeld, source](int aStatus, const wire::Headers& aHeaders) {
+      *isHeld = aForwarder.mPorts.mCodec.mIsReserved(aStatus);
+      NoteStatement(
+        aForwarder,
+        source,
+        aForwarder.mPorts.mCodec.mReadAnswer(aStatus, aHeaders).mStatement);
+    };
   handlers.mOnEnd =
     [isHeld, reply = std::move(aReply)](const wire::ExchangeResult& aResult) {
       reply(*isHeld && aResult.mEnd == wire::ExchangeEnd::Complete);
@@ -94,6 +107,11 @@
   if (!isReady) {
     return;
   }
+  if (!MaySendNow(CheckLimit(aForwarder, flight->mAttempt))) {
+    FailReservations(
+      aForwarder, *flight, "the first engine has stated a request limit");
+    return;
+  }
   aForwarder.mPorts.mTimers.mStop(std::exchange(flight->mReservationTimer, 0));
   flight->mReservationsRenewedAt = aForwarder.mPorts.mNow();
   LogEvent(
--- /dev/null
+++ b/src/forwarding/internal/limits.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "forwarding/internal/forwarderstate.h"
+
+/// Request limits that endpoints state, and this instance's share of them.
+namespace cuminslip::forwarding {
+
+/// An answer as evidence about its endpoint.
+struct StatementSource
+{
+  EndpointId mEndpoint;
+  /// Incarnation to which the request was sent.
+  Incarnation mIncarnation = 0;
+  TimePoint mSentAt{};
+  /// The endpoint served the request, so that the absence of a statement
+  /// counts too.
+  bool mIsServed = false;
+};
+
+/// Whether an endpoint may be sent a request.
+struct LimitCheck
+{
+  bool mIsLimited = false;
+  /// Time until this instance may send, 0 for now; empty if it holds no share
+  /// of the limit.
+  std::optional<Millis> mUntilSend = Millis(0);
+  /// The limit was not confirmed lately and may have ended.
+  bool mIsTrialDue = false;
+};
+
+/// Returns true if a request may be sent now.
+auto
+MaySendNow(const LimitCheck& aCheck) -> bool;
+
+/// Records what an answer states about its endpoint. An answer of another
+/// incarnation than the known one says nothing.
+auto
+NoteStatement(Forwarder& aForwarder,
+              const StatementSource& aSource,
+              const EndpointStatement& aStatement) -> void;
+
+auto
+CheckLimit(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
+  -> LimitCheck;
+
+/// Checks the limit of the endpoint of an attempt.
+auto
+CheckLimit(Forwarder& aForwarder, const Attempt& aAttempt) -> LimitCheck;
+
+/// Counts a request that is sent to an endpoint against this instance's share.
+auto
+DrawSend(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void;
+
+/// Takes back DrawSend for a request that did not reach the endpoint.
+auto
+ReturnSend(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void;
+
+/// Forgets the limit of an endpoint that has left.
+auto
+ForgetLimit(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void;
+
+/// Returns the limits for the next notice, a bounded number in turn.
+auto
+ReportLimits(Forwarder& aForwarder) -> std::vector<ReportedLimit>;
+
+auto
+ApplyReportedLimits(Forwarder& aForwarder,
+                    const std::string& aInstance,
+                    const std::vector<ReportedLimit>& aLimits) -> void;
+
+/// Makes a load notice due when limits were not reported lately.
+auto
+RepeatLimits(Forwarder& aForwarder) -> void;
+
+/// Applies the present list of instances to the roster.
+auto
+RefreshRoster(Forwarder& aForwarder) -> void;
+
+} // namespace cuminslip::forwarding
--- a/src/forwarding/internal/loadnotice.cpp
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -8,6 +8,45 @@
 
 namespace cuminslip::forwarding {
 
+namespace {
+
+constexpr auto kNoRate = -1.0;
+
+auto
+WriteLimits(const std::vector<ReportedLimit>& aLimits,
+            schema::LoadNotice::Builder aRoot) -> void
+{
+  auto list = aRoot.initLimits(static_cast<unsigned>(aLimits.size()));
+  auto n = 0U;
+  for (const auto& it : aLimits) {
+    auto to = list[n++];
+    to.setEndpoint(it.mEndpoint);
+    to.setIncarnation(it.mIncarnation);
+    to.setRequestsPerSecond(it.mLimit.mRate.value_or(kNoRate));
+    to.setVersion(it.mLimit.mVersion);
+  }
+}
+
+/// Skips limits that no sender of any version writes.
+auto
+ReadLimits(schema::LoadNotice::Reader aRoot) -> std::vector<ReportedLimit>
+{
+  auto limits = std::vector<ReportedLimit>{};
+  for (const auto it : aRoot.getLimits()) {
+    const auto rate = it.getRequestsPerSecond();
+    if (!std::isfinite(rate)) {
+      continue;
+    }
+    limits.push_back(
+      { it.getEndpoint(),
+        it.getIncarnation(),
+        { rate < 0 ? std::nullopt : std::optional(rate), it.getVersion() } });
+  }
+  return limits;
+}
+
+} // namespace
+
 auto
 EncodeLoadNotice(const LoadNotice& aNotice) -> std::string
 {
@@ -16,6 +55,7 @@
   root.setInstance(TextFrom(aNotice.mInstance));
   root.setSequence(aNotice.mSequence);
   root.setIsSummary(aNotice.mIsSummary);
+  WriteLimits(aNotice.mLimits, root);
   auto shares = root.initShares(static_cast<unsigned>(aNotice.mShares.size()));
   auto n = 0U;
   for (const auto& it : aNotice.mShares) {
@@ -45,6 +85,7 @@
       notice.mInstance = TextOf(aItem.getInstance());
       notice.mSequence = aItem.getSequence();
       notice.mIsSummary = aItem.getIsSummary();
+      notice.mLimits = ReadLimits(aItem);
       for (const auto it : aItem.getShares()) {
         notice.mShares.push_back(
           { it.getEngine(),
--- a/src/forwarding/internal/loadsharing.cpp
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/limits.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -97,7 +98,8 @@
   const auto bytes = EncodeLoadNotice({ aForwarder.mSettings.mPeerAddress,
                                         NextSequence(aForwarder),
                                         SummarizeGroup(aForwarder),
-                                        true });
+                                        true,
+                                        ReportLimits(aForwarder) });
   for (const auto& [group, others] : aForwarder.mMembers) {
     if (group == aForwarder.mOwnGroup) {
       continue;
@@ -162,6 +164,7 @@
            std::vector<directory::EntryInstance> aEntries) -> void
 {
   aForwarder.mEntries = std::move(aEntries);
+  RefreshRoster(aForwarder);
   auto domains = std::vector<FailureDomainId>{};
   for (const auto& it : aForwarder.mEntries) {
     domains.push_back(it.mFailureDomain);
@@ -206,15 +209,18 @@
   }
   shares[aForwarder.mOwnGroup];
   const auto sequence = NextSequence(aForwarder);
+  const auto limits = ReportLimits(aForwarder);
   for (const auto& [group, groupShares] : shares) {
     if (group != aForwarder.mOwnGroup && !groupShares.empty()) {
       aForwarder.mNotifiedGroups.insert(group);
     }
-    SendToGroup(
-      aForwarder,
-      group,
-      EncodeLoadNotice(
-        { aForwarder.mSettings.mPeerAddress, sequence, groupShares, false }));
+    SendToGroup(aForwarder,
+                group,
+                EncodeLoadNotice({ aForwarder.mSettings.mPeerAddress,
+                                   sequence,
+                                   groupShares,
+                                   false,
+                                   limits }));
   }
 }
 
@@ -241,6 +247,8 @@
                { "findings", FormatFindings(notice.mFindings) } });
     return;
   }
+  ApplyReportedLimits(
+    aForwarder, notice.mValue->mInstance, notice.mValue->mLimits);
   if (notice.mValue->mIsSummary) {
     ApplySummary(aForwarder, *notice.mValue);
     return;
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/limits.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -27,6 +28,17 @@
 {
   EndpointId mId;
   const directory::EndpointNotice* mNotice = nullptr;
+  /// Allows a request now, if it is limited.
+  LimitCheck mLimit;
+};
+
+struct CandidateList
+{
+  std::vector<Candidate> mEndpoints;
+  /// Number of endpoints left out because of their request limits.
+  std::size_t mExhausted = 0;
+  /// Shortest time until this instance may send to one of them, if it ever may.
+  std::optional<Millis> mUntilSend;
 };
 
 /// The choice among the engines of one group.
@@ -54,27 +66,76 @@
          aForwarder.mPorts.mNow() < it->second.mEjectedUntil;
 }
 
-/// Returns the ready endpoints of the flight's service that were not tried yet.
-/// Ejected and silent ones are returned only when there are no others.
 auto
-ListCandidates(const Forwarder& aForwarder, const Flight& aFlight)
-  -> std::vector<Candidate>
+MayServe(const directory::EndpointNotice& aNotice, const Flight& aFlight)
+  -> bool
 {
-  auto healthy = std::vector<Candidate>{};
+  return aNotice.mState == directory::NoticeState::Ready &&
+         aNotice.mService == aFlight.mService->mName &&
+         !aFlight.mTried.contains(aNotice.mId);
+}
+
+/// Returns the ready endpoints of the flight's service that were not tried yet
+/// and whose limits allow a request. Ejected and silent ones are returned only
+/// when there are no others.
+auto
+ListCandidates(Forwarder& aForwarder, const Flight& aFlight) -> CandidateList
+{
+  auto healthy = CandidateList{};
   auto suspect = std::vector<Candidate>{};
   for (const auto& [id, entry] : aForwarder.mView.mEntries) {
-    const auto mayTake =
-      entry.mNotice.mState == directory::NoticeState::Ready &&
-      entry.mNotice.mService == aFlight.mService->mName &&
-      !aFlight.mTried.contains(id);
-    if (!mayTake) {
+    if (!MayServe(entry.mNotice, aFlight)) {
+      continue;
+    }
+    const auto limit = CheckLimit(aForwarder, entry.mNotice);
+    if (!MaySendNow(limit)) {
+      ++healthy.mExhausted;
+      const auto wait = limit.mUntilSend;
+      if (wait && *wait < healthy.mUntilSend.value_or(Millis::max())) {
+        healthy.mUntilSend = wait;
+      }
       continue;
     }
     const auto isSuspect =
       IsEjected(aForwarder, id) || directory::IsSilent(aForwarder.mView, entry);
-    (isSuspect ? suspect : healthy).push_back({ id, &entry.mNotice });
+    (isSuspect ? suspect : healthy.mEndpoints)
+      .push_back({ id, &entry.mNotice, limit });
+  }
+  if (healthy.mEndpoints.empty()) {
+    healthy.mEndpoints = std::move(suspect);
+  }
+  return healthy;
+}
+
+/// Returns an endpoint to try, to learn if its limit has ended, or null.
+auto
+FindTrial(const std::vector<Candidate>& aCandidates) -> const Candidate*
+{
+  const auto it =
+    std::find_if(aCandidates.begin(), aCandidates.end(), [](const auto& aItem) {
+      return aItem.mLimit.mIsLimited && aItem.mLimit.mIsTrialDue;
+    });
+  return it == aCandidates.end() ? nullptr : &*it;
+}
+
+auto
+RefuseWithoutEndpoint(Forwarder& aForwarder,
+                      Flight& aFlight,
+                      const CandidateList& aList) -> void
+{
+  auto retryAfter = RetryAfter(aForwarder);
+  if (aList.mExhausted > 0) {
+    ++aForwarder.mCounters.mLimitRefusals;
+    retryAfter = std::max(retryAfter, aList.mUntilSend.value_or(Millis(0)));
+    LogEvent(
+      kLimitsExhaustedEvent,
+      { { "request", aFlight.mRequest.mId.mValue },
+        { "service", aFlight.mService->mName },
+        { "endpoints", aList.mExhausted },
+        { "until_send_ms", aList.mUntilSend ? aList.mUntilSend->count() : -1 },
+        { "instances", aForwarder.mRoster.mInstances.size() } });
   }
-  return healthy.empty() ? suspect : healthy;
+  FailFlight(aForwarder, aFlight, { FailureKind::NoCapacity, retryAfter });
 }
 
 auto
@@ -159,15 +220,19 @@
   return attempt;
 }
 
-/// Returns the request limit that an endpoint stated, for logs; -1 for none.
+/// Returns the request limit of an endpoint and the age of that knowledge, for
+/// logs; -1 for none.
 auto
-StatedRate(const Forwarder& aForwarder, const EndpointId& aEndpoint) -> double
+StatedRate(const Forwarder& aForwarder, const EndpointId& aEndpoint)
+  -> std::pair<double, std::int64_t>
 {
-  constexpr auto kNone = -1.0;
-  const auto it = aForwarder.mHealth.find(aEndpoint);
-  return it == aForwarder.mHealth.end()
-           ? kNone
-           : it->second.mRequestRate.value_or(kNone);
+  const auto it = aForwarder.mLimits.find(Checksum(aEndpoint.mValue));
+  if (it == aForwarder.mLimits.end() || !it->second.mLimit.mRate) {
+    return { -1, -1 };
+  }
+  const auto age =
+    MillisBetween(it->second.mLearnedAt, aForwarder.mPorts.mNow());
+  return { *it->second.mLimit.mRate, age.count() };
 }
 
 auto
@@ -178,6 +243,7 @@
 {
   const auto& choice = aChosen.mChoice;
   const auto& work = aChosen.mEngines[*choice.mEngine].mWork;
+  const auto [rate, rateAge] = StatedRate(aForwarder, aAttempt.mEndpoint);
   auto helperNames = std::string{};
   for (const auto& assigned : aAttempt.mWork) {
     if (assigned.mIsHelper) {
@@ -197,7 +263,8 @@
              { "first_event_ms", std::lround(choice.mFirstEventMillis) },
              { "engine_streams", work.mStreams },
              { "engine_read_ms", std::lround(work.mReadMillis) },
-             { "limit_per_s", StatedRate(aForwarder, aAttempt.mEndpoint) },
+             { "limit_per_s", rate },
+             { "limit_age_ms", rateAge },
              { "candidates", aChosen.mCandidates.size() },
              { "group", aChosen.mGroup.mFailureDomain.mValue },
              { "group_part", aChosen.mGroup.mPart },
@@ -216,6 +283,15 @@
     rules.mSample = kSampledEngines;
     rules.mPackShare = kReducedPackShare;
   }
+  // NOTE: a limit counts requests, not the parts that an engine prefills for
+  // others, so a long prompt on a limited engine gets no other engines.
+  const auto isLimited =
+    std::any_of(aCandidates.begin(), aCandidates.end(), [](const auto& aItem) {
+      return aItem.mLimit.mIsLimited;
+    });
+  if (isLimited) {
+    rules.mMaxReaders = 1;
+  }
   auto engines = ListEngines(aForwarder, aCandidates);
   auto choice = ChooseEngines(*aFlight.mService->mEngine,
                               ToPromptWork(aForwarder, aFlight),
@@ -226,6 +302,14 @@
   };
 }
 
+/// Returns true if the first event is predicted to meet its target.
+auto
+IsInTime(const PromptWork& aPrompt, const LaneChoice& aChoice) -> bool
+{
+  const auto left = aPrompt.mAnswerTarget - aPrompt.mWaited;
+  return aChoice.mFirstEventMillis <= static_cast<double>(left.count());
+}
+
 /// Chooses engines of the own group, or of the best other group if the own one
 /// would be late.
 auto
@@ -255,22 +339,45 @@
   return best;
 }
 
+/// Chooses engines. Limited ones serve no long prompts while there are others;
+/// one that is due for a trial comes first for a short prompt if it is in time.
+auto
+ChooseWithinLimits(Forwarder& aForwarder,
+                   const Flight& aFlight,
+                   const std::vector<Candidate>& aCandidates) -> GroupChoice
+{
+  const auto prompt = ToPromptWork(aForwarder, aFlight);
+  if (IsLongPrompt(*aFlight.mService->mEngine, prompt)) {
+    auto others = std::vector<Candidate>{};
+    std::copy_if(aCandidates.begin(),
+                 aCandidates.end(),
+                 std::back_inserter(others),
+                 [](const auto& aItem) { return !aItem.mLimit.mIsLimited; });
+    return ChooseAmongGroups(
+      aForwarder, aFlight, others.empty() ? aCandidates : others);
+  }
+  if (const auto* trial = FindTrial(aCandidates)) {
+    auto chosen = ChooseAmongGroups(aForwarder, aFlight, { *trial });
+    if (chosen.mChoice.mEngine && IsInTime(prompt, chosen.mChoice)) {
+      return chosen;
+    }
+  }
+  return ChooseAmongGroups(aForwarder, aFlight, aCandidates);
+}
+
 auto
 PlaceOnEngines(Forwarder& aForwarder,
                Flight& aFlight,
                const std::vector<Candidate>& aCandidates) -> void
 {
   const auto prompt = ToPromptWork(aForwarder, aFlight);
-  const auto chosen = ChooseAmongGroups(aForwarder, aFlight, aCandidates);
+  const auto chosen = ChooseWithinLimits(aForwarder, aFlight, aCandidates);
   const auto& choice = chosen.mChoice;
   if (choice.mReason == LaneReason::Wait) {
     WaitForEngine(aFlight, aCandidates.size());
     return;
   }
-  const auto isLate =
-    choice.mFirstEventMillis >
-    static_cast<double>((prompt.mAnswerTarget - prompt.mWaited).count());
-  if (isLate && MayWaitForEndpoints(aForwarder, aFlight)) {
+  if (!IsInTime(prompt, choice) && MayWaitForEndpoints(aForwarder, aFlight)) {
     aFlight.mIsWaiting = true;
     return;
   }
@@ -295,21 +402,23 @@
 auto
 PlaceFlight(Forwarder& aForwarder, Flight& aFlight) -> void
 {
-  const auto candidates = ListCandidates(aForwarder, aFlight);
+  const auto list = ListCandidates(aForwarder, aFlight);
+  const auto& candidates = list.mEndpoints;
   if (candidates.empty() && MayWaitForEndpoints(aForwarder, aFlight)) {
     aFlight.mIsWaiting = true;
     return;
   }
   if (candidates.empty()) {
-    FailFlight(
-      aForwarder, aFlight, { FailureKind::NoCapacity, RetryAfter(aForwarder) });
+    RefuseWithoutEndpoint(aForwarder, aFlight, list);
     return;
   }
   if (aFlight.mService->mEngine) {
     PlaceOnEngines(aForwarder, aFlight, candidates);
     return;
   }
-  const auto& chosen = ChoosePlain(aForwarder, candidates);
+  const auto* trial = FindTrial(candidates);
+  const auto& chosen = trial ? *trial : ChoosePlain(aForwarder, candidates);
+  const auto [rate, rateAge] = StatedRate(aForwarder, chosen.mId);
   auto attempt = Attempt{};
   attempt.mEndpoint = chosen.mId;
   attempt.mAddress = chosen.mNotice->mAddress;
@@ -320,7 +429,8 @@
              { "endpoint", chosen.mId.mValue },
              { "reason", "least_loaded" },
              { "candidates", candidates.size() },
-             { "limit_per_s", StatedRate(aForwarder, chosen.mId) },
+             { "limit_per_s", rate },
+             { "limit_age_ms", rateAge },
              { "version", aFlight.mTable->mDocument.mVersion },
              { "send", aFlight.mSends + 1 } });
   SendFlight(aForwarder, aFlight, std::move(attempt));
--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/limits.h"
 
 #include <algorithm>
 
@@ -55,11 +56,13 @@
     ++aForwarder.mCounters.mRepeats;
   }
   ++aForwarder.mCounters.mSends;
-  if (aForwarder.mHealth[aAttempt.mEndpoint].mRequestRate) {
-    ++aForwarder.mCounters.mLimitedSends;
-  }
+  DrawSend(aForwarder, aAttempt.mEndpoint);
   aFlight.mTried.insert(aAttempt.mEndpoint);
   aAttempt.mSentAt = now;
+  const auto endpoint = aForwarder.mView.mEntries.find(aAttempt.mEndpoint);
+  if (endpoint != aForwarder.mView.mEntries.end()) {
+    aAttempt.mIncarnation = endpoint->second.mNotice.mIncarnation;
+  }
   aFlight.mAttempt = std::move(aAttempt);
   auto facts = AttemptParameters{};
   facts.mEndpoint = aFlight.mAttempt.mEndpoint;
--- a/src/forwarding/loadnotice.h
+++ b/src/forwarding/loadnotice.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "base/findings.h"
+#include "base/types/ids.h"
 #include "policy/enginelanes.h"
+#include "policy/requestlimits.h"
 
 #include <cstdint>
 #include <string>
@@ -24,6 +26,17 @@
   auto operator==(const EngineShare&) const -> bool = default;
 };
 
+/// What the sender knows of an endpoint's request limit.
+struct ReportedLimit
+{
+  /// Checksum of the endpoint's id.
+  std::uint64_t mEndpoint = 0;
+  Incarnation mIncarnation = 0;
+  RequestLimit mLimit;
+
+  auto operator==(const ReportedLimit&) const -> bool = default;
+};
+
 struct LoadNotice
 {
   /// Peer address of the sender.
@@ -33,6 +46,8 @@
   std::vector<EngineShare> mShares;
   /// mShares is the work of all instances on the engines of the sender's group.
   bool mIsSummary = false;
+  /// Advice: may be incomplete and older than what the receiver knows.
+  std::vector<ReportedLimit> mLimits;
 
   auto operator==(const LoadNotice&) const -> bool = default;
 };
--- a/src/forwarding/tests/fakeworld.h
+++ b/src/forwarding/tests/fakeworld.h
@@ -82,6 +82,11 @@
       auto facts = AnswerFacts{};
       facts.mHasNotRun = wire::FindHeader(aHeaders, "not-run").has_value();
       facts.mIsGenuine = wire::FindHeader(aHeaders, "seal").has_value();
+      if (const auto limit = wire::FindHeader(aHeaders, "limit")) {
+        facts.mStatement.mRequestRate = std::stod(*limit);
+      }
+      facts.mStatement.mIsMalformed =
+        wire::FindHeader(aHeaders, "malformed").has_value();
       facts.mHeaders = aHeaders;
       return facts;
     };
@@ -226,7 +231,8 @@
     const std::string& aService,
     int aNumber,
     std::uint64_t aSequence = 1,
-    directory::NoticeState aState = directory::NoticeState::Ready) -> void
+    directory::NoticeState aState = directory::NoticeState::Ready,
+    Incarnation aIncarnation = 1) -> void
   {
     auto notice = directory::EndpointNotice{};
     notice.mId = { aId };
@@ -235,7 +241,7 @@
     notice.mFailureDomain = { "a" };
     notice.mSlots = 16;
     notice.mState = aState;
-    notice.mIncarnation = 1;
+    notice.mIncarnation = aIncarnation;
     notice.mSequence = aSequence;
     ApplyEndpoints(*mForwarder, { "c1", false, { { notice, false } } });
   }
--- a/src/forwarding/types/forwardevents.h
+++ b/src/forwarding/types/forwardevents.h
@@ -44,5 +44,7 @@
   Event{ 2017, "endpoint_limit_changed", Severity::Info };
 inline constexpr auto kStatementIgnoredEvent =
   Event{ 2018, "endpoint_statement_ignored", Severity::Warning };
+inline constexpr auto kLimitsExhaustedEvent =
+  Event{ 2019, "endpoint_limits_exhausted", Severity::Info };
 
 } // namespace cuminslip::forwarding
--- a/src/forwarding/types/forwardsettings.h
+++ b/src/forwarding/types/forwardsettings.h
@@ -4,7 +4,9 @@
 #include "base/types/ids.h"
 #include "policy/borrowing.h"
 #include "policy/enginelanes.h"
+#include "policy/instanceroster.h"
 #include "policy/loadgroups.h"
+#include "policy/requestlimits.h"
 #include "policy/retrybudget.h"
 
 #include <string>
@@ -21,6 +23,8 @@
   LaneRules mLanes;
   GroupRules mGroups;
   BorrowRules mBorrowing;
+  LimitRules mLimits;
+  RosterRules mRoster;
   /// Maximum time for an endpoint to accept a connection.
   Millis mConnectTimeout{ 500 };
   /// Lower bound of the connect timeout for routes with a short answer target.
--- a/src/gateway/internal/metricfamily.cpp
+++ b/src/gateway/internal/metricfamily.cpp
@@ -21,6 +21,24 @@
   return metric;
 }
 
+auto
+GaugeMetric(double aValue) -> prometheus::ClientMetric
+{
+  auto metric = prometheus::ClientMetric{};
+  metric.gauge.value = aValue;
+  return metric;
+}
+
+auto
+Gauge(std::string aName, std::string aHelp, double aValue)
+  -> prometheus::MetricFamily
+{
+  auto family = MakeFamily(
+    std::move(aName), std::move(aHelp), prometheus::MetricType::Gauge);
+  family.metric.push_back(GaugeMetric(aValue));
+  return family;
+}
+
 auto
 Counter(std::string aName, std::string aHelp, std::uint64_t aValue)
   -> prometheus::MetricFamily
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -120,6 +120,9 @@
       Counter("cuminslip_forward_limited_sends_total",
               "Requests sent to endpoints that had stated a limit.",
               counters.mLimitedSends),
+      Counter("cuminslip_forward_limit_refusals_total",
+              "Requests refused because endpoints' limits were exhausted.",
+              counters.mLimitRefusals),
       Counter("cuminslip_forward_malformed_statements_total",
               "Answers with an unreadable statement about their endpoint.",
               counters.mMalformedStatements),
@@ -133,6 +136,11 @@
               "Bytes dropped that belong to no request.",
               pool.mStrayBytes)
     };
+    families.push_back(
+      Gauge("cuminslip_forward_limited_endpoints",
+            "Endpoints with a request limit in force.",
+            static_cast<double>(
+              forwarding::CountLimitedEndpoints(*aGateway.mForwarder))));
     const auto& times = forwarding::TimesOf(*aGateway.mForwarder);
     families.push_back(RequestTimes(times));
     families.push_back(FirstEventTimes(times));
--- a/src/gateway/metricfamily.h
+++ b/src/gateway/metricfamily.h
@@ -16,6 +16,14 @@
 auto
 CounterMetric(double aValue) -> prometheus::ClientMetric;
 
+auto
+GaugeMetric(double aValue) -> prometheus::ClientMetric;
+
+/// Returns a family with one gauge without labels.
+auto
+Gauge(std::string aName, std::string aHelp, double aValue)
+  -> prometheus::MetricFamily;
+
 /// Returns a family with one counter without labels.
 auto
 Counter(std::string aName, std::string aHelp, std::uint64_t aValue)
--- a/src/program/internal/metrics.cpp
+++ b/src/program/internal/metrics.cpp
@@ -13,28 +13,13 @@
 
 using gateway::Counter;
 using gateway::CounterMetric;
+using gateway::Gauge;
+using gateway::GaugeMetric;
 using gateway::MakeFamily;
 using prometheus::ClientMetric;
 using prometheus::MetricFamily;
 using prometheus::MetricType;
 
-auto
-GaugeMetric(double aValue) -> ClientMetric
-{
-  auto metric = ClientMetric{};
-  metric.gauge.value = aValue;
-  return metric;
-}
-
-auto
-Gauge(std::string aName, std::string aHelp, double aValue) -> MetricFamily
-{
-  auto family =
-    MakeFamily(std::move(aName), std::move(aHelp), MetricType::Gauge);
-  family.metric.push_back(GaugeMetric(aValue));
-  return family;
-}
-
 auto
 RefusalFamily(const requests::FrontCounters& aCounters) -> MetricFamily
 {
