Rename the state of request limits to that of an endpoint's statements

No change of behaviour: answers are about to state more about their endpoint than a limit. statements.h in place of limits.h, StatedEndpoint, SendCheck, ReportedStatement.

--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -1,5 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
-#include "forwarding/internal/limits.h"
+#include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
--- a/src/forwarding/internal/claiming.cpp
+++ b/src/forwarding/internal/claiming.cpp
@@ -1,5 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
-#include "forwarding/internal/limits.h"
+#include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -42,7 +42,7 @@
 EndClaim(Forwarder& aForwarder, Flight& aFlight) -> void
 {
   // NOTE: the endpoint may have stated a limit since it was chosen.
-  if (!MaySendNow(CheckLimit(aForwarder, aFlight.mAttempt))) {
+  if (!MaySendNow(CheckSend(aForwarder, aFlight.mAttempt))) {
     PlaceAgain(aForwarder, aFlight);
     return;
   }
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -1,7 +1,7 @@
 #include "forwarding/forwarder.h"
 
 #include "forwarding/internal/forwarderstate.h"
-#include "forwarding/internal/limits.h"
+#include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -197,7 +197,7 @@
       DropDisconnectedCallers(aForwarder);
       RenewReservations(aForwarder);
       SchedulePlacement(aForwarder, true);
-      RepeatLimits(aForwarder);
+      RepeatStatements(aForwarder);
       SendLoadNotice(aForwarder, false);
       // NOTE: on an idle instance the timer stops, so that only external events
       // wake it.
@@ -280,7 +280,7 @@
                { "source", aUpdate.mSource } });
     if (notice.mState == directory::NoticeState::Gone) {
       aForwarder.mHealth.erase(id);
-      ForgetLimit(aForwarder, id);
+      ForgetStatements(aForwarder, id);
     }
   }
   SchedulePlacement(aForwarder, true);
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -110,7 +110,7 @@
 
 /// The request limit of one incarnation of an endpoint, and this instance's use
 /// of it.
-struct LimitState
+struct StatedEndpoint
 {
   Incarnation mIncarnation = 0;
   RequestLimit mLimit;
@@ -163,8 +163,8 @@
   std::vector<directory::EntryInstance> mEntries;
   InstanceRoster mRoster;
   /// By checksum of the endpoint's id.
-  std::unordered_map<std::uint64_t, LimitState> mLimits;
-  std::size_t mNextReportedLimit = 0;
+  std::unordered_map<std::uint64_t, StatedEndpoint> mStated;
+  std::size_t mNextReported = 0;
   GroupLayout mGroups;
   LoadGroup mOwnGroup;
   /// Peer addresses of the instances of each group, this one included.
--- a/src/forwarding/internal/holding.cpp
+++ b/src/forwarding/internal/holding.cpp
@@ -1,5 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
-#include "forwarding/internal/limits.h"
+#include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -107,7 +107,7 @@
   if (!isReady) {
     return;
   }
-  if (!MaySendNow(CheckLimit(aForwarder, flight->mAttempt))) {
+  if (!MaySendNow(CheckSend(aForwarder, flight->mAttempt))) {
     FailReservations(
       aForwarder, *flight, "the first engine has stated a request limit");
     return;
--- a/src/forwarding/internal/loadnotice.cpp
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -13,12 +13,12 @@
 constexpr auto kNoRate = -1.0;
 
 auto
-WriteLimits(const std::vector<ReportedLimit>& aLimits,
-            schema::LoadNotice::Builder aRoot) -> void
+WriteStatements(const std::vector<ReportedStatement>& aStatements,
+                schema::LoadNotice::Builder aRoot) -> void
 {
-  auto list = aRoot.initLimits(static_cast<unsigned>(aLimits.size()));
+  auto list = aRoot.initLimits(static_cast<unsigned>(aStatements.size()));
   auto n = 0U;
-  for (const auto& it : aLimits) {
+  for (const auto& it : aStatements) {
     auto to = list[n++];
     to.setEndpoint(it.mEndpoint);
     to.setIncarnation(it.mIncarnation);
@@ -27,22 +27,23 @@
   }
 }
 
-/// Skips limits that no sender of any version writes.
+/// Skips statements that no sender of any version writes.
 auto
-ReadLimits(schema::LoadNotice::Reader aRoot) -> std::vector<ReportedLimit>
+ReadStatements(schema::LoadNotice::Reader aRoot)
+  -> std::vector<ReportedStatement>
 {
-  auto limits = std::vector<ReportedLimit>{};
+  auto statements = std::vector<ReportedStatement>{};
   for (const auto it : aRoot.getLimits()) {
     const auto rate = it.getRequestsPerSecond();
     if (!std::isfinite(rate)) {
       continue;
     }
-    limits.push_back(
+    statements.push_back(
       { it.getEndpoint(),
         it.getIncarnation(),
         { rate < 0 ? std::nullopt : std::optional(rate), it.getVersion() } });
   }
-  return limits;
+  return statements;
 }
 
 } // namespace
@@ -55,7 +56,7 @@
   root.setInstance(TextFrom(aNotice.mInstance));
   root.setSequence(aNotice.mSequence);
   root.setIsSummary(aNotice.mIsSummary);
-  WriteLimits(aNotice.mLimits, root);
+  WriteStatements(aNotice.mStatements, root);
   auto shares = root.initShares(static_cast<unsigned>(aNotice.mShares.size()));
   auto n = 0U;
   for (const auto& it : aNotice.mShares) {
@@ -85,7 +86,7 @@
       notice.mInstance = TextOf(aItem.getInstance());
       notice.mSequence = aItem.getSequence();
       notice.mIsSummary = aItem.getIsSummary();
-      notice.mLimits = ReadLimits(aItem);
+      notice.mStatements = ReadStatements(aItem);
       for (const auto it : aItem.getShares()) {
         notice.mShares.push_back(
           { it.getEngine(),
--- a/src/forwarding/internal/loadsharing.cpp
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -1,5 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
-#include "forwarding/internal/limits.h"
+#include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -99,7 +99,7 @@
                                         NextSequence(aForwarder),
                                         SummarizeGroup(aForwarder),
                                         true,
-                                        ReportLimits(aForwarder) });
+                                        ReportStatements(aForwarder) });
   for (const auto& [group, others] : aForwarder.mMembers) {
     if (group == aForwarder.mOwnGroup) {
       continue;
@@ -209,7 +209,7 @@
   }
   shares[aForwarder.mOwnGroup];
   const auto sequence = NextSequence(aForwarder);
-  const auto limits = ReportLimits(aForwarder);
+  const auto limits = ReportStatements(aForwarder);
   for (const auto& [group, groupShares] : shares) {
     if (group != aForwarder.mOwnGroup && !groupShares.empty()) {
       aForwarder.mNotifiedGroups.insert(group);
@@ -247,8 +247,8 @@
                { "findings", FormatFindings(notice.mFindings) } });
     return;
   }
-  ApplyReportedLimits(
-    aForwarder, notice.mValue->mInstance, notice.mValue->mLimits);
+  ApplyReports(
+    aForwarder, notice.mValue->mInstance, notice.mValue->mStatements);
   if (notice.mValue->mIsSummary) {
     ApplySummary(aForwarder, *notice.mValue);
     return;
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -1,5 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
-#include "forwarding/internal/limits.h"
+#include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -29,7 +29,7 @@
   EndpointId mId;
   const directory::EndpointNotice* mNotice = nullptr;
   /// Allows a request now, if it is limited.
-  LimitCheck mLimit;
+  SendCheck mCheck;
 };
 
 struct CandidateList
@@ -87,10 +87,10 @@
     if (!MayServe(entry.mNotice, aFlight)) {
       continue;
     }
-    const auto limit = CheckLimit(aForwarder, entry.mNotice);
-    if (!MaySendNow(limit)) {
+    const auto check = CheckSend(aForwarder, entry.mNotice);
+    if (!MaySendNow(check)) {
       ++healthy.mExhausted;
-      const auto wait = limit.mUntilSend;
+      const auto wait = check.mUntilSend;
       if (wait && *wait < healthy.mUntilSend.value_or(Millis::max())) {
         healthy.mUntilSend = wait;
       }
@@ -99,7 +99,7 @@
     const auto isSuspect =
       IsEjected(aForwarder, id) || directory::IsSilent(aForwarder.mView, entry);
     (isSuspect ? suspect : healthy.mEndpoints)
-      .push_back({ id, &entry.mNotice, limit });
+      .push_back({ id, &entry.mNotice, check });
   }
   if (healthy.mEndpoints.empty()) {
     healthy.mEndpoints = std::move(suspect);
@@ -113,7 +113,7 @@
 {
   const auto it =
     std::find_if(aCandidates.begin(), aCandidates.end(), [](const auto& aItem) {
-      return aItem.mLimit.mIsLimited && aItem.mLimit.mIsTrialDue;
+      return aItem.mCheck.mIsLimited && aItem.mCheck.mIsTrialDue;
     });
   return it == aCandidates.end() ? nullptr : &*it;
 }
@@ -226,8 +226,8 @@
 StatedRate(const Forwarder& aForwarder, const EndpointId& aEndpoint)
   -> std::pair<double, std::int64_t>
 {
-  const auto it = aForwarder.mLimits.find(Checksum(aEndpoint.mValue));
-  if (it == aForwarder.mLimits.end() || !it->second.mLimit.mRate) {
+  const auto it = aForwarder.mStated.find(Checksum(aEndpoint.mValue));
+  if (it == aForwarder.mStated.end() || !it->second.mLimit.mRate) {
     return { -1, -1 };
   }
   const auto age =
@@ -287,7 +287,7 @@
   // others, so a long prompt on a limited engine gets no other engines.
   const auto isLimited =
     std::any_of(aCandidates.begin(), aCandidates.end(), [](const auto& aItem) {
-      return aItem.mLimit.mIsLimited;
+      return aItem.mCheck.mIsLimited;
     });
   if (isLimited) {
     rules.mMaxReaders = 1;
@@ -352,7 +352,7 @@
     std::copy_if(aCandidates.begin(),
                  aCandidates.end(),
                  std::back_inserter(others),
-                 [](const auto& aItem) { return !aItem.mLimit.mIsLimited; });
+                 [](const auto& aItem) { return !aItem.mCheck.mIsLimited; });
     return ChooseAmongGroups(
       aForwarder, aFlight, others.empty() ? aCandidates : others);
   }
--- a/src/forwarding/internal/limits.cpp
+++ b/src/forwarding/internal/statements.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/limits.h"
+#include "forwarding/internal/statements.h"
 
 #include "base/digest.h"
 #include "forwarding/types/forwardevents.h"
@@ -10,9 +10,9 @@
 
 namespace {
 
-constexpr auto kMaxLimits = std::size_t{ 4096 };
+constexpr auto kMaxStated = std::size_t{ 4096 };
 /// Keeps a notice within one packet.
-constexpr auto kMaxReportedLimits = std::size_t{ 32 };
+constexpr auto kMaxReported = std::size_t{ 32 };
 /// A limit that has ended is reported for this long. An instance that missed it
 /// learns of it from a holder's next notice.
 constexpr auto kEndedReportTime = Millis(30000);
@@ -39,7 +39,7 @@
          const RequestLimit& aLimit,
          std::string_view aSource) -> void
 {
-  auto& state = aForwarder.mLimits[aKey];
+  auto& state = aForwarder.mStated[aKey];
   const auto now = aForwarder.mPorts.mNow();
   LogEvent(kRequestLimitEvent,
            { { "endpoint", NameOf(aForwarder, aKey) },
@@ -63,14 +63,14 @@
 /// exhausted.
 auto
 OpenState(Forwarder& aForwarder, std::uint64_t aKey, Incarnation aIncarnation)
-  -> LimitState*
+  -> StatedEndpoint*
 {
-  const auto it = aForwarder.mLimits.find(aKey);
-  if (it == aForwarder.mLimits.end()) {
-    if (aForwarder.mLimits.size() >= kMaxLimits) {
+  const auto it = aForwarder.mStated.find(aKey);
+  if (it == aForwarder.mStated.end()) {
+    if (aForwarder.mStated.size() >= kMaxStated) {
       return nullptr;
     }
-    auto& state = aForwarder.mLimits[aKey];
+    auto& state = aForwarder.mStated[aKey];
     state.mIncarnation = aIncarnation;
     return &state;
   }
@@ -87,13 +87,13 @@
 /// Returns the limit in force at an endpoint, or null.
 auto
 FindLimit(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
-  -> LimitState*
+  -> StatedEndpoint*
 {
-  if (aForwarder.mLimits.empty()) {
+  if (aForwarder.mStated.empty()) {
     return nullptr;
   }
-  const auto it = aForwarder.mLimits.find(Checksum(aEndpoint.mId.mValue));
-  const auto isInForce = it != aForwarder.mLimits.end() &&
+  const auto it = aForwarder.mStated.find(Checksum(aEndpoint.mId.mValue));
+  const auto isInForce = it != aForwarder.mStated.end() &&
                          it->second.mIncarnation >= aEndpoint.mIncarnation &&
                          it->second.mLimit.mRate;
   return isInForce ? &it->second : nullptr;
@@ -101,7 +101,7 @@
 
 auto
 ShareOf(Forwarder& aForwarder,
-        LimitState& aState,
+        StatedEndpoint& aState,
         const directory::EndpointNotice& aEndpoint) -> double
 {
   const auto& roster = aForwarder.mRoster;
@@ -124,11 +124,11 @@
 AddSends(Forwarder& aForwarder, const EndpointId& aEndpoint, double aRequests)
   -> bool
 {
-  if (aForwarder.mLimits.empty()) {
+  if (aForwarder.mStated.empty()) {
     return false;
   }
-  const auto it = aForwarder.mLimits.find(Checksum(aEndpoint.mValue));
-  if (it == aForwarder.mLimits.end() || !it->second.mLimit.mRate) {
+  const auto it = aForwarder.mStated.find(Checksum(aEndpoint.mValue));
+  if (it == aForwarder.mStated.end() || !it->second.mLimit.mRate) {
     return false;
   }
   it->second.mAllowance.mRequests += aRequests;
@@ -136,7 +136,7 @@
 }
 
 auto
-IsReportable(const LimitState& aState, TimePoint aNow) -> bool
+IsReportable(const StatedEndpoint& aState, TimePoint aNow) -> bool
 {
   return aState.mLimit.mRate || aNow < aState.mLearnedAt + kEndedReportTime;
 }
@@ -144,7 +144,7 @@
 } // namespace
 
 auto
-MaySendNow(const LimitCheck& aCheck) -> bool
+MaySendNow(const SendCheck& aCheck) -> bool
 {
   return aCheck.mUntilSend == Millis(0);
 }
@@ -170,7 +170,7 @@
   const auto key = Checksum(aSource.mEndpoint.mValue);
   const auto saysNothing =
     !aStatement.mRequestRate &&
-    (!aSource.mIsServed || !aForwarder.mLimits.contains(key));
+    (!aSource.mIsServed || !aForwarder.mStated.contains(key));
   if (!isPresent || saysNothing) {
     return;
   }
@@ -195,8 +195,8 @@
 }
 
 auto
-CheckLimit(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
-  -> LimitCheck
+CheckSend(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
+  -> SendCheck
 {
   auto* state = FindLimit(aForwarder, aEndpoint);
   if (state == nullptr) {
@@ -212,12 +212,12 @@
 }
 
 auto
-CheckLimit(Forwarder& aForwarder, const Attempt& aAttempt) -> LimitCheck
+CheckSend(Forwarder& aForwarder, const Attempt& aAttempt) -> SendCheck
 {
   const auto it = aForwarder.mView.mEntries.find(aAttempt.mEndpoint);
   return it == aForwarder.mView.mEntries.end()
-           ? LimitCheck{}
-           : CheckLimit(aForwarder, it->second.mNotice);
+           ? SendCheck{}
+           : CheckSend(aForwarder, it->second.mNotice);
 }
 
 auto
@@ -235,40 +235,40 @@
 }
 
 auto
-ForgetLimit(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void
+ForgetStatements(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void
 {
-  aForwarder.mLimits.erase(Checksum(aEndpoint.mValue));
+  aForwarder.mStated.erase(Checksum(aEndpoint.mValue));
 }
 
 auto
-ReportLimits(Forwarder& aForwarder) -> std::vector<ReportedLimit>
+ReportStatements(Forwarder& aForwarder) -> std::vector<ReportedStatement>
 {
-  auto all = std::vector<ReportedLimit>{};
+  auto all = std::vector<ReportedStatement>{};
   const auto now = aForwarder.mPorts.mNow();
-  for (const auto& [key, state] : aForwarder.mLimits) {
+  for (const auto& [key, state] : aForwarder.mStated) {
     if (IsReportable(state, now)) {
       all.push_back({ key, state.mIncarnation, state.mLimit });
     }
   }
-  if (all.size() <= kMaxReportedLimits) {
+  if (all.size() <= kMaxReported) {
     return all;
   }
-  const auto first = aForwarder.mNextReportedLimit % all.size();
+  const auto first = aForwarder.mNextReported % all.size();
   std::rotate(
     all.begin(), all.begin() + static_cast<std::ptrdiff_t>(first), all.end());
-  all.resize(kMaxReportedLimits);
-  aForwarder.mNextReportedLimit = first + kMaxReportedLimits;
+  all.resize(kMaxReported);
+  aForwarder.mNextReported = first + kMaxReported;
   return all;
 }
 
 auto
-ApplyReportedLimits(Forwarder& aForwarder,
-                    const std::string& aInstance,
-                    const std::vector<ReportedLimit>& aLimits) -> void
+ApplyReports(Forwarder& aForwarder,
+             const std::string& aInstance,
+             const std::vector<ReportedStatement>& aLimits) -> void
 {
   for (const auto& it : aLimits) {
     // NOTE: the end of a limit that was never known here changes nothing.
-    if (!it.mLimit.mRate && !aForwarder.mLimits.contains(it.mEndpoint)) {
+    if (!it.mLimit.mRate && !aForwarder.mStated.contains(it.mEndpoint)) {
       continue;
     }
     const auto* state = OpenState(aForwarder, it.mEndpoint, it.mIncarnation);
@@ -286,20 +286,20 @@
 CountLimitedEndpoints(const Forwarder& aForwarder) -> std::size_t
 {
   return static_cast<std::size_t>(std::count_if(
-    aForwarder.mLimits.begin(),
-    aForwarder.mLimits.end(),
+    aForwarder.mStated.begin(),
+    aForwarder.mStated.end(),
     [](const auto& aItem) { return aItem.second.mLimit.mRate.has_value(); }));
 }
 
 auto
-RepeatLimits(Forwarder& aForwarder) -> void
+RepeatStatements(Forwarder& aForwarder) -> void
 {
   const auto now = aForwarder.mPorts.mNow();
   aForwarder.mIsNoticeDue |=
     now >= aForwarder.mNoticeSentAt + kReportInterval &&
     std::any_of(
-      aForwarder.mLimits.begin(),
-      aForwarder.mLimits.end(),
+      aForwarder.mStated.begin(),
+      aForwarder.mStated.end(),
       [&](const auto& aItem) { return IsReportable(aItem.second, now); });
 }
 
--- a/src/forwarding/internal/limits.h
+++ b/src/forwarding/internal/statements.h
@@ -18,7 +18,7 @@
 };
 
 /// Whether an endpoint may be sent a request.
-struct LimitCheck
+struct SendCheck
 {
   bool mIsLimited = false;
   /// Time until this instance may send, 0 for now; empty if it holds no share
@@ -30,7 +30,7 @@
 
 /// Returns true if a request may be sent now.
 auto
-MaySendNow(const LimitCheck& aCheck) -> bool;
+MaySendNow(const SendCheck& aCheck) -> bool;
 
 /// Records what an answer states about its endpoint. An answer of another
 /// incarnation than the known one says nothing.
@@ -40,12 +40,12 @@
               const EndpointStatement& aStatement) -> void;
 
 auto
-CheckLimit(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
-  -> LimitCheck;
+CheckSend(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
+  -> SendCheck;
 
 /// Checks the limit of the endpoint of an attempt.
 auto
-CheckLimit(Forwarder& aForwarder, const Attempt& aAttempt) -> LimitCheck;
+CheckSend(Forwarder& aForwarder, const Attempt& aAttempt) -> SendCheck;
 
 /// Counts a request that is sent to an endpoint against this instance's share.
 auto
@@ -57,20 +57,20 @@
 
 /// Forgets the limit of an endpoint that has left.
 auto
-ForgetLimit(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void;
+ForgetStatements(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void;
 
 /// Returns the limits for the next notice, a bounded number in turn.
 auto
-ReportLimits(Forwarder& aForwarder) -> std::vector<ReportedLimit>;
+ReportStatements(Forwarder& aForwarder) -> std::vector<ReportedStatement>;
 
 auto
-ApplyReportedLimits(Forwarder& aForwarder,
-                    const std::string& aInstance,
-                    const std::vector<ReportedLimit>& aLimits) -> void;
+ApplyReports(Forwarder& aForwarder,
+             const std::string& aInstance,
+             const std::vector<ReportedStatement>& aLimits) -> void;
 
 /// Makes a load notice due when limits were not reported lately.
 auto
-RepeatLimits(Forwarder& aForwarder) -> void;
+RepeatStatements(Forwarder& aForwarder) -> void;
 
 /// Applies the present list of instances to the roster.
 auto
--- a/src/forwarding/loadnotice.h
+++ b/src/forwarding/loadnotice.h
@@ -27,14 +27,14 @@
 };
 
 /// What the sender knows of an endpoint's request limit.
-struct ReportedLimit
+struct ReportedStatement
 {
   /// Checksum of the endpoint's id.
   std::uint64_t mEndpoint = 0;
   Incarnation mIncarnation = 0;
   RequestLimit mLimit;
 
-  auto operator==(const ReportedLimit&) const -> bool = default;
+  auto operator==(const ReportedStatement&) const -> bool = default;
 };
 
 struct LoadNotice
@@ -47,7 +47,7 @@
   /// mShares is the work of all instances on the engines of the sender's group.
   bool mIsSummary = false;
   /// Advice: may be incomplete and older than what the receiver knows.
-  std::vector<ReportedLimit> mLimits;
+  std::vector<ReportedStatement> mStatements;
 
   auto operator==(const LoadNotice&) const -> bool = default;
 };
--- a/src/forwarding/tests/limits_tests.cpp
+++ b/src/forwarding/tests/limits_tests.cpp
@@ -182,13 +182,14 @@
   BOOST_REQUIRE(mNotices.size() == 1U);
   const auto notice = CollectOutcome<LoadNotice>(
     [&] { return DecodeLoadNotice(mNotices.back().second); });
-  BOOST_TEST((notice.mValue.value().mLimits ==
-              std::vector<ReportedLimit>{ { Checksum("p1"), 1, { 1.3, 1 } } }));
+  BOOST_TEST(
+    (notice.mValue.value().mStatements ==
+     std::vector<ReportedStatement>{ { Checksum("p1"), 1, { 1.3, 1 } } }));
 }
 
 BOOST_AUTO_TEST_CASE(NoticesNameABoundedNumberOfLimitsInTurn)
 {
-  auto limits = std::vector<ReportedLimit>{};
+  auto limits = std::vector<ReportedStatement>{};
   for (auto i = std::uint64_t{ 1 }; i <= 100; ++i) {
     limits.push_back({ i, 1, { 1.0, 1 } });
   }
@@ -202,7 +203,7 @@
     BOOST_TEST(bytes.size() < 1400U);
     const auto notice = CollectOutcome<LoadNotice>(
       [&, text = bytes] { return DecodeLoadNotice(text); });
-    for (const auto& it : notice.mValue.value().mLimits) {
+    for (const auto& it : notice.mValue.value().mStatements) {
       named.insert(it.mEndpoint);
     }
   }
