Heed endpoints that leave or ask for time in their answers

An endpoint that stated in an answer that it leaves went on getting requests until its notice came through control, and again after a heartbeat that had been sent earlier; one that turned requests away and asked for time was tried again after the 500 ms of an ejection, or at once where no other was left.

Both are kept as statements of the endpoint's incarnation beside its limit and pass through the same check before any sending. Leaving is final for the incarnation, whatever a notice says, and is reported to the other instances; a pause is this instance's own. Where nothing else is left, requests are refused at once, with a Retry-After from the first endpoint that accepts one. Reports on endpoints that have left are ignored, or instances would remind each other of them for ever.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -41,8 +41,10 @@
   /// Requests sent to endpoints that had stated one.
   std::uint64_t mLimitedSends = 0;
   std::uint64_t mMalformedStatements = 0;
-  /// Requests refused because the limits of endpoints were exhausted.
+  /// Requests refused because of what endpoints had stated.
   std::uint64_t mLimitRefusals = 0;
+  /// Answers by which endpoints asked this instance for time.
+  std::uint64_t mPausesAsked = 0;
 
   auto operator==(const ForwardCounters&) const -> bool = default;
 };
@@ -103,6 +105,10 @@
 auto
 TimesOf(const Forwarder& aForwarder) -> const ForwardTimes&;
 
+/// Returns the number of endpoints that stated that they leave.
+auto
+CountLeavingEndpoints(const Forwarder& aForwarder) -> std::size_t;
+
 /// Returns the number of endpoints with a request limit in force.
 auto
 CountLimitedEndpoints(const Forwarder& aForwarder) -> std::size_t;
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -281,6 +281,9 @@
     if (notice.mState == directory::NoticeState::Gone) {
       aForwarder.mHealth.erase(id);
       ForgetStatements(aForwarder, id);
+      aForwarder.mEndpointsByKey.erase(Checksum(id.mValue));
+    } else {
+      aForwarder.mEndpointsByKey[Checksum(id.mValue)] = id;
     }
   }
   SchedulePlacement(aForwarder, true);
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -108,11 +108,14 @@
   bool mHasMalformedStatement = false;
 };
 
-/// The request limit of one incarnation of an endpoint, and this instance's use
-/// of it.
+/// What the answers of one incarnation of an endpoint state about it, and this
+/// instance's share of its request limit.
 struct StatedEndpoint
 {
   Incarnation mIncarnation = 0;
+  bool mIsLeaving = false;
+  /// End of the time for which it wants no requests from this instance.
+  TimePoint mPausedUntil{};
   RequestLimit mLimit;
   /// When an answer last stated the limit, or another instance reported it. An
   /// answer to an earlier request can't end it.
@@ -162,6 +165,8 @@
   std::map<std::string, SendRetryBudget> mBudgets;
   std::vector<directory::EntryInstance> mEntries;
   InstanceRoster mRoster;
+  /// The endpoints that have not left, by the checksums of their ids.
+  std::unordered_map<std::uint64_t, EndpointId> mEndpointsByKey;
   /// By checksum of the endpoint's id.
   std::unordered_map<std::uint64_t, StatedEndpoint> mStated;
   std::size_t mNextReported = 0;
--- a/src/forwarding/internal/loadnotice.cpp
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -16,7 +16,7 @@
 WriteStatements(const std::vector<ReportedStatement>& aStatements,
                 schema::LoadNotice::Builder aRoot) -> void
 {
-  auto list = aRoot.initLimits(static_cast<unsigned>(aStatements.size()));
+  auto list = aRoot.initStatements(static_cast<unsigned>(aStatements.size()));
   auto n = 0U;
   for (const auto& it : aStatements) {
     auto to = list[n++];
@@ -24,6 +24,7 @@
     to.setIncarnation(it.mIncarnation);
     to.setRequestsPerSecond(it.mLimit.mRate.value_or(kNoRate));
     to.setVersion(it.mLimit.mVersion);
+    to.setIsLeaving(it.mIsLeaving);
   }
 }
 
@@ -33,7 +34,7 @@
   -> std::vector<ReportedStatement>
 {
   auto statements = std::vector<ReportedStatement>{};
-  for (const auto it : aRoot.getLimits()) {
+  for (const auto it : aRoot.getStatements()) {
     const auto rate = it.getRequestsPerSecond();
     if (!std::isfinite(rate)) {
       continue;
@@ -41,7 +42,8 @@
     statements.push_back(
       { it.getEndpoint(),
         it.getIncarnation(),
-        { rate < 0 ? std::nullopt : std::optional(rate), it.getVersion() } });
+        { rate < 0 ? std::nullopt : std::optional(rate), it.getVersion() },
+        it.getIsLeaving() });
   }
   return statements;
 }
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -28,14 +28,14 @@
 {
   EndpointId mId;
   const directory::EndpointNotice* mNotice = nullptr;
-  /// Allows a request now, if it is limited.
+  /// Allows a request now.
   SendCheck mCheck;
 };
 
 struct CandidateList
 {
   std::vector<Candidate> mEndpoints;
-  /// Number of endpoints left out because of their request limits.
+  /// Number of endpoints left out because of what they stated.
   std::size_t mExhausted = 0;
   /// Shortest time until this instance may send to one of them, if it ever may.
   std::optional<Millis> mUntilSend;
@@ -51,11 +51,11 @@
 };
 
 auto
-RetryAfter(Forwarder& aForwarder) -> Millis
+AddSpread(Forwarder& aForwarder, Millis aTime) -> Millis
 {
   auto spread =
     std::uniform_int_distribution<std::int64_t>(0, kRetrySpread.count());
-  return kRetryAfter + Millis(spread(aForwarder.mRandom));
+  return aTime + Millis(spread(aForwarder.mRandom));
 }
 
 auto
@@ -76,8 +76,8 @@
 }
 
 /// Returns the ready endpoints of the flight's service that were not tried yet
-/// and whose limits allow a request. Ejected and silent ones are returned only
-/// when there are no others.
+/// and that accept a request, by what they stated. Ejected and silent ones are
+/// returned only when there are no others.
 auto
 ListCandidates(Forwarder& aForwarder, const Flight& aFlight) -> CandidateList
 {
@@ -123,10 +123,8 @@
                       Flight& aFlight,
                       const CandidateList& aList) -> void
 {
-  auto retryAfter = RetryAfter(aForwarder);
   if (aList.mExhausted > 0) {
     ++aForwarder.mCounters.mLimitRefusals;
-    retryAfter = std::max(retryAfter, aList.mUntilSend.value_or(Millis(0)));
     LogEvent(
       kLimitsExhaustedEvent,
       { { "request", aFlight.mRequest.mId.mValue },
@@ -135,7 +133,10 @@
         { "until_send_ms", aList.mUntilSend ? aList.mUntilSend->count() : -1 },
         { "instances", aForwarder.mRoster.mInstances.size() } });
   }
-  FailFlight(aForwarder, aFlight, { FailureKind::NoCapacity, retryAfter });
+  const auto retryAfter = aList.mUntilSend.value_or(kRetryAfter);
+  FailFlight(aForwarder,
+             aFlight,
+             { FailureKind::NoCapacity, AddSpread(aForwarder, retryAfter) });
 }
 
 auto
@@ -382,8 +383,9 @@
     return;
   }
   if (!choice.mEngine) {
-    FailFlight(
-      aForwarder, aFlight, { FailureKind::NoCapacity, RetryAfter(aForwarder) });
+    FailFlight(aForwarder,
+               aFlight,
+               { FailureKind::NoCapacity, AddSpread(aForwarder, kRetryAfter) });
     return;
   }
   auto attempt = MakeAttempt(aForwarder, chosen);
--- a/src/forwarding/internal/statements.cpp
+++ b/src/forwarding/internal/statements.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr auto kMaxStated = std::size_t{ 4096 };
 /// Keeps a notice within one packet.
 constexpr auto kMaxReported = std::size_t{ 32 };
 /// A limit that has ended is reported for this long. An instance that missed it
@@ -19,16 +18,12 @@
 constexpr auto kReportInterval = Millis(1000);
 constexpr auto kNoRate = -1.0;
 
-/// Returns the endpoint's id, or its checksum while it is unknown here.
 auto
 NameOf(const Forwarder& aForwarder, std::uint64_t aKey) -> std::string
 {
-  for (const auto& [id, entry] : aForwarder.mView.mEntries) {
-    if (Checksum(id.mValue) == aKey) {
-      return id.mValue;
-    }
-  }
-  return "checksum " + std::to_string(aKey);
+  const auto it = aForwarder.mEndpointsByKey.find(aKey);
+  return it == aForwarder.mEndpointsByKey.end() ? std::string{}
+                                                : it->second.mValue;
 }
 
 /// Replaces the known limit of an endpoint. aSource is the instance that
@@ -58,45 +53,95 @@
   aForwarder.mIsNoticeDue = true;
 }
 
-/// Returns the state of an endpoint's limit, a new one if aIncarnation is newer
-/// than the known one, or null if it is older or the number of limits is
-/// exhausted.
+/// Ends the use of an endpoint that leaves, for its present incarnation.
+/// Returns true if that is news.
+auto
+SetLeaving(Forwarder& aForwarder, std::uint64_t aKey, std::string_view aSource)
+  -> bool
+{
+  auto& state = aForwarder.mStated[aKey];
+  if (std::exchange(state.mIsLeaving, true)) {
+    return false;
+  }
+  LogEvent(kEndpointLeavingEvent,
+           { { "endpoint", NameOf(aForwarder, aKey) },
+             { "incarnation", state.mIncarnation },
+             { "source", aSource } });
+  aForwarder.mIsNoticeDue = true;
+  return true;
+}
+
+auto
+SetPause(Forwarder& aForwarder, std::uint64_t aKey, Millis aPause) -> void
+{
+  ++aForwarder.mCounters.mPausesAsked;
+  auto& state = aForwarder.mStated[aKey];
+  const auto until = aForwarder.mPorts.mNow() + aPause;
+  if (until <= state.mPausedUntil) {
+    return;
+  }
+  state.mPausedUntil = until;
+  LogEvent(kEndpointPausedEvent,
+           { { "endpoint", NameOf(aForwarder, aKey) },
+             { "pause_ms", aPause.count() } });
+}
+
+/// Applies the limit that an answer states, or its absence. Returns true if
+/// the known limit changed.
+auto
+NoteLimit(Forwarder& aForwarder,
+          std::uint64_t aKey,
+          const StatementSource& aSource,
+          const std::optional<double>& aStated) -> bool
+{
+  auto& state = aForwarder.mStated[aKey];
+  if (!aStated && (!aSource.mIsServed || !state.mLimit.mRate)) {
+    return false;
+  }
+  aForwarder.mCounters.mLimitedAnswers += aStated ? 1 : 0;
+  const auto isNewer = aSource.mSentAt > state.mLearnedAt;
+  const auto limit = ApplyAnswer(state.mLimit, aStated, isNewer);
+  const auto hasChanged = limit != state.mLimit;
+  if (hasChanged) {
+    SetLimit(aForwarder, aKey, limit, "answer");
+  }
+  const auto now = aForwarder.mPorts.mNow();
+  state.mAnsweredAt = now;
+  if (aStated) {
+    state.mLearnedAt = now;
+  }
+  return hasChanged;
+}
+
+/// Returns the state of an endpoint, a new one if aIncarnation is newer than
+/// the known one, or null if it is older.
 auto
 OpenState(Forwarder& aForwarder, std::uint64_t aKey, Incarnation aIncarnation)
   -> StatedEndpoint*
 {
-  const auto it = aForwarder.mStated.find(aKey);
-  if (it == aForwarder.mStated.end()) {
-    if (aForwarder.mStated.size() >= kMaxStated) {
-      return nullptr;
-    }
-    auto& state = aForwarder.mStated[aKey];
-    state.mIncarnation = aIncarnation;
-    return &state;
-  }
-  if (aIncarnation < it->second.mIncarnation) {
+  auto& state = aForwarder.mStated[aKey];
+  if (aIncarnation < state.mIncarnation) {
     return nullptr;
   }
-  if (aIncarnation > it->second.mIncarnation) {
-    it->second = {};
-    it->second.mIncarnation = aIncarnation;
+  if (aIncarnation > state.mIncarnation) {
+    state = {};
+    state.mIncarnation = aIncarnation;
   }
-  return &it->second;
+  return &state;
 }
 
-/// Returns the limit in force at an endpoint, or null.
+/// Returns what the present incarnation of an endpoint has stated, or null.
 auto
-FindLimit(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
+FindStated(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
   -> StatedEndpoint*
 {
   if (aForwarder.mStated.empty()) {
     return nullptr;
   }
   const auto it = aForwarder.mStated.find(Checksum(aEndpoint.mId.mValue));
-  const auto isInForce = it != aForwarder.mStated.end() &&
-                         it->second.mIncarnation >= aEndpoint.mIncarnation &&
-                         it->second.mLimit.mRate;
-  return isInForce ? &it->second : nullptr;
+  const auto isPresent = it != aForwarder.mStated.end() &&
+                         it->second.mIncarnation >= aEndpoint.mIncarnation;
+  return isPresent ? &it->second : nullptr;
 }
 
 auto
@@ -138,7 +183,9 @@
 auto
 IsReportable(const StatedEndpoint& aState, TimePoint aNow) -> bool
 {
-  return aState.mLimit.mRate || aNow < aState.mLearnedAt + kEndedReportTime;
+  return aState.mIsLeaving || aState.mLimit.mRate ||
+         (aState.mLimit.mVersion > 0 &&
+          aNow < aState.mLearnedAt + kEndedReportTime);
 }
 
 } // namespace
@@ -161,53 +208,60 @@
       LogEvent(kStatementIgnoredEvent,
                { { "endpoint", aSource.mEndpoint.mValue } });
     }
-    return;
   }
   const auto entry = aForwarder.mView.mEntries.find(aSource.mEndpoint);
   const auto isPresent =
     entry != aForwarder.mView.mEntries.end() &&
     entry->second.mNotice.mIncarnation == aSource.mIncarnation;
   const auto key = Checksum(aSource.mEndpoint.mValue);
-  const auto saysNothing =
-    !aStatement.mRequestRate &&
-    (!aSource.mIsServed || !aForwarder.mStated.contains(key));
-  if (!isPresent || saysNothing) {
+  const auto hasStatement =
+    aStatement.mRequestRate || aStatement.mIsLeaving || aStatement.mPause;
+  if (!isPresent || (!hasStatement && !aForwarder.mStated.contains(key)) ||
+      OpenState(aForwarder, key, aSource.mIncarnation) == nullptr) {
     return;
   }
-  auto* state = OpenState(aForwarder, key, aSource.mIncarnation);
-  if (state == nullptr) {
-    return;
+  auto hasNews = false;
+  if (aStatement.mIsLeaving) {
+    hasNews |= SetLeaving(aForwarder, key, "answer");
   }
-  aForwarder.mCounters.mLimitedAnswers += aStatement.mRequestRate ? 1 : 0;
-  const auto now = aForwarder.mPorts.mNow();
-  const auto isNewer = aSource.mSentAt > state->mLearnedAt;
-  const auto limit =
-    ApplyAnswer(state->mLimit, aStatement.mRequestRate, isNewer);
-  if (limit != state->mLimit) {
-    SetLimit(aForwarder, key, limit, "answer");
+  if (aStatement.mPause) {
+    SetPause(aForwarder, key, *aStatement.mPause);
+  }
+  if (aStatement.mRequestRate || !aStatement.mIsMalformed) {
+    hasNews |= NoteLimit(aForwarder, key, aSource, aStatement.mRequestRate);
+  }
+  if (hasNews) {
     SendLoadNotice(aForwarder, true);
     SchedulePlacement(aForwarder, true);
   }
-  state->mAnsweredAt = now;
-  if (aStatement.mRequestRate) {
-    state->mLearnedAt = now;
-  }
 }
 
 auto
 CheckSend(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
   -> SendCheck
 {
-  auto* state = FindLimit(aForwarder, aEndpoint);
+  auto* state = FindStated(aForwarder, aEndpoint);
   if (state == nullptr) {
     return {};
   }
+  if (state->mIsLeaving) {
+    return { false, std::nullopt, false };
+  }
   const auto now = aForwarder.mPorts.mNow();
+  const auto pause =
+    now < state->mPausedUntil
+      ? std::max(MillisBetween(now, state->mPausedUntil), Millis(1))
+      : Millis(0);
+  if (!state->mLimit.mRate) {
+    return { false, pause, false };
+  }
   const auto& rules = aForwarder.mSettings.mLimits;
   const auto share = ShareOf(aForwarder, *state, aEndpoint);
   state->mAllowance = Replenish(state->mAllowance, share, now, rules);
+  const auto untilSend = TimeUntilSend(state->mAllowance, share);
   return { true,
-           TimeUntilSend(state->mAllowance, share),
+           untilSend ? std::optional(std::max(*untilSend, pause))
+                     : std::nullopt,
            now >= state->mAnsweredAt + rules.mTrialInterval };
 }
 
@@ -247,7 +301,8 @@
   const auto now = aForwarder.mPorts.mNow();
   for (const auto& [key, state] : aForwarder.mStated) {
     if (IsReportable(state, now)) {
-      all.push_back({ key, state.mIncarnation, state.mLimit });
+      all.push_back(
+        { key, state.mIncarnation, state.mLimit, state.mIsLeaving });
     }
   }
   if (all.size() <= kMaxReported) {
@@ -267,14 +322,22 @@
              const std::vector<ReportedStatement>& aLimits) -> void
 {
   for (const auto& it : aLimits) {
-    // NOTE: the end of a limit that was never known here changes nothing.
-    if (!it.mLimit.mRate && !aForwarder.mStated.contains(it.mEndpoint)) {
+    // NOTE: an endpoint that left may still be reported by instances that have
+    // not learned of it. The end of a limit that was never known here changes
+    // nothing.
+    const auto isKnown = aForwarder.mEndpointsByKey.contains(it.mEndpoint);
+    const auto hasNews = it.mLimit.mRate || it.mIsLeaving ||
+                         aForwarder.mStated.contains(it.mEndpoint);
+    if (!isKnown || !hasNews) {
       continue;
     }
     const auto* state = OpenState(aForwarder, it.mEndpoint, it.mIncarnation);
     if (state == nullptr) {
       continue;
     }
+    if (it.mIsLeaving) {
+      SetLeaving(aForwarder, it.mEndpoint, aInstance);
+    }
     const auto limit = MergeLimits(state->mLimit, it.mLimit);
     if (limit != state->mLimit) {
       SetLimit(aForwarder, it.mEndpoint, limit, aInstance);
@@ -282,6 +345,15 @@
   }
 }
 
+auto
+CountLeavingEndpoints(const Forwarder& aForwarder) -> std::size_t
+{
+  return static_cast<std::size_t>(
+    std::count_if(aForwarder.mStated.begin(),
+                  aForwarder.mStated.end(),
+                  [](const auto& aItem) { return aItem.second.mIsLeaving; }));
+}
+
 auto
 CountLimitedEndpoints(const Forwarder& aForwarder) -> std::size_t
 {
--- a/src/forwarding/internal/statements.h
+++ b/src/forwarding/internal/statements.h
@@ -2,7 +2,8 @@
 
 #include "forwarding/internal/forwarderstate.h"
 
-/// Request limits that endpoints state, and this instance's share of them.
+/// What endpoints state about themselves in their answers: that they leave,
+/// want no requests for a time, or accept a limited rate.
 namespace cuminslip::forwarding {
 
 /// An answer as evidence about its endpoint.
@@ -21,8 +22,8 @@
 struct SendCheck
 {
   bool mIsLimited = false;
-  /// Time until this instance may send, 0 for now; empty if it holds no share
-  /// of the limit.
+  /// Time until this instance may send, 0 for now; empty if the endpoint leaves
+  /// or this instance holds no share of its limit.
   std::optional<Millis> mUntilSend = Millis(0);
   /// The limit was not confirmed lately and may have ended.
   bool mIsTrialDue = false;
--- a/src/forwarding/loadnotice.capnp
+++ b/src/forwarding/loadnotice.capnp
@@ -16,13 +16,14 @@
   unreadLong @7 :UInt32;
 }
 
-# What one entry instance knows of an endpoint's request limit.
-struct EndpointLimit {
+# What one entry instance knows of an endpoint from its answers.
+struct EndpointStatement {
   endpoint @0 :UInt64;
   incarnation @1 :UInt64;
   # Negative if the endpoint no longer states a limit.
   requestsPerSecond @2 :Float64;
   version @3 :UInt64;
+  isLeaving @4 :Bool;
 }
 
 # All work that one entry instance has assigned to engines when it is sent.
@@ -33,5 +34,5 @@
   # The work of all instances on the engines of the sender's group.
   isSummary @3 :Bool;
   # May be a part of what the sender knows; the rest is in later notices.
-  limits @4 :List(EndpointLimit);
+  statements @4 :List(EndpointStatement);
 }
--- a/src/forwarding/loadnotice.h
+++ b/src/forwarding/loadnotice.h
@@ -26,13 +26,15 @@
   auto operator==(const EngineShare&) const -> bool = default;
 };
 
-/// What the sender knows of an endpoint's request limit.
+/// What the sender knows of an endpoint from its answers.
 struct ReportedStatement
 {
   /// Checksum of the endpoint's id.
   std::uint64_t mEndpoint = 0;
   Incarnation mIncarnation = 0;
   RequestLimit mLimit;
+  /// The endpoint is about to leave.
+  bool mIsLeaving = false;
 
   auto operator==(const ReportedStatement&) const -> bool = default;
 };
--- a/src/forwarding/tests/fakeworld.h
+++ b/src/forwarding/tests/fakeworld.h
@@ -85,6 +85,11 @@
       if (const auto limit = wire::FindHeader(aHeaders, "limit")) {
         facts.mStatement.mRequestRate = std::stod(*limit);
       }
+      if (const auto pause = wire::FindHeader(aHeaders, "pause")) {
+        facts.mStatement.mPause = Millis(std::stoi(*pause));
+      }
+      facts.mStatement.mIsLeaving =
+        wire::FindHeader(aHeaders, "leaving").has_value();
       facts.mStatement.mIsMalformed =
         wire::FindHeader(aHeaders, "malformed").has_value();
       facts.mHeaders = aHeaders;
--- a/src/forwarding/types/forwardevents.h
+++ b/src/forwarding/types/forwardevents.h
@@ -46,5 +46,9 @@
   Event{ 2018, "endpoint_statement_ignored", Severity::Warning };
 inline constexpr auto kLimitsExhaustedEvent =
   Event{ 2019, "endpoint_limits_exhausted", Severity::Info };
+inline constexpr auto kEndpointLeavingEvent =
+  Event{ 2020, "forward_endpoint_leaving", Severity::Info };
+inline constexpr auto kEndpointPausedEvent =
+  Event{ 2021, "forward_endpoint_paused", Severity::Info };
 
 } // namespace cuminslip::forwarding
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -121,8 +121,11 @@
               "Requests sent to endpoints that had stated a limit.",
               counters.mLimitedSends),
       Counter("cuminslip_forward_limit_refusals_total",
-              "Requests refused because endpoints' limits were exhausted.",
+              "Requests refused because of what endpoints had stated.",
               counters.mLimitRefusals),
+      Counter("cuminslip_forward_pauses_total",
+              "Answers by which endpoints asked for time without requests.",
+              counters.mPausesAsked),
       Counter("cuminslip_forward_malformed_statements_total",
               "Answers with an unreadable statement about their endpoint.",
               counters.mMalformedStatements),
@@ -136,6 +139,11 @@
               "Bytes dropped that belong to no request.",
               pool.mStrayBytes)
     };
+    families.push_back(
+      Gauge("cuminslip_forward_leaving_endpoints",
+            "Endpoints that stated in an answer that they leave.",
+            static_cast<double>(
+              forwarding::CountLeavingEndpoints(*aGateway.mForwarder))));
     families.push_back(
       Gauge("cuminslip_forward_limited_endpoints",
             "Endpoints with a request limit in force.",
