--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -80,6 +80,37 @@
   return family;
 }
 
+/// Returns the metrics of what endpoints state in their answers.
+auto
+StatementMetrics(const forwarding::Forwarder& aForwarder)
+  -> std::vector<MetricFamily>
+{
+  const auto& counters = forwarding::CountersOf(aForwarder);
+  return {
+    Counter("cuminslip_forward_limited_answers_total",
+            "Answers whose endpoint stated a request limit.",
+            counters.mLimitedAnswers),
+    Counter("cuminslip_forward_limited_sends_total",
+            "Requests sent to endpoints that had stated a limit.",
+            counters.mLimitedSends),
+    Counter("cuminslip_forward_limit_refusals_total",
+            "Requests refused because of what endpoints had stated.",
+            counters.mLimitRefusals),
+    Counter("cuminslip_forward_pauses_total",
+            "Answers by which endpoints asked for time without requests.",
+            counters.mPausesAsked),
+    Counter("cuminslip_forward_malformed_statements_total",
+            "Answers with an unreadable statement about their endpoint.",
+            counters.mMalformedStatements),
+    Gauge("cuminslip_forward_leaving_endpoints",
+          "Endpoints that stated in an answer that they leave.",
+          static_cast<double>(forwarding::CountLeavingEndpoints(aForwarder))),
+    Gauge("cuminslip_forward_limited_endpoints",
+          "Endpoints with a request limit in force.",
+          static_cast<double>(forwarding::CountLimitedEndpoints(aForwarder)))
+  };
+}
+
 } // namespace
 
 auto
@@ -114,21 +145,6 @@
       Counter("cuminslip_forward_resumed_total",
               "Streams that went on at another endpoint.",
               counters.mResumed),
-      Counter("cuminslip_forward_limited_answers_total",
-              "Answers whose endpoint stated a request limit.",
-              counters.mLimitedAnswers),
-      Counter("cuminslip_forward_limited_sends_total",
-              "Requests sent to endpoints that had stated a limit.",
-              counters.mLimitedSends),
-      Counter("cuminslip_forward_limit_refusals_total",
-              "Requests refused because of what endpoints had stated.",
-              counters.mLimitRefusals),
-      Counter("cuminslip_forward_pauses_total",
-              "Answers by which endpoints asked for time without requests.",
-              counters.mPausesAsked),
-      Counter("cuminslip_forward_malformed_statements_total",
-              "Answers with an unreadable statement about their endpoint.",
-              counters.mMalformedStatements),
       Counter("cuminslip_pool_connections_opened_total",
               "Connections opened to endpoints.",
               pool.mConnectionsOpened),
@@ -139,16 +155,9 @@
               "Bytes dropped that belong to no request.",
               pool.mStrayBytes)
     };
-    families.push_back(
-      Gauge("cuminslip_forward_leaving_endpoints",
-            "Endpoints that stated in an answer that they leave.",
-            static_cast<double>(
-              forwarding::CountLeavingEndpoints(*aGateway.mForwarder))));
-    families.push_back(
-      Gauge("cuminslip_forward_limited_endpoints",
-            "Endpoints with a request limit in force.",
-            static_cast<double>(
-              forwarding::CountLimitedEndpoints(*aGateway.mForwarder))));
+    for (auto& it : StatementMetrics(*aGateway.mForwarder)) {
+      families.push_back(std::move(it));
+    }
     const auto& times = forwarding::TimesOf(*aGateway.mForwarder);
     families.push_back(RequestTimes(times));
     families.push_back(FirstEventTimes(times));
