--- a/src/forwarding/tests/streams_tests.cpp
+++ b/src/forwarding/tests/streams_tests.cpp
@@ -142,4 +142,34 @@
   BOOST_TEST(mSends.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(ASlowStreamIsNotCutBeforeItsDeadline)
+{
+  const auto caller = Ask(MakeRequest("draft"));
+  Head(LastSend(), 200, kSealed);
+  for (auto i = 1; i <= 4; ++i) {
+    Run(Millis(1200));
+    Piece(LastSend(), Event(i));
+  }
+  End(LastSend(), ExchangeEnd::Complete);
+  BOOST_TEST(caller->mStreamed == Events(1, 4));
+  BOOST_TEST(caller->mIsFinished);
+  BOOST_TEST(mSends.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AStreamOfSingleBytesEndsAtItsDeadline)
+{
+  const auto caller = Ask(MakeRequest("draft"));
+  Head(LastSend(), 200, kSealed);
+  Piece(LastSend(), Event(1));
+  for (auto i = 0; i < 10 && !caller->mIsAborted; ++i) {
+    Run(Millis(1000));
+    Piece(LastSend(), "x");
+  }
+  BOOST_TEST(caller->mIsAborted);
+  BOOST_TEST(!caller->mIsFinished);
+  BOOST_TEST(LastSend().mIsCancelled);
+  BOOST_TEST(caller->mStreamed == Event(1));
+  BOOST_TEST(IsIdle(*mForwarder));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
