--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -27,7 +27,9 @@
           : MillisBetween(aFlight.mArrived, aFlight.mFirstEventAt).count() },
       { "longest_pause_ms", aFlight.mLongestPause.count() },
       { "total_ms", MillisBetween(aFlight.mArrived, now).count() },
-      { "sends", aFlight.mSends } });
+      { "sends", aFlight.mSends },
+      { "unframed", aFlight.mAttempt.mIsUnframed },
+      { "bytes_of_open_event", aFlight.mAttempt.mSplitter.mRest.size() } });
 }
 
 auto
@@ -214,6 +216,7 @@
     return;
   }
   flight->mAttempt.mExchange = 0;
+  flight->mAttempt.mIsUnframed = aResult.mIsUnframed;
   switch (aResult.mEnd) {
     case wire::ExchangeEnd::Complete:
       if (IsStream(*flight)) {
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -49,6 +49,8 @@
   /// Buffers the body of an answer that is not streamed.
   std::string mBody;
   EventSplitter mSplitter;
+  /// The answer ended with its connection, not with a length or chunks.
+  bool mIsUnframed = false;
   std::vector<AssignedWork> mWork;
   /// mWork was announced to the other entry instances.
   bool mIsAnnounced = false;
--- a/src/wire/connectionpool.h
+++ b/src/wire/connectionpool.h
@@ -53,6 +53,9 @@
   ExchangeEnd mEnd = ExchangeEnd::Complete;
   /// The request went over a connection that had served another before.
   bool mWasKept = false;
+  /// The answer had neither a length nor chunks and ended with its connection,
+  /// so that a cut at this place looks the same.
+  bool mIsUnframed = false;
 
   auto operator==(const ExchangeResult&) const -> bool = default;
 };
--- a/src/wire/internal/connectionpool.cpp
+++ b/src/wire/internal/connectionpool.cpp
@@ -127,7 +127,8 @@
   auto& pool = *aConnection.mPool;
   const auto isActive = aConnection.mExchange != 0;
   const auto handlers = aConnection.mHandlers;
-  const auto result = ExchangeResult{ aEnd, aConnection.mWasKept };
+  const auto isUnframed = aConnection.mParser.mPhase == AnswerPhase::OpenBody;
+  const auto result = ExchangeResult{ aEnd, aConnection.mWasKept, isUnframed };
   CloseConnection(pool, aConnection);
   if (isActive && handlers->mOnEnd) {
     handlers->mOnEnd(result);
