--- a/src/forwarding/tests/fakeworld.h
+++ b/src/forwarding/tests/fakeworld.h
@@ -200,10 +200,12 @@
 
   /// Ends an exchange. Keeps the handlers alive during the call, as the pool
   /// does.
-  static auto End(FakeSend& aSend, wire::ExchangeEnd aEnd) -> void
+  static auto End(FakeSend& aSend,
+                  wire::ExchangeEnd aEnd,
+                  bool aIsUnframed = false) -> void
   {
     const auto handlers = aSend.mHandlers;
-    handlers.mOnEnd({ aEnd, false });
+    handlers.mOnEnd({ aEnd, false, aIsUnframed });
   }
 
   static auto Answer(FakeSend& aSend,
--- a/src/forwarding/tests/streams_tests.cpp
+++ b/src/forwarding/tests/streams_tests.cpp
@@ -111,6 +111,87 @@
   BOOST_TEST(mSends.size() == 1U);
 }
 
+// Incident ORDER: engines broke off streams that ended with their connection.
+BOOST_AUTO_TEST_CASE(AStreamThatEndsInsideAnEventIsNotComplete)
+{
+  for (const auto* rest :
+       { "i", "id: 4", "id: 4\n", "id: 4\ndata: piece 4\n", ": comm" }) {
+    const auto caller = Ask(MakeRequest("draft"));
+    Head(LastSend(), 200, kSealed);
+    Piece(LastSend(), Events(1, 3) + rest);
+    End(LastSend(), ExchangeEnd::Complete, true);
+    BOOST_TEST(!caller->mIsFinished, rest);
+    BOOST_TEST(caller->mStreamed == Events(1, 3), rest);
+    BOOST_TEST(LastSend().Header("after") == "3", rest);
+    Head(LastSend(), 200, kSealed);
+    Piece(LastSend(), Events(4, 6));
+    End(LastSend(), ExchangeEnd::Complete, true);
+
+    BOOST_TEST(caller->mStreamed == Events(1, 6), rest);
+    BOOST_TEST(caller->mIsFinished, rest);
+    Run(kSettled);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AStreamThatEndsInsideAnEventIsCutWhereItMayNotBeResumed)
+{
+  const auto caller = Ask(MakeRequest("once"));
+  Head(LastSend(), 200, kSealed);
+  Piece(LastSend(), Event(1) + "id: 2\ndata: pi");
+  End(LastSend(), ExchangeEnd::Complete, true);
+
+  BOOST_TEST(caller->mIsAborted);
+  BOOST_TEST(!caller->mIsFinished);
+  BOOST_TEST(caller->mStreamed == Event(1));
+  BOOST_TEST(mSends.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AResumedStreamThatEndsInsideItsFirstEventIsNotComplete)
+{
+  for (const auto* rest : { "", "id: 4\nda" }) {
+    const auto caller = Ask(MakeRequest("draft"));
+    Head(LastSend(), 200, kSealed);
+    Piece(LastSend(), Events(1, 3));
+    End(LastSend(), ExchangeEnd::Broken);
+    Head(LastSend(), 200, kSealed);
+    if (*rest != '\0') {
+      Piece(LastSend(), rest);
+    }
+    End(LastSend(), ExchangeEnd::Complete, true);
+
+    BOOST_TEST(!caller->mIsFinished, rest);
+    BOOST_TEST(caller->mIsAborted, rest);
+    Run(kSettled);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AResumedStreamWithoutMoreEventsIsCompleteByItsFraming)
+{
+  const auto caller = Ask(MakeRequest("draft"));
+  Head(LastSend(), 200, kSealed);
+  Piece(LastSend(), Events(1, 3));
+  End(LastSend(), ExchangeEnd::Broken);
+  Head(LastSend(), 200, kSealed);
+  End(LastSend(), ExchangeEnd::Complete);
+
+  BOOST_TEST(caller->mIsFinished);
+  BOOST_TEST(caller->mStreamed == Events(1, 3));
+}
+
+BOOST_AUTO_TEST_CASE(CommentsAndEmptyLinesMayEndAStream)
+{
+  for (const auto* rest : { "\n", "\r\n", ": done\n", ": done\r\n\r\n" }) {
+    const auto caller = Ask(MakeRequest("draft"));
+    Head(LastSend(), 200, kSealed);
+    Piece(LastSend(), Events(1, 2) + rest);
+    End(LastSend(), ExchangeEnd::Complete, true);
+
+    BOOST_TEST(caller->mIsFinished, rest);
+    BOOST_TEST(caller->mStreamed == Events(1, 2) + rest);
+    Run(kSettled);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(TheCallersOwnLastEventIsPassedOn)
 {
   auto request = MakeRequest("draft");
