Take a stream that ends inside an event as broken off

Cause: an answer without a length and chunks ends with its connection. The pool can't tell its end from a cut and reports it as complete; EndStream then passed on the bytes of the incomplete event and finished the caller's chunked answer with a proper last chunk. The class: a weak end of one framing was translated into a strong one. The same held for a resumed stream: the events of the first attempt stood in for the missing ones of the second.

Now the events decide: bytes of an incomplete event, or no event at all unless framing proves that a resumed stream had nothing more, mean a broken stream. It is resumed at another endpoint, or cut where it may not be. Comments and empty lines behind the last event lose nothing. The incomplete event is never passed on.

--- a/src/forwarding/eventsplitter.h
+++ b/src/forwarding/eventsplitter.h
@@ -32,4 +32,9 @@
 SplitEvents(EventSplitter& aSplitter, std::string_view aPiece)
   -> std::vector<StreamEvent>;
 
+/// Returns true if the bytes of the incomplete event are more than comments and
+/// empty lines, so that a stream that ends here lost something.
+auto
+EndsInsideEvent(const EventSplitter& aSplitter) -> bool;
+
 } // namespace cuminslip::forwarding
--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -28,8 +28,7 @@
       { "longest_pause_ms", aFlight.mLongestPause.count() },
       { "total_ms", MillisBetween(aFlight.mArrived, now).count() },
       { "sends", aFlight.mSends },
-      { "unframed", aFlight.mAttempt.mIsUnframed },
-      { "bytes_of_open_event", aFlight.mAttempt.mSplitter.mRest.size() } });
+      { "unframed", aFlight.mAttempt.mIsUnframed } });
 }
 
 auto
@@ -127,6 +126,7 @@
     return;
   }
   for (const auto& event : SplitEvents(attempt.mSplitter, aPiece)) {
+    attempt.mHasEvents = true;
     if (!PassEvent(aForwarder, *flight, event)) {
       aForwarder.mPorts.mExchanges.mCancel(std::exchange(attempt.mExchange, 0));
       RecoverFlight(aForwarder,
@@ -138,14 +138,27 @@
   }
 }
 
+/// Returns why a stream that ended in order is not complete, or an empty text.
+auto
+FindMissingEnd(const Flight& aFlight) -> std::string_view
+{
+  const auto& attempt = aFlight.mAttempt;
+  if (EndsInsideEvent(attempt.mSplitter)) {
+    return "the stream ended inside an event";
+  }
+  // NOTE: framing proves that a resumed stream had nothing more to send.
+  const auto mayBeEmpty = aFlight.mHasStarted && !attempt.mIsUnframed;
+  if (!attempt.mHasEvents && !mayBeEmpty) {
+    return "the stream ended without an event";
+  }
+  return {};
+}
+
 auto
 EndStream(Forwarder& aForwarder, Flight& aFlight) -> void
 {
-  if (!aFlight.mHasStarted) {
-    RecoverFlight(aForwarder,
-                  aFlight,
-                  SendOutcome::NotAnAnswer,
-                  "the stream ended without an event");
+  if (const auto reason = FindMissingEnd(aFlight); !reason.empty()) {
+    RecoverFlight(aForwarder, aFlight, SendOutcome::NotAnAnswer, reason);
     return;
   }
   NoteSuccess(aForwarder, aFlight.mAttempt.mEndpoint);
--- a/src/forwarding/internal/eventsplitter.cpp
+++ b/src/forwarding/internal/eventsplitter.cpp
@@ -79,4 +79,22 @@
   return events;
 }
 
+auto
+EndsInsideEvent(const EventSplitter& aSplitter) -> bool
+{
+  auto rest = std::string_view(aSplitter.mRest);
+  while (!rest.empty()) {
+    const auto end = rest.find('\n');
+    if (end == std::string_view::npos) {
+      return true;
+    }
+    const auto line = rest.substr(0, end);
+    if (!line.empty() && line != "\r" && !line.starts_with(':')) {
+      return true;
+    }
+    rest.remove_prefix(end + 1);
+  }
+  return false;
+}
+
 } // namespace cuminslip::forwarding
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -49,6 +49,8 @@
   /// Buffers the body of an answer that is not streamed.
   std::string mBody;
   EventSplitter mSplitter;
+  /// A complete event was received.
+  bool mHasEvents = false;
   /// The answer ended with its connection, not with a length or chunks.
   bool mIsUnframed = false;
   std::vector<AssignedWork> mWork;
