Reset the connection of a caller without chunks when its stream is cut

A cut stream was shut down in order, which looks like the end of the body; only a reset does not.

AnAbortedBodyWithoutChunksEndsWithAReset failed before, both with a piece under way and without, and passes. A caller that reads nothing keeps such a connection until its own kernel gives up, as the write under way has to end first.

--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -78,6 +78,8 @@
 constexpr auto kBacklog = 1024;
 constexpr auto kUnavailable = 503;
 constexpr auto kCloseRounds = 1000;
+/// The first HTTP version, as h2o counts them, whose callers read chunks.
+constexpr auto kChunkedVersion = 0x101;
 
 auto
 ToString(const h2o_iovec_t& aBytes) -> std::string
@@ -488,10 +490,17 @@
   aResponder->mPending.clear();
   auto* request = aResponder->mRequest;
   request->http1_is_persistent = 0;
-  // NOTE: h2o ends a chunked body that fails with half a chunk, which no caller
-  // can read; on a closed connection it can't write that.
-  auto* sock = request->conn->callbacks->get_socket(request->conn);
-  shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+  const auto fd =
+    h2o_socket_get_fd(request->conn->callbacks->get_socket(request->conn));
+  if (request->version >= kChunkedVersion) {
+    // NOTE: h2o ends a chunked body that fails with half a chunk, which no
+    // caller can read; on a closed connection it can't write that.
+    shutdown(fd, SHUT_RDWR);
+  } else {
+    // NOTE: without chunks only a reset differs from the end of the body.
+    const auto reset = linger{ 1, 0 };
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  }
   // NOTE: while a piece is being written h2o finds the broken connection
   // itself.
   if (!aResponder->mIsSending) {
--- a/src/wire/testing/rawcaller.h
+++ b/src/wire/testing/rawcaller.h
@@ -52,6 +52,7 @@
     while (true) {
       const auto n = recv(mSocket, buf.data(), buf.size(), 0);
       if (n <= 0) {
+        mIsReset |= n < 0 && errno == ECONNRESET;
         return n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
       }
       mReceived.append(buf.data(), static_cast<std::size_t>(n));
@@ -60,9 +61,13 @@
 
   auto Received() const -> const std::string& { return mReceived; }
 
+  /// True if the server ended the connection by a reset.
+  auto IsReset() const -> bool { return mIsReset; }
+
 private:
   int mSocket;
   std::string mReceived;
+  bool mIsReset = false;
 };
 
 } // namespace cuminslip::wire::testing
--- a/src/wire/tests/http_tests.cpp
+++ b/src/wire/tests/http_tests.cpp
@@ -101,6 +101,31 @@
   BOOST_TEST(caller.Received().ends_with("3\r\none\r\n"), caller.Received());
 }
 
+BOOST_AUTO_TEST_CASE(AnAbortedBodyWithoutChunksEndsWithAReset)
+{
+  for (const auto isSending : { false, true }) {
+    auto responder = ResponderPtr{};
+    Serve([&](const HttpRequest&, const ResponderPtr& aResponder) {
+      responder = aResponder;
+      StartStream(aResponder, 200, {});
+      SendPiece(aResponder, "one");
+    });
+    auto caller = cuminslip::wire::testing::RawCaller(ListenAddress(*mServer));
+    caller.Send("GET / HTTP/1.0\r\nhost: a\r\n\r\n");
+    RunUntil([&] {
+      caller.IsClosed();
+      return caller.Received().ends_with("one");
+    });
+    if (isSending) {
+      SendPiece(responder, "two");
+    }
+    AbortStream(responder);
+    RunUntil([&] { return caller.IsClosed(); });
+
+    BOOST_TEST(caller.IsReset(), isSending);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AClosingServerEndsEachConnectionWithItsAnswer)
 {
   Serve([&](const HttpRequest&, const ResponderPtr& aResponder) {
