Refuse requests with a prompt part that ends engines

Cause: nothing connected the ends of engines, neither at one instance nor between them. The class: a request was taken to be innocent of the failure that it met.

The instances now share which parts were in the prompts on which an ended engine had written nothing, and which parts engines wrote on since. Three episodes without a sound answer in between prove a part harmful; requests with it are refused at once with the time until the next trial, and a request that ended an engine is not sent to a second one once its part is suspect.

Ruled out on the way: judging without the number of engines that end together condemned documents that few prompts share after six power failures of all engines within 22 s.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -113,4 +113,13 @@
 auto
 CountLimitedEndpoints(const Forwarder& aForwarder) -> std::size_t;
 
+/// Returns the number of parts of prompts with a crash of an engine against
+/// them.
+auto
+CountSuspectParts(const Forwarder& aForwarder) -> std::size_t;
+
+/// Returns the number of parts of prompts that were last judged to end engines.
+auto
+CountHarmfulParts(const Forwarder& aForwarder) -> std::size_t;
+
 } // namespace cuminslip::forwarding
--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/harmfulparts.h"
 #include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
@@ -160,7 +161,9 @@
     return;
   }
   for (const auto& event : SplitEvents(attempt.mSplitter, aPiece)) {
-    attempt.mHasEvents = true;
+    if (!std::exchange(attempt.mHasEvents, true)) {
+      NoteEngineWrites(aForwarder, *flight);
+    }
     if (!PassEvent(aForwarder, *flight, event)) {
       GiveUpAnswer(aForwarder,
                    *flight,
@@ -201,6 +204,7 @@
 EndStream(Forwarder& aForwarder, Flight& aFlight) -> void
 {
   if (const auto reason = FindMissingEnd(aFlight); !reason.empty()) {
+    NoteEngineEnd(aForwarder, aFlight);
     RecoverFlight(aForwarder, aFlight, SendOutcome::NotAnAnswer, reason);
     return;
   }
@@ -284,6 +288,9 @@
                     "the connection could not be established");
       return;
     case wire::ExchangeEnd::Broken:
+      if (!aResult.mIsSilent) {
+        NoteEngineEnd(aForwarder, *flight);
+      }
       RecoverFlight(aForwarder,
                     *flight,
                     SendOutcome::Unanswered,
--- a/src/forwarding/internal/ending.cpp
+++ b/src/forwarding/internal/ending.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/harmfulparts.h"
 #include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
@@ -164,7 +165,8 @@
     ReturnSend(aForwarder, endpoint);
   }
   const auto mayRepeat = MayRepeatFlight(aForwarder, aFlight, aOutcome) &&
-                         aFlight.mTried.size() <= kMaxTriedEndpoints;
+                         aFlight.mTried.size() <= kMaxTriedEndpoints &&
+                         !IsSuspect(aForwarder, aFlight);
   if (mayRepeat && aFlight.mHasStarted) {
     ++aForwarder.mCounters.mResumed;
     LogEvent(kForwardResumedEvent,
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/forwarder.h"
 
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/harmfulparts.h"
 #include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
@@ -102,6 +103,7 @@
     routing::ChooseService(*aFlight.mRoute, aFlight.mRequest.mId.mValue);
   aFlight.mService = routing::FindService(*aFlight.mTable, name);
   aFlight.mStrictestPause = StrictestPause(aFlight);
+  aFlight.mParts = PartsOf(aFlight);
   NoteRequest(aForwarder.mBudgets[name],
               aForwarder.mSettings.mRetryBudget,
               aForwarder.mPorts.mNow());
@@ -198,6 +200,7 @@
       RenewReservations(aForwarder);
       SchedulePlacement(aForwarder, true);
       RepeatStatements(aForwarder);
+      RepeatEvidence(aForwarder);
       SendLoadNotice(aForwarder, false);
       // NOTE: on an idle instance the timer stops, so that only external events
       // wake it.
@@ -364,6 +367,8 @@
       return "timed_out";
     case FailureKind::TooLate:
       return "too_late";
+    case FailureKind::HarmfulPrompt:
+      return "harmful_prompt";
   }
   return "unknown";
 }
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -5,6 +5,7 @@
 #include "forwarding/eventsplitter.h"
 #include "forwarding/forwarder.h"
 #include "forwarding/loadnotice.h"
+#include "policy/crashevidence.h"
 #include "policy/instanceroster.h"
 #include "policy/requestlimits.h"
 #include "policy/runverdict.h"
@@ -67,6 +68,10 @@
   std::shared_ptr<const routing::RoutingTable> mTable;
   const routing::Route* mRoute = nullptr;
   const routing::Service* mService = nullptr;
+  /// The parts of the prompt that other prompts may share, in their order.
+  std::vector<PartKey> mParts;
+  /// The harmful part that this flight tries.
+  std::optional<PartKey> mTrial;
   /// Shortest pause target of all routes to the service.
   Millis mStrictestPause{ 0 };
   AccountId mAccount;
@@ -157,6 +162,23 @@
   EngineWork mWork;
 };
 
+/// What is known of parts of prompts that may end engines.
+struct PartKnowledge
+{
+  EvidenceTable mEvidence;
+  /// Ends of engines, by the keys of EngineCrash.
+  std::map<std::uint64_t, TimePoint> mEnds;
+  std::set<PartKey> mHarmful;
+  TimePoint mJudgedAt{};
+  /// End of the last trial of a harmful part by this instance.
+  std::map<PartKey, TimePoint> mTrialEnds;
+  /// Last sound answers to this instance, since mSoundSince and in the span
+  /// before it.
+  std::unordered_map<PartKey, TimePoint> mSound;
+  std::unordered_map<PartKey, TimePoint> mFormerSound;
+  TimePoint mSoundSince{};
+};
+
 struct Forwarder
 {
   ForwardSettings mSettings;
@@ -175,6 +197,7 @@
   /// By checksum of the endpoint's id.
   std::unordered_map<std::uint64_t, StatedEndpoint> mStated;
   std::size_t mNextReported = 0;
+  PartKnowledge mParts;
   GroupLayout mGroups;
   LoadGroup mOwnGroup;
   /// Peer addresses of the instances of each group, this one included.
--- /dev/null
+++ b/src/forwarding/internal/harmfulparts.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "forwarding/internal/forwarderstate.h"
+
+/// Parts of prompts that end the engines which write an answer on them. The
+/// entry instances share their evidence in load notices.
+namespace cuminslip::forwarding {
+
+/// Returns the parts of the flight's prompt that are judged.
+auto
+PartsOf(const Flight& aFlight) -> std::vector<PartKey>;
+
+/// Records that the connection to the engine of the flight's attempt ended. A
+/// flight on which the engine had begun to write is no evidence.
+auto
+NoteEngineEnd(Forwarder& aForwarder, const Flight& aFlight) -> void;
+
+/// Records that an engine wrote on the flight's prompt.
+auto
+NoteEngineWrites(Forwarder& aForwarder, const Flight& aFlight) -> void;
+
+/// Returns true if the engine of the flight's attempt ended with the answer
+/// begun, and others did before on a part of the prompt.
+auto
+IsSuspect(const Forwarder& aForwarder, const Flight& aFlight) -> bool;
+
+/// Returns the failure of a flight whose prompt has a harmful part, unless this
+/// instance tries the part with it.
+auto
+CheckParts(Forwarder& aForwarder, Flight& aFlight) -> std::optional<Failure>;
+
+/// Returns the evidence for the next notice: a bounded number of parts, the
+/// most suspect and the latest ones.
+auto
+ReportParts(Forwarder& aForwarder) -> std::vector<ReportedPart>;
+
+/// Adds the evidence of another instance.
+auto
+ApplyEvidence(Forwarder& aForwarder, const std::vector<ReportedPart>& aParts)
+  -> void;
+
+/// Makes a load notice due when evidence was not reported lately.
+auto
+RepeatEvidence(Forwarder& aForwarder) -> void;
+
+} // namespace cuminslip::forwarding
--- a/src/forwarding/internal/loadnotice.cpp
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -48,6 +48,56 @@
   return statements;
 }
 
+auto
+WriteParts(const std::vector<ReportedPart>& aParts,
+           schema::LoadNotice::Builder aRoot) -> void
+{
+  auto list = aRoot.initParts(static_cast<unsigned>(aParts.size()));
+  auto n = 0U;
+  for (const auto& it : aParts) {
+    auto to = list[n++];
+    to.setPart(it.mPart);
+    to.setDepth(it.mDepth);
+    if (it.mSoundAge) {
+      to.setSoundAgeMillis(it.mSoundAge->count());
+    }
+    auto crashes = to.initCrashes(static_cast<unsigned>(it.mCrashes.size()));
+    auto i = 0U;
+    for (const auto& crash : it.mCrashes) {
+      auto item = crashes[i++];
+      item.setEngine(crash.mEngine);
+      item.setAgeMillis(static_cast<std::uint32_t>(crash.mAge.count()));
+      item.setHadBegun(crash.mHadBegun);
+      item.setCompany(crash.mCompany);
+    }
+  }
+}
+
+/// Skips parts beyond the number that any sender writes.
+auto
+ReadParts(schema::LoadNotice::Reader aRoot) -> std::vector<ReportedPart>
+{
+  constexpr auto kMaxParts = std::size_t{ 64 };
+  auto parts = std::vector<ReportedPart>{};
+  for (const auto it : aRoot.getParts()) {
+    if (parts.size() == kMaxParts) {
+      break;
+    }
+    auto part = ReportedPart{ it.getPart(), it.getDepth(), {}, std::nullopt };
+    for (const auto crash : it.getCrashes()) {
+      part.mCrashes.push_back({ crash.getEngine(),
+                                Millis(crash.getAgeMillis()),
+                                crash.getHadBegun(),
+                                crash.getCompany() });
+    }
+    if (it.getSoundAgeMillis() >= 0) {
+      part.mSoundAge = Millis(it.getSoundAgeMillis());
+    }
+    parts.push_back(std::move(part));
+  }
+  return parts;
+}
+
 } // namespace
 
 auto
@@ -59,6 +109,7 @@
   root.setSequence(aNotice.mSequence);
   root.setIsSummary(aNotice.mIsSummary);
   WriteStatements(aNotice.mStatements, root);
+  WriteParts(aNotice.mParts, root);
   auto shares = root.initShares(static_cast<unsigned>(aNotice.mShares.size()));
   auto n = 0U;
   for (const auto& it : aNotice.mShares) {
@@ -89,6 +140,7 @@
       notice.mSequence = aItem.getSequence();
       notice.mIsSummary = aItem.getIsSummary();
       notice.mStatements = ReadStatements(aItem);
+      notice.mParts = ReadParts(aItem);
       for (const auto it : aItem.getShares()) {
         notice.mShares.push_back(
           { it.getEngine(),
--- a/src/forwarding/internal/loadsharing.cpp
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/harmfulparts.h"
 #include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
@@ -99,7 +100,8 @@
                                         NextSequence(aForwarder),
                                         SummarizeGroup(aForwarder),
                                         true,
-                                        ReportStatements(aForwarder) });
+                                        ReportStatements(aForwarder),
+                                        ReportParts(aForwarder) });
   for (const auto& [group, others] : aForwarder.mMembers) {
     if (group == aForwarder.mOwnGroup) {
       continue;
@@ -210,6 +212,7 @@
   shares[aForwarder.mOwnGroup];
   const auto sequence = NextSequence(aForwarder);
   const auto limits = ReportStatements(aForwarder);
+  const auto parts = ReportParts(aForwarder);
   for (const auto& [group, groupShares] : shares) {
     if (group != aForwarder.mOwnGroup && !groupShares.empty()) {
       aForwarder.mNotifiedGroups.insert(group);
@@ -220,7 +223,8 @@
                                    sequence,
                                    groupShares,
                                    false,
-                                   limits }));
+                                   limits,
+                                   parts }));
   }
 }
 
@@ -249,6 +253,7 @@
   }
   ApplyReports(
     aForwarder, notice.mValue->mInstance, notice.mValue->mStatements);
+  ApplyEvidence(aForwarder, notice.mValue->mParts);
   if (notice.mValue->mIsSummary) {
     ApplySummary(aForwarder, *notice.mValue);
     return;
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/harmfulparts.h"
 #include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
@@ -404,6 +405,10 @@
 auto
 PlaceFlight(Forwarder& aForwarder, Flight& aFlight) -> void
 {
+  if (const auto failure = CheckParts(aForwarder, aFlight)) {
+    FailFlight(aForwarder, aFlight, *failure);
+    return;
+  }
   const auto list = ListCandidates(aForwarder, aFlight);
   const auto& candidates = list.mEndpoints;
   if (candidates.empty() && MayWaitForEndpoints(aForwarder, aFlight)) {
--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/harmfulparts.h"
 #include "forwarding/internal/statements.h"
 
 #include <algorithm>
@@ -58,6 +59,12 @@
     FailFlight(aForwarder, aFlight, { FailureKind::TooLate, {} });
     return;
   }
+  // NOTE: a part may have proved harmful while the engines were claimed.
+  if (const auto failure = CheckParts(aForwarder, aFlight)) {
+    aFlight.mAttempt = std::move(aAttempt);
+    FailFlight(aForwarder, aFlight, *failure);
+    return;
+  }
   if (aFlight.mSends++ > 0) {
     Draw(aForwarder.mBudgets[aFlight.mService->mName], now);
     ++aForwarder.mCounters.mRepeats;
--- a/src/forwarding/loadnotice.capnp
+++ b/src/forwarding/loadnotice.capnp
@@ -26,6 +26,24 @@
   isLeaving @4 :Bool;
 }
 
+struct EngineCrash {
+  # Checksum of the engine's id and incarnation.
+  engine @0 :UInt64;
+  ageMillis @1 :UInt32;
+  hadBegun @2 :Bool;
+  # Number of engines that ended at about the same time.
+  company @3 :UInt32 = 1;
+}
+
+# What one entry instance knows of crashes and sound answers on a part of prompts.
+struct PartEvidence {
+  part @0 :UInt64;
+  depth @1 :UInt32;
+  crashes @2 :List(EngineCrash);
+  # Negative if no sound answer is known.
+  soundAgeMillis @3 :Int64 = -1;
+}
+
 # All work that one entry instance has assigned to engines when it is sent.
 struct LoadNotice {
   instance @0 :Text;
@@ -35,4 +53,6 @@
   isSummary @3 :Bool;
   # May be a part of what the sender knows; the rest is in later notices.
   statements @4 :List(EndpointStatement);
+  # A bounded number: the most suspect parts, and the latest ones.
+  parts @5 :List(PartEvidence);
 }
--- a/src/forwarding/loadnotice.h
+++ b/src/forwarding/loadnotice.h
@@ -2,10 +2,12 @@
 
 #include "base/findings.h"
 #include "base/types/ids.h"
+#include "policy/crashevidence.h"
 #include "policy/enginelanes.h"
 #include "policy/requestlimits.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +41,31 @@
   auto operator==(const ReportedStatement&) const -> bool = default;
 };
 
+/// The end of an engine, as the sender knows of it.
+struct ReportedCrash
+{
+  /// Checksum of the engine's id and incarnation.
+  std::uint64_t mEngine = 0;
+  Millis mAge{ 0 };
+  bool mHadBegun = false;
+  /// Number of engines that ended at about the same time.
+  std::uint32_t mCompany = 1;
+
+  auto operator==(const ReportedCrash&) const -> bool = default;
+};
+
+/// The sender's evidence on a part of prompts.
+struct ReportedPart
+{
+  PartKey mPart = 0;
+  std::uint32_t mDepth = 0;
+  std::vector<ReportedCrash> mCrashes;
+  /// Time since the last sound answer, if there was one.
+  std::optional<Millis> mSoundAge;
+
+  auto operator==(const ReportedPart&) const -> bool = default;
+};
+
 struct LoadNotice
 {
   /// Peer address of the sender.
@@ -50,6 +77,8 @@
   bool mIsSummary = false;
   /// Advice: may be incomplete and older than what the receiver knows.
   std::vector<ReportedStatement> mStatements;
+  /// The most suspect parts of prompts, and the latest ones.
+  std::vector<ReportedPart> mParts;
 
   auto operator==(const LoadNotice&) const -> bool = default;
 };
--- a/src/forwarding/types/forwardevents.h
+++ b/src/forwarding/types/forwardevents.h
@@ -51,4 +51,9 @@
 inline constexpr auto kEndpointPausedEvent =
   Event{ 2021, "forward_endpoint_paused", Severity::Info };
 
+inline constexpr auto kPartHarmfulEvent =
+  Event{ 2022, "prompt_part_harmful", Severity::Warning };
+inline constexpr auto kPartClearedEvent =
+  Event{ 2023, "prompt_part_cleared", Severity::Info };
+
 } // namespace cuminslip::forwarding
--- a/src/forwarding/types/forwardrequest.h
+++ b/src/forwarding/types/forwardrequest.h
@@ -120,7 +120,9 @@
   /// The deadline has passed, and the request may have run.
   TimedOut,
   /// The deadline has passed, and the request has not run.
-  TooLate
+  TooLate,
+  /// The prompt has a part that ends engines. The request has not run.
+  HarmfulPrompt
 };
 
 /// Returns the name used in answers, logs and metrics. Thread safe.
--- a/src/forwarding/types/forwardsettings.h
+++ b/src/forwarding/types/forwardsettings.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/types/ids.h"
 #include "policy/borrowing.h"
+#include "policy/crashevidence.h"
 #include "policy/enginelanes.h"
 #include "policy/instanceroster.h"
 #include "policy/loadgroups.h"
@@ -25,6 +26,7 @@
   BorrowRules mBorrowing;
   LimitRules mLimits;
   RosterRules mRoster;
+  CrashRules mCrashes;
   /// Maximum time for an endpoint to accept a connection.
   Millis mConnectTimeout{ 500 };
   /// Lower bound of the connect timeout for routes with a short answer target.
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -107,7 +107,13 @@
           static_cast<double>(forwarding::CountLeavingEndpoints(aForwarder))),
     Gauge("cuminslip_forward_limited_endpoints",
           "Endpoints with a request limit in force.",
-          static_cast<double>(forwarding::CountLimitedEndpoints(aForwarder)))
+          static_cast<double>(forwarding::CountLimitedEndpoints(aForwarder))),
+    Gauge("cuminslip_forward_suspect_parts",
+          "Parts of prompts with a crash of an engine against them.",
+          static_cast<double>(forwarding::CountSuspectParts(aForwarder))),
+    Gauge("cuminslip_forward_harmful_parts",
+          "Parts of prompts that end engines; requests with them are refused.",
+          static_cast<double>(forwarding::CountHarmfulParts(aForwarder)))
   };
 }
 
--- /dev/null
+++ b/src/policy/internal/crashevidence.cpp
@@ -0,0 +1,244 @@
+#include "policy/crashevidence.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cuminslip {
+
+namespace {
+
+/// Returns the engines that ended with an answer begun.
+auto
+ListBegun(const EvidenceTable& aTable) -> std::set<std::uint64_t>
+{
+  auto begun = std::set<std::uint64_t>{};
+  for (const auto& [key, evidence] : aTable) {
+    for (const auto& it : evidence.mCrashes) {
+      if (it.mHadBegun) {
+        begun.insert(it.mEngine);
+      }
+    }
+  }
+  return begun;
+}
+
+auto
+IsTogether(TimePoint aLeft, TimePoint aRight, const CrashRules& aRules) -> bool
+{
+  return aLeft < aRight + aRules.mEpisode && aRight < aLeft + aRules.mEpisode;
+}
+
+/// Returns the crashes until aUntil that count against their part.
+auto
+RelevantCrashes(const std::vector<EngineCrash>& aCrashes,
+                const std::set<std::uint64_t>& aBegun,
+                TimePoint aUntil,
+                const CrashRules& aRules) -> std::vector<EngineCrash>
+{
+  const auto counts = [&](const EngineCrash& aCrash) {
+    const auto n =
+      std::count_if(aCrashes.begin(), aCrashes.end(), [&](const auto& aItem) {
+        return IsTogether(aItem.mAt, aCrash.mAt, aRules);
+      });
+    return aCrash.mAt <= aUntil &&
+           (aCrash.mHadBegun || !aBegun.contains(aCrash.mEngine)) &&
+           static_cast<double>(n) >= aRules.mMinShare * aCrash.mCompany;
+  };
+  auto relevant = std::vector<EngineCrash>{};
+  std::copy_if(
+    aCrashes.begin(), aCrashes.end(), std::back_inserter(relevant), counts);
+  return relevant;
+}
+
+auto
+LastChange(const CrashEvidence& aEvidence) -> TimePoint
+{
+  return aEvidence.mCrashes.empty() ? aEvidence.mSoundAt.value_or(TimePoint{})
+                                    : aEvidence.mCrashes.back().mAt;
+}
+
+} // namespace
+
+auto
+AddCrash(CrashEvidence aEvidence,
+         const EngineCrash& aCrash,
+         const CrashRules& aRules) -> CrashEvidence
+{
+  if (aEvidence.mSoundAt && aCrash.mAt <= *aEvidence.mSoundAt) {
+    return aEvidence;
+  }
+  auto& crashes = aEvidence.mCrashes;
+  auto crash = aCrash;
+  const auto known =
+    std::find_if(crashes.begin(), crashes.end(), [&](const auto& aItem) {
+      return aItem.mEngine == aCrash.mEngine;
+    });
+  if (known != crashes.end()) {
+    crash.mAt = std::max(crash.mAt, known->mAt);
+    crash.mHadBegun |= known->mHadBegun;
+    crash.mCompany = std::max(crash.mCompany, known->mCompany);
+    crashes.erase(known);
+  }
+  const auto place =
+    std::upper_bound(crashes.begin(),
+                     crashes.end(),
+                     crash,
+                     [](const auto& aLeft, const auto& aRight) {
+                       return std::tuple(aLeft.mAt, aLeft.mEngine) <
+                              std::tuple(aRight.mAt, aRight.mEngine);
+                     });
+  crashes.insert(place, crash);
+  if (crashes.size() > aRules.mMaxCrashes) {
+    crashes.erase(crashes.begin());
+  }
+  return aEvidence;
+}
+
+auto
+AddSoundAnswer(CrashEvidence aEvidence, TimePoint aAt) -> CrashEvidence
+{
+  aEvidence.mSoundAt = std::max(aAt, aEvidence.mSoundAt.value_or(aAt));
+  std::erase_if(aEvidence.mCrashes, [&](const auto& aItem) {
+    return aItem.mAt <= *aEvidence.mSoundAt;
+  });
+  return aEvidence;
+}
+
+auto
+MergeEvidence(CrashEvidence aLeft,
+              const CrashEvidence& aRight,
+              const CrashRules& aRules) -> CrashEvidence
+{
+  if (aRight.mSoundAt) {
+    aLeft = AddSoundAnswer(std::move(aLeft), *aRight.mSoundAt);
+  }
+  for (const auto& it : aRight.mCrashes) {
+    aLeft = AddCrash(std::move(aLeft), it, aRules);
+  }
+  aLeft.mDepth = std::max(aLeft.mDepth, aRight.mDepth);
+  return aLeft;
+}
+
+auto
+CountCompany(CrashEvidence aEvidence,
+             const std::map<std::uint64_t, TimePoint>& aEnds,
+             const CrashRules& aRules) -> CrashEvidence
+{
+  for (auto& crash : aEvidence.mCrashes) {
+    const auto n =
+      std::count_if(aEnds.begin(), aEnds.end(), [&](const auto& aItem) {
+        return IsTogether(aItem.second, crash.mAt, aRules);
+      });
+    crash.mCompany = std::max(crash.mCompany, static_cast<std::uint32_t>(n));
+  }
+  return aEvidence;
+}
+
+auto
+CountEpisodes(const std::vector<EngineCrash>& aCrashes,
+              const CrashRules& aRules) -> std::size_t
+{
+  auto episodes = std::size_t{ 0 };
+  auto end = TimePoint::min();
+  for (const auto& it : aCrashes) {
+    if (it.mAt >= end) {
+      ++episodes;
+      end = it.mAt + aRules.mEpisode;
+    }
+  }
+  return episodes;
+}
+
+auto
+FindHarmfulParts(const EvidenceTable& aTable,
+                 TimePoint aNow,
+                 const CrashRules& aRules) -> std::set<PartKey>
+{
+  struct Suspect
+  {
+    PartKey mKey = 0;
+    std::uint32_t mDepth = 0;
+    std::size_t mEpisodes = 0;
+    std::vector<EngineCrash> mCrashes;
+  };
+  const auto begun = ListBegun(aTable);
+  auto suspects = std::vector<Suspect>{};
+  for (const auto& [key, evidence] : aTable) {
+    if (evidence.mCrashes.size() < aRules.mProof) {
+      continue;
+    }
+    auto crashes =
+      RelevantCrashes(evidence.mCrashes, begun, aNow - aRules.mHold, aRules);
+    const auto episodes = CountEpisodes(crashes, aRules);
+    if (episodes >= aRules.mProof) {
+      suspects.push_back({ key, evidence.mDepth, episodes, crashes });
+    }
+  }
+  std::sort(suspects.begin(),
+            suspects.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return std::tuple(aRight.mEpisodes, aRight.mDepth, aLeft.mKey) <
+                     std::tuple(aLeft.mEpisodes, aLeft.mDepth, aRight.mKey);
+            });
+  auto harmful = std::set<PartKey>{};
+  auto explained = std::set<std::uint64_t>{};
+  for (auto& it : suspects) {
+    std::erase_if(it.mCrashes, [&](const auto& aItem) {
+      return explained.contains(aItem.mEngine);
+    });
+    if (CountEpisodes(it.mCrashes, aRules) < aRules.mProof) {
+      continue;
+    }
+    harmful.insert(it.mKey);
+    for (const auto& crash : aTable.at(it.mKey).mCrashes) {
+      explained.insert(crash.mEngine);
+    }
+  }
+  return harmful;
+}
+
+auto
+NextTrialAt(const CrashEvidence& aEvidence, const CrashRules& aRules)
+  -> TimePoint
+{
+  constexpr auto kMaxDoublings = std::size_t{ 10 };
+  const auto episodes = CountEpisodes(aEvidence.mCrashes, aRules);
+  const auto doublings = std::min(
+    episodes > aRules.mProof ? episodes - aRules.mProof : 0, kMaxDoublings);
+  const auto wait =
+    std::min(aRules.mFirstTrial * (std::int64_t{ 1 } << doublings),
+             aRules.mLongestTrial);
+  return aEvidence.mCrashes.back().mAt + wait;
+}
+
+auto
+ForgetEvidence(EvidenceTable aTable,
+               std::size_t aMaxParts,
+               TimePoint aNow,
+               const CrashRules& aRules) -> EvidenceTable
+{
+  constexpr auto kAcquittedHolds = 4;
+  std::erase_if(aTable, [&](const auto& aItem) {
+    const auto& evidence = aItem.second;
+    const auto isProven =
+      CountEpisodes(evidence.mCrashes, aRules) >= aRules.mProof;
+    const auto limit = evidence.mCrashes.empty()
+                         ? aRules.mHold * kAcquittedHolds
+                       : isProven ? 2 * aRules.mLongestTrial
+                                  : aRules.mMemory;
+    return aNow - LastChange(evidence) > limit;
+  });
+  while (aTable.size() > aMaxParts) {
+    const auto least = std::min_element(
+      aTable.begin(), aTable.end(), [](const auto& aLeft, const auto& aRight) {
+        const auto rank = [](const CrashEvidence& aEvidence) {
+          return std::tuple(aEvidence.mCrashes.size(), LastChange(aEvidence));
+        };
+        return rank(aLeft.second) < rank(aRight.second);
+      });
+    aTable.erase(least);
+  }
+  return aTable;
+}
+
+} // namespace cuminslip
--- /dev/null
+++ b/src/policy/tests/crashevidence_tests.cpp
@@ -0,0 +1,193 @@
+#include "policy/crashevidence.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace cuminslip;
+
+namespace {
+
+constexpr auto kRules = CrashRules{};
+constexpr auto kStart = TimePoint(Seconds(1000));
+
+auto
+At(int aMillis) -> TimePoint
+{
+  return kStart + Millis(aMillis);
+}
+
+/// Evidence of one crash at each time, each of another engine.
+auto
+CrashesAt(const std::vector<int>& aTimes, std::uint64_t aFirstEngine = 1)
+  -> CrashEvidence
+{
+  auto evidence = CrashEvidence{};
+  for (const auto it : aTimes) {
+    evidence =
+      AddCrash(std::move(evidence), { aFirstEngine++, At(it), true }, kRules);
+  }
+  return evidence;
+}
+
+auto
+IsHarmful(const CrashEvidence& aEvidence, TimePoint aNow) -> bool
+{
+  return FindHarmfulParts({ { 1, aEvidence } }, aNow, kRules).contains(1);
+}
+
+auto
+AnyEvidence() -> rc::Gen<CrashEvidence>
+{
+  return rc::gen::map(
+    rc::gen::pair(
+      rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 5000))),
+      rc::gen::inRange(-1, 5000)),
+    [](const auto& aFacts) {
+      auto evidence = CrashEvidence{};
+      for (const auto& [engine, at] : aFacts.first) {
+        evidence =
+          AddCrash(std::move(evidence),
+                   { static_cast<std::uint64_t>(engine), At(at), at % 2 == 0 },
+                   kRules);
+      }
+      return aFacts.second < 0
+               ? evidence
+               : AddSoundAnswer(std::move(evidence), At(aFacts.second));
+    });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CrashEvidenceTests)
+
+BOOST_AUTO_TEST_CASE(EpisodesWithoutASoundAnswerProveAPartHarmful)
+{
+  const auto evidence = CrashesAt({ 0, 500, 1000 });
+
+  BOOST_TEST(!IsHarmful(CrashesAt({ 0, 500 }), At(60000)));
+  BOOST_TEST(!IsHarmful(evidence, At(1000) + kRules.mHold - Millis(1)));
+  BOOST_TEST(IsHarmful(evidence, At(1000) + kRules.mHold));
+}
+
+BOOST_AUTO_TEST_CASE(ASoundAnswerAcquitsOfEarlierCrashesOnly)
+{
+  auto evidence = AddSoundAnswer(CrashesAt({ 0, 500, 1000 }), At(700));
+  BOOST_TEST(evidence.mCrashes.size() == 1U);
+  BOOST_TEST(!IsHarmful(evidence, At(60000)));
+  // NOTE: reports of crashes may come later than that of the sound answer.
+  evidence = AddCrash(std::move(evidence), { 9, At(600), true }, kRules);
+  BOOST_TEST(evidence.mCrashes.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(EnginesThatEndAtOnceAreOneEpisode)
+{
+  BOOST_TEST(!IsHarmful(CrashesAt({ 0, 1, 2, 50, 100, 249 }), At(60000)));
+  BOOST_TEST(CountEpisodes(CrashesAt({ 0, 100, 250, 300 }).mCrashes, kRules) ==
+             2U);
+}
+
+BOOST_AUTO_TEST_CASE(APartOfFewEnginesOfAPowerFailureIsNotBlamed)
+{
+  auto evidence = CrashesAt({ 0, 4000, 8000 });
+  auto ends = std::map<std::uint64_t, TimePoint>{};
+  for (auto i = 0; i < 12; ++i) {
+    ends[static_cast<std::uint64_t>(100 + i)] = At(4000 * (i % 3) + i);
+  }
+  evidence = CountCompany(std::move(evidence), ends, kRules);
+  BOOST_TEST(IsHarmful(evidence, At(60000)), "one engine of four each time");
+  for (auto i = 0; i < 3; ++i) {
+    ends[static_cast<std::uint64_t>(200 + i)] = At(4000 * i + 20);
+  }
+  evidence = CountCompany(std::move(evidence), ends, kRules);
+  BOOST_TEST(!IsHarmful(evidence, At(60000)), "one engine of five each time");
+}
+
+BOOST_AUTO_TEST_CASE(WhatManyPromptsShareIsNotBlamedForAPartBehindIt)
+{
+  auto beginning = CrashesAt({ 0, 500, 1000, 1500 });
+  auto behind = beginning;
+  behind.mDepth = 1;
+  const auto both = EvidenceTable{ { 1, beginning }, { 2, behind } };
+  BOOST_TEST(
+    (FindHarmfulParts(both, At(9000), kRules) == std::set<PartKey>{ 2 }));
+
+  // The beginning ends other engines too, and so explains more.
+  beginning = MergeEvidence(beginning, CrashesAt({ 2000, 2500 }, 20), kRules);
+  const auto worse = EvidenceTable{ { 1, beginning }, { 2, behind } };
+  BOOST_TEST(
+    (FindHarmfulParts(worse, At(9000), kRules) == std::set<PartKey>{ 1 }));
+}
+
+BOOST_AUTO_TEST_CASE(TwoHarmfulPartsAreFoundBesideEachOther)
+{
+  const auto table = EvidenceTable{ { 1, CrashesAt({ 0, 600, 1200 }) },
+                                    { 2, CrashesAt({ 300, 900, 1500 }, 9) } };
+  BOOST_TEST(
+    (FindHarmfulParts(table, At(9000), kRules) == std::set<PartKey>{ 1, 2 }));
+}
+
+BOOST_AUTO_TEST_CASE(APromptThatWasOnlyWaitingIsNotBlamedIfAnAnswerHadBegun)
+{
+  auto waiting = CrashesAt({ 0, 500, 1000 });
+  for (auto& it : waiting.mCrashes) {
+    it.mHadBegun = false;
+  }
+  BOOST_TEST(IsHarmful(waiting, At(9000)));
+  const auto table =
+    EvidenceTable{ { 1, waiting }, { 2, CrashesAt({ 0, 500 }) } };
+  BOOST_TEST(FindHarmfulParts(table, At(9000), kRules).empty());
+}
+
+BOOST_AUTO_TEST_CASE(EvidenceMergesInAnyOrderAndRepeatedly)
+{
+  const auto isGood = rc::check([] {
+    const auto left = *AnyEvidence();
+    const auto right = *AnyEvidence();
+    const auto both = MergeEvidence(left, right, kRules);
+    RC_ASSERT(both == MergeEvidence(right, left, kRules));
+    RC_ASSERT(both == MergeEvidence(both, left, kRules));
+    RC_ASSERT(both == MergeEvidence(both, right, kRules));
+  });
+  BOOST_TEST(isGood);
+}
+
+BOOST_AUTO_TEST_CASE(ATrialComesLaterWithEachEpisodeBeyondTheProof)
+{
+  const auto last = At(1000);
+  BOOST_TEST((NextTrialAt(CrashesAt({ 0, 500, 1000 }), kRules) ==
+              last + kRules.mFirstTrial));
+  BOOST_TEST((NextTrialAt(CrashesAt({ 0, 300, 600, 1000 }), kRules) ==
+              last + 2 * kRules.mFirstTrial));
+  auto many = std::vector<int>{};
+  for (auto i = 0; i < 100; ++i) {
+    many.push_back(i * 1000);
+  }
+  const auto evidence = CrashesAt(many);
+  BOOST_TEST(evidence.mCrashes.size() == kRules.mMaxCrashes);
+  BOOST_TEST(
+    (NextTrialAt(evidence, kRules) == At(99000) + kRules.mLongestTrial));
+}
+
+BOOST_AUTO_TEST_CASE(TheTableIsBoundedAndForgets)
+{
+  constexpr auto kMaxParts = std::size_t{ 10 };
+  auto table = EvidenceTable{};
+  for (auto i = 0; i < 100; ++i) {
+    table[static_cast<PartKey>(i)] = CrashesAt({ i });
+  }
+  table[1000] = CrashesAt({ 0, 500, 1000 });
+  table[2000] = AddSoundAnswer({}, At(0));
+  table = ForgetEvidence(std::move(table), kMaxParts, At(5000), kRules);
+  BOOST_TEST(table.size() == kMaxParts);
+  BOOST_TEST(table.contains(1000));
+  BOOST_TEST(table.contains(99));
+  BOOST_TEST(!table.contains(2000));
+  const auto later = At(5000) + kRules.mMemory;
+  table = ForgetEvidence(std::move(table), kMaxParts, later, kRules);
+  BOOST_TEST(table.size() == 1U, "only the harmful part is kept");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/wire/connectionpool.h
+++ b/src/wire/connectionpool.h
@@ -58,6 +58,8 @@
   /// The answer had neither a length nor chunks and ended with its connection,
   /// so that a cut at this place looks the same.
   bool mIsUnframed = false;
+  /// The peer acknowledged nothing any more, so that it may be running.
+  bool mIsSilent = false;
 
   auto operator==(const ExchangeResult&) const -> bool = default;
 };
--- a/src/wire/internal/connectionpool.cpp
+++ b/src/wire/internal/connectionpool.cpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <map>
 #include <vector>
 
@@ -125,13 +126,16 @@
 
 /// Ends the exchange of a connection that can't be used again.
 auto
-FailConnection(Connection& aConnection, ExchangeEnd aEnd) -> void
+FailConnection(Connection& aConnection,
+               ExchangeEnd aEnd,
+               bool aIsSilent = false) -> void
 {
   auto& pool = *aConnection.mPool;
   const auto isActive = aConnection.mExchange != 0;
   const auto handlers = aConnection.mHandlers;
   const auto isUnframed = aConnection.mParser.mPhase == AnswerPhase::OpenBody;
-  const auto result = ExchangeResult{ aEnd, aConnection.mWasKept, isUnframed };
+  const auto result =
+    ExchangeResult{ aEnd, aConnection.mWasKept, isUnframed, aIsSilent };
   CloseConnection(pool, aConnection);
   if (isActive && handlers->mOnEnd) {
     handlers->mOnEnd(result);
@@ -292,6 +296,9 @@
 auto
 OnRead(h2o_socket_t* aSocket, const char* aError) -> void
 {
+  // NOTE: h2o reports all failed reads alike.
+  const auto isSilent = aError != nullptr &&
+                        aError != h2o_socket_error_closed && errno == ETIMEDOUT;
   auto* connection = static_cast<Connection*>(aSocket->data);
   if (connection == nullptr) {
     return;
@@ -308,7 +315,8 @@
                        connection->mParser.mPhase == AnswerPhase::OpenBody &&
                        !connection->mIsForeign && connection->mExchange != 0;
   FailConnection(*connection,
-                 isWhole ? ExchangeEnd::Complete : ExchangeEnd::Broken);
+                 isWhole ? ExchangeEnd::Complete : ExchangeEnd::Broken,
+                 isSilent);
 }
 
 auto
