Name what may end endpoints a suspect, in place of a part of a prompt

No logic changes: the evidence, its notices and its judgement are to hold whole requests too. The failure, events and metric lose the word prompt, as their names would be wrong then: harmful_request, harmful_request_found, harmful_request_cleared, cuminslip_forward_harmful_requests.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -116,10 +116,10 @@
 /// Returns the number of parts of prompts with a crash of an engine against
 /// them.
 auto
-CountSuspectParts(const Forwarder& aForwarder) -> std::size_t;
+CountSuspects(const Forwarder& aForwarder) -> std::size_t;
 
 /// Returns the number of parts of prompts that were last judged to end engines.
 auto
-CountHarmfulParts(const Forwarder& aForwarder) -> std::size_t;
+CountHarmful(const Forwarder& aForwarder) -> std::size_t;
 
 } // namespace cuminslip::forwarding
--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -1,5 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
-#include "forwarding/internal/harmfulparts.h"
+#include "forwarding/internal/harmfulrequests.h"
 #include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
@@ -162,7 +162,7 @@
   }
   for (const auto& event : SplitEvents(attempt.mSplitter, aPiece)) {
     if (!std::exchange(attempt.mHasEvents, true)) {
-      NoteEngineWrites(aForwarder, *flight);
+      NoteSoundAnswer(aForwarder, *flight);
     }
     if (!PassEvent(aForwarder, *flight, event)) {
       GiveUpAnswer(aForwarder,
@@ -204,7 +204,7 @@
 EndStream(Forwarder& aForwarder, Flight& aFlight) -> void
 {
   if (const auto reason = FindMissingEnd(aFlight); !reason.empty()) {
-    NoteEngineEnd(aForwarder, aFlight);
+    NoteEndpointEnd(aForwarder, aFlight);
     RecoverFlight(aForwarder, aFlight, SendOutcome::NotAnAnswer, reason);
     return;
   }
@@ -289,7 +289,7 @@
       return;
     case wire::ExchangeEnd::Broken:
       if (!aResult.mIsSilent) {
-        NoteEngineEnd(aForwarder, *flight);
+        NoteEndpointEnd(aForwarder, *flight);
       }
       RecoverFlight(aForwarder,
                     *flight,
--- a/src/forwarding/internal/ending.cpp
+++ b/src/forwarding/internal/ending.cpp
@@ -1,5 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
-#include "forwarding/internal/harmfulparts.h"
+#include "forwarding/internal/harmfulrequests.h"
 #include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -1,7 +1,7 @@
 #include "forwarding/forwarder.h"
 
 #include "forwarding/internal/forwarderstate.h"
-#include "forwarding/internal/harmfulparts.h"
+#include "forwarding/internal/harmfulrequests.h"
 #include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
@@ -103,7 +103,7 @@
     routing::ChooseService(*aFlight.mRoute, aFlight.mRequest.mId.mValue);
   aFlight.mService = routing::FindService(*aFlight.mTable, name);
   aFlight.mStrictestPause = StrictestPause(aFlight);
-  aFlight.mParts = PartsOf(aFlight);
+  aFlight.mSuspects = SuspectsOf(aFlight);
   NoteRequest(aForwarder.mBudgets[name],
               aForwarder.mSettings.mRetryBudget,
               aForwarder.mPorts.mNow());
@@ -367,8 +367,8 @@
       return "timed_out";
     case FailureKind::TooLate:
       return "too_late";
-    case FailureKind::HarmfulPrompt:
-      return "harmful_prompt";
+    case FailureKind::HarmfulRequest:
+      return "harmful_request";
   }
   return "unknown";
 }
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -69,9 +69,9 @@
   const routing::Route* mRoute = nullptr;
   const routing::Service* mService = nullptr;
   /// The parts of the prompt that other prompts may share, in their order.
-  std::vector<PartKey> mParts;
+  std::vector<SuspectKey> mSuspects;
   /// The harmful part that this flight tries.
-  std::optional<PartKey> mTrial;
+  std::optional<SuspectKey> mTrial;
   /// Shortest pause target of all routes to the service.
   Millis mStrictestPause{ 0 };
   AccountId mAccount;
@@ -163,19 +163,19 @@
 };
 
 /// What is known of parts of prompts that may end engines.
-struct PartKnowledge
+struct SuspectKnowledge
 {
   EvidenceTable mEvidence;
-  /// Ends of engines, by the keys of EngineCrash.
+  /// Ends of engines, by the keys of EndpointCrash.
   std::map<std::uint64_t, TimePoint> mEnds;
-  std::set<PartKey> mHarmful;
+  std::set<SuspectKey> mHarmful;
   TimePoint mJudgedAt{};
   /// End of the last trial of a harmful part by this instance.
-  std::map<PartKey, TimePoint> mTrialEnds;
+  std::map<SuspectKey, TimePoint> mTrialEnds;
   /// Last sound answers to this instance, since mSoundSince and in the span
   /// before it.
-  std::unordered_map<PartKey, TimePoint> mSound;
-  std::unordered_map<PartKey, TimePoint> mFormerSound;
+  std::unordered_map<SuspectKey, TimePoint> mSound;
+  std::unordered_map<SuspectKey, TimePoint> mFormerSound;
   TimePoint mSoundSince{};
   /// There is evidence that was not reported yet.
   bool mHasNews = false;
@@ -200,7 +200,7 @@
   /// By checksum of the endpoint's id.
   std::unordered_map<std::uint64_t, StatedEndpoint> mStated;
   std::size_t mNextReported = 0;
-  PartKnowledge mParts;
+  SuspectKnowledge mSuspects;
   GroupLayout mGroups;
   LoadGroup mOwnGroup;
   /// Peer addresses of the instances of each group, this one included.
--- a/src/forwarding/internal/harmfulparts.cpp
+++ b/src/forwarding/internal/harmfulrequests.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/harmfulparts.h"
+#include "forwarding/internal/harmfulrequests.h"
 
 #include "forwarding/types/forwardevents.h"
 
@@ -37,7 +37,7 @@
 /// Returns when an engine last wrote on the part, by the answers to this
 /// instance.
 auto
-FindRecentSound(const PartKnowledge& aKnowledge, PartKey aPart)
+FindRecentSound(const SuspectKnowledge& aKnowledge, SuspectKey aPart)
   -> std::optional<TimePoint>
 {
   for (const auto* sound : { &aKnowledge.mSound, &aKnowledge.mFormerSound }) {
@@ -50,7 +50,8 @@
 }
 
 auto
-RememberSound(PartKnowledge& aKnowledge, PartKey aPart, TimePoint aNow) -> void
+RememberSound(SuspectKnowledge& aKnowledge, SuspectKey aPart, TimePoint aNow)
+  -> void
 {
   const auto isOver = aNow >= aKnowledge.mSoundSince + kSoundSpan ||
                       aKnowledge.mSound.size() >= kMaxSoundParts;
@@ -65,13 +66,13 @@
 auto
 MakeReportDue(Forwarder& aForwarder) -> void
 {
-  aForwarder.mParts.mHasNews = true;
+  aForwarder.mSuspects.mHasNews = true;
   aForwarder.mIsNoticeDue = true;
 }
 
 /// Records the end of an engine, and forgets old ones.
 auto
-RememberEnd(PartKnowledge& aKnowledge,
+RememberEnd(SuspectKnowledge& aKnowledge,
             std::uint64_t aEngine,
             TimePoint aAt,
             TimePoint aNow) -> void
@@ -93,7 +94,7 @@
 auto
 RefreshCompany(Forwarder& aForwarder, TimePoint aNow) -> void
 {
-  auto& knowledge = aForwarder.mParts;
+  auto& knowledge = aForwarder.mSuspects;
   for (auto& [part, evidence] : knowledge.mEvidence) {
     const auto isRecent = !evidence.mCrashes.empty() &&
                           aNow - evidence.mCrashes.back().mAt <= kEndMemory;
@@ -105,7 +106,7 @@
 }
 
 auto
-LogVerdict(const Event& aEvent, PartKey aPart, const EvidenceTable& aTable)
+LogVerdict(const Event& aEvent, SuspectKey aPart, const EvidenceTable& aTable)
   -> void
 {
   const auto it = aTable.find(aPart);
@@ -120,7 +121,7 @@
 auto
 RefreshVerdicts(Forwarder& aForwarder) -> void
 {
-  auto& knowledge = aForwarder.mParts;
+  auto& knowledge = aForwarder.mSuspects;
   const auto now = aForwarder.mPorts.mNow();
   if (now < knowledge.mJudgedAt + kJudgementInterval) {
     return;
@@ -128,15 +129,15 @@
   knowledge.mJudgedAt = now;
   RefreshCompany(aForwarder, now);
   auto harmful =
-    FindHarmfulParts(knowledge.mEvidence, now, aForwarder.mSettings.mCrashes);
+    FindHarmful(knowledge.mEvidence, now, aForwarder.mSettings.mCrashes);
   for (const auto part : harmful) {
     if (!knowledge.mHarmful.contains(part)) {
-      LogVerdict(kPartHarmfulEvent, part, knowledge.mEvidence);
+      LogVerdict(kHarmfulFoundEvent, part, knowledge.mEvidence);
     }
   }
   for (const auto part : knowledge.mHarmful) {
     if (!harmful.contains(part)) {
-      LogVerdict(kPartClearedEvent, part, knowledge.mEvidence);
+      LogVerdict(kHarmfulClearedEvent, part, knowledge.mEvidence);
     }
   }
   knowledge.mHarmful = std::move(harmful);
@@ -145,7 +146,7 @@
 auto
 Forget(Forwarder& aForwarder) -> void
 {
-  auto& knowledge = aForwarder.mParts;
+  auto& knowledge = aForwarder.mSuspects;
   knowledge.mEvidence = ForgetEvidence(std::move(knowledge.mEvidence),
                                        kMaxParts,
                                        aForwarder.mPorts.mNow(),
@@ -158,7 +159,7 @@
 /// Returns true if this instance tries the part. One instance does for the
 /// fleet, so that a part that is still harmful ends one engine.
 auto
-IsTrialHolder(const Forwarder& aForwarder, PartKey aPart) -> bool
+IsTrialHolder(const Forwarder& aForwarder, SuspectKey aPart) -> bool
 {
   const auto& own = aForwarder.mSettings.mPeerAddress;
   const auto rank = Checksum(own, aPart);
@@ -173,10 +174,10 @@
 /// Returns true if a request on the harmful part may be sent to learn whether
 /// it is harmful still.
 auto
-BeginTrial(Forwarder& aForwarder, PartKey aPart, TimePoint aDue) -> bool
+BeginTrial(Forwarder& aForwarder, SuspectKey aPart, TimePoint aDue) -> bool
 {
   const auto now = aForwarder.mPorts.mNow();
-  auto& end = aForwarder.mParts.mTrialEnds[aPart];
+  auto& end = aForwarder.mSuspects.mTrialEnds[aPart];
   if (now < aDue || now < end || !IsTrialHolder(aForwarder, aPart)) {
     return false;
   }
@@ -189,7 +190,7 @@
 auto
 AddFirst(std::vector<const EvidenceTable::value_type*> aParts,
          const Order& aIsBefore,
-         std::map<PartKey, const CrashEvidence*>& aChosen) -> void
+         std::map<SuspectKey, const CrashEvidence*>& aChosen) -> void
 {
   const auto n = std::min(aParts.size(), kMaxReportedPerOrder);
   std::partial_sort(aParts.begin(),
@@ -211,13 +212,13 @@
 }
 
 auto
-ToReport(PartKey aPart, const CrashEvidence& aEvidence, TimePoint aNow)
-  -> ReportedPart
+ToReport(SuspectKey aPart, const CrashEvidence& aEvidence, TimePoint aNow)
+  -> ReportedSuspect
 {
   const auto ageOf = [&](TimePoint aAt) {
     return std::max(MillisBetween(aAt, aNow), Millis(0));
   };
-  auto report = ReportedPart{ aPart, aEvidence.mDepth, {}, std::nullopt };
+  auto report = ReportedSuspect{ aPart, aEvidence.mDepth, {}, std::nullopt };
   for (const auto& it : aEvidence.mCrashes) {
     report.mCrashes.push_back(
       { it.mEngine, ageOf(it.mAt), it.mHadBegun, it.mCompany });
@@ -231,7 +232,7 @@
 } // namespace
 
 auto
-PartsOf(const Flight& aFlight) -> std::vector<PartKey>
+SuspectsOf(const Flight& aFlight) -> std::vector<SuspectKey>
 {
   if (!aFlight.mService->mEngine || !aFlight.mRequest.mPrompt) {
     return {};
@@ -245,13 +246,13 @@
 }
 
 auto
-NoteEngineEnd(Forwarder& aForwarder, const Flight& aFlight) -> void
+NoteEndpointEnd(Forwarder& aForwarder, const Flight& aFlight) -> void
 {
   const auto& attempt = aFlight.mAttempt;
-  if (aFlight.mParts.empty()) {
+  if (aFlight.mSuspects.empty()) {
     return;
   }
-  auto& knowledge = aForwarder.mParts;
+  auto& knowledge = aForwarder.mSuspects;
   const auto& rules = aForwarder.mSettings.mCrashes;
   const auto now = aForwarder.mPorts.mNow();
   const auto engine = Checksum(attempt.mEndpoint.mValue, attempt.mIncarnation);
@@ -259,9 +260,9 @@
   if (attempt.mHasEvents) {
     return;
   }
-  const auto crash = EngineCrash{ engine, now, HasBegun(attempt) };
-  for (auto i = std::size_t{ 0 }; i < aFlight.mParts.size(); ++i) {
-    auto& evidence = knowledge.mEvidence[aFlight.mParts[i]];
+  const auto crash = EndpointCrash{ engine, now, HasBegun(attempt) };
+  for (auto i = std::size_t{ 0 }; i < aFlight.mSuspects.size(); ++i) {
+    auto& evidence = knowledge.mEvidence[aFlight.mSuspects[i]];
     evidence.mDepth = std::max(evidence.mDepth, static_cast<std::uint32_t>(i));
     evidence = AddCrash(std::move(evidence), crash, rules);
   }
@@ -271,11 +272,11 @@
 }
 
 auto
-NoteEngineWrites(Forwarder& aForwarder, const Flight& aFlight) -> void
+NoteSoundAnswer(Forwarder& aForwarder, const Flight& aFlight) -> void
 {
-  auto& knowledge = aForwarder.mParts;
+  auto& knowledge = aForwarder.mSuspects;
   const auto now = aForwarder.mPorts.mNow();
-  for (const auto part : aFlight.mParts) {
+  for (const auto part : aFlight.mSuspects) {
     RememberSound(knowledge, part, now);
     const auto it = knowledge.mEvidence.find(part);
     if (it == knowledge.mEvidence.end()) {
@@ -297,10 +298,10 @@
   if (!HasBegun(aFlight.mAttempt)) {
     return false;
   }
-  const auto& evidence = aForwarder.mParts.mEvidence;
+  const auto& evidence = aForwarder.mSuspects.mEvidence;
   const auto& rules = aForwarder.mSettings.mCrashes;
   return std::any_of(
-    aFlight.mParts.begin(), aFlight.mParts.end(), [&](const auto aPart) {
+    aFlight.mSuspects.begin(), aFlight.mSuspects.end(), [&](const auto aPart) {
       const auto it = evidence.find(aPart);
       return it != evidence.end() &&
              CountEpisodes(it->second.mCrashes, rules) >= rules.mSuspicion;
@@ -308,17 +309,17 @@
 }
 
 auto
-CheckParts(Forwarder& aForwarder, Flight& aFlight) -> std::optional<Failure>
+CheckSuspects(Forwarder& aForwarder, Flight& aFlight) -> std::optional<Failure>
 {
-  auto& knowledge = aForwarder.mParts;
+  auto& knowledge = aForwarder.mSuspects;
   const auto isClear =
     knowledge.mEvidence.empty() && knowledge.mHarmful.empty();
-  if (isClear || aFlight.mParts.empty()) {
+  if (isClear || aFlight.mSuspects.empty()) {
     return std::nullopt;
   }
   RefreshVerdicts(aForwarder);
   const auto now = aForwarder.mPorts.mNow();
-  for (const auto part : aFlight.mParts) {
+  for (const auto part : aFlight.mSuspects) {
     const auto it = knowledge.mEvidence.find(part);
     // NOTE: the evidence may have gone since the last judgement.
     if (!knowledge.mHarmful.contains(part) || it == knowledge.mEvidence.end() ||
@@ -333,20 +334,20 @@
       continue;
     }
     const auto wait = std::max(MillisBetween(now, due), kTrialTime);
-    return Failure{ FailureKind::HarmfulPrompt, wait };
+    return Failure{ FailureKind::HarmfulRequest, wait };
   }
   return std::nullopt;
 }
 
 auto
-ReportParts(const Forwarder& aForwarder) -> std::vector<ReportedPart>
+ReportSuspects(const Forwarder& aForwarder) -> std::vector<ReportedSuspect>
 {
   const auto now = aForwarder.mPorts.mNow();
   auto parts = std::vector<const EvidenceTable::value_type*>{};
-  for (const auto& it : aForwarder.mParts.mEvidence) {
+  for (const auto& it : aForwarder.mSuspects.mEvidence) {
     parts.push_back(&it);
   }
-  auto chosen = std::map<PartKey, const CrashEvidence*>{};
+  auto chosen = std::map<SuspectKey, const CrashEvidence*>{};
   AddFirst(
     parts,
     [](const auto* aLeft, const auto* aRight) {
@@ -359,7 +360,7 @@
       return LastChange(aLeft->second) > LastChange(aRight->second);
     },
     chosen);
-  auto reports = std::vector<ReportedPart>{};
+  auto reports = std::vector<ReportedSuspect>{};
   for (const auto& [part, evidence] : chosen) {
     reports.push_back(ToReport(part, *evidence, now));
   }
@@ -367,9 +368,9 @@
 }
 
 auto
-TakeDueReports(Forwarder& aForwarder) -> std::vector<ReportedPart>
+TakeDueReports(Forwarder& aForwarder) -> std::vector<ReportedSuspect>
 {
-  auto& knowledge = aForwarder.mParts;
+  auto& knowledge = aForwarder.mSuspects;
   const auto now = aForwarder.mPorts.mNow();
   const auto isDue =
     knowledge.mHasNews || now >= knowledge.mReportedAt + kReportInterval;
@@ -378,17 +379,17 @@
   }
   knowledge.mHasNews = false;
   knowledge.mReportedAt = now;
-  return ReportParts(aForwarder);
+  return ReportSuspects(aForwarder);
 }
 
 auto
-ApplyEvidence(Forwarder& aForwarder, const std::vector<ReportedPart>& aParts)
+ApplyEvidence(Forwarder& aForwarder, const std::vector<ReportedSuspect>& aParts)
   -> void
 {
   if (aParts.empty()) {
     return;
   }
-  auto& knowledge = aForwarder.mParts;
+  auto& knowledge = aForwarder.mSuspects;
   const auto& rules = aForwarder.mSettings.mCrashes;
   const auto now = aForwarder.mPorts.mNow();
   for (const auto& it : aParts) {
@@ -405,23 +406,23 @@
       RememberEnd(knowledge, crash.mEngine, now - crash.mAge, now);
     }
     const auto hadCrashes = !reported.mCrashes.empty();
-    if (const auto sound = FindRecentSound(knowledge, it.mPart)) {
+    if (const auto sound = FindRecentSound(knowledge, it.mKey)) {
       reported = AddSoundAnswer(std::move(reported), *sound);
     }
     // NOTE: the other instances do not know yet what acquits the part here.
     if (hadCrashes && reported.mCrashes.empty()) {
       MakeReportDue(aForwarder);
     }
-    auto& evidence = knowledge.mEvidence[it.mPart];
+    auto& evidence = knowledge.mEvidence[it.mKey];
     evidence = MergeEvidence(std::move(evidence), reported, rules);
   }
   Forget(aForwarder);
 }
 
 auto
-CountSuspectParts(const Forwarder& aForwarder) -> std::size_t
+CountSuspects(const Forwarder& aForwarder) -> std::size_t
 {
-  const auto& evidence = aForwarder.mParts.mEvidence;
+  const auto& evidence = aForwarder.mSuspects.mEvidence;
   return static_cast<std::size_t>(
     std::count_if(evidence.begin(), evidence.end(), [](const auto& aItem) {
       return !aItem.second.mCrashes.empty();
@@ -429,15 +430,15 @@
 }
 
 auto
-CountHarmfulParts(const Forwarder& aForwarder) -> std::size_t
+CountHarmful(const Forwarder& aForwarder) -> std::size_t
 {
-  return aForwarder.mParts.mHarmful.size();
+  return aForwarder.mSuspects.mHarmful.size();
 }
 
 auto
 RepeatEvidence(Forwarder& aForwarder) -> void
 {
-  const auto& knowledge = aForwarder.mParts;
+  const auto& knowledge = aForwarder.mSuspects;
   aForwarder.mIsNoticeDue |=
     aForwarder.mPorts.mNow() >= knowledge.mReportedAt + kReportInterval &&
     !knowledge.mEvidence.empty();
--- a/src/forwarding/internal/harmfulparts.h
+++ b/src/forwarding/internal/harmfulrequests.h
@@ -8,16 +8,16 @@
 
 /// Returns the parts of the flight's prompt that are judged.
 auto
-PartsOf(const Flight& aFlight) -> std::vector<PartKey>;
+SuspectsOf(const Flight& aFlight) -> std::vector<SuspectKey>;
 
 /// Records that the connection to the engine of the flight's attempt ended. A
 /// flight on which the engine had begun to write is no evidence.
 auto
-NoteEngineEnd(Forwarder& aForwarder, const Flight& aFlight) -> void;
+NoteEndpointEnd(Forwarder& aForwarder, const Flight& aFlight) -> void;
 
 /// Records that an engine wrote on the flight's prompt.
 auto
-NoteEngineWrites(Forwarder& aForwarder, const Flight& aFlight) -> void;
+NoteSoundAnswer(Forwarder& aForwarder, const Flight& aFlight) -> void;
 
 /// Returns true if the engine of the flight's attempt ended with the answer
 /// begun, and others did before on a part of the prompt.
@@ -27,21 +27,21 @@
 /// Returns the failure of a flight whose prompt has a harmful part, unless this
 /// instance tries the part with it.
 auto
-CheckParts(Forwarder& aForwarder, Flight& aFlight) -> std::optional<Failure>;
+CheckSuspects(Forwarder& aForwarder, Flight& aFlight) -> std::optional<Failure>;
 
 /// Returns the evidence for a notice: a bounded number of parts, the most
 /// suspect and the latest ones.
 auto
-ReportParts(const Forwarder& aForwarder) -> std::vector<ReportedPart>;
+ReportSuspects(const Forwarder& aForwarder) -> std::vector<ReportedSuspect>;
 
 /// Returns the evidence for a notice if there is news, or if none was reported
 /// for a while.
 auto
-TakeDueReports(Forwarder& aForwarder) -> std::vector<ReportedPart>;
+TakeDueReports(Forwarder& aForwarder) -> std::vector<ReportedSuspect>;
 
 /// Adds the evidence of another instance.
 auto
-ApplyEvidence(Forwarder& aForwarder, const std::vector<ReportedPart>& aParts)
+ApplyEvidence(Forwarder& aForwarder, const std::vector<ReportedSuspect>& aParts)
   -> void;
 
 /// Makes a load notice due when evidence was not reported for a while.
--- a/src/forwarding/internal/loadnotice.cpp
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -49,14 +49,14 @@
 }
 
 auto
-WriteParts(const std::vector<ReportedPart>& aParts,
-           schema::LoadNotice::Builder aRoot) -> void
+WriteSuspects(const std::vector<ReportedSuspect>& aParts,
+              schema::LoadNotice::Builder aRoot) -> void
 {
   auto list = aRoot.initParts(static_cast<unsigned>(aParts.size()));
   auto n = 0U;
   for (const auto& it : aParts) {
     auto to = list[n++];
-    to.setPart(it.mPart);
+    to.setPart(it.mKey);
     to.setDepth(it.mDepth);
     if (it.mSoundAge) {
       to.setSoundAgeMillis(it.mSoundAge->count());
@@ -75,15 +75,16 @@
 
 /// Skips parts beyond the number that any sender writes.
 auto
-ReadParts(schema::LoadNotice::Reader aRoot) -> std::vector<ReportedPart>
+ReadSuspects(schema::LoadNotice::Reader aRoot) -> std::vector<ReportedSuspect>
 {
   constexpr auto kMaxParts = std::size_t{ 64 };
-  auto parts = std::vector<ReportedPart>{};
+  auto parts = std::vector<ReportedSuspect>{};
   for (const auto it : aRoot.getParts()) {
     if (parts.size() == kMaxParts) {
       break;
     }
-    auto part = ReportedPart{ it.getPart(), it.getDepth(), {}, std::nullopt };
+    auto part =
+      ReportedSuspect{ it.getPart(), it.getDepth(), {}, std::nullopt };
     for (const auto crash : it.getCrashes()) {
       part.mCrashes.push_back({ crash.getEngine(),
                                 Millis(crash.getAgeMillis()),
@@ -109,7 +110,7 @@
   root.setSequence(aNotice.mSequence);
   root.setIsSummary(aNotice.mIsSummary);
   WriteStatements(aNotice.mStatements, root);
-  WriteParts(aNotice.mParts, root);
+  WriteSuspects(aNotice.mSuspects, root);
   auto shares = root.initShares(static_cast<unsigned>(aNotice.mShares.size()));
   auto n = 0U;
   for (const auto& it : aNotice.mShares) {
@@ -140,7 +141,7 @@
       notice.mSequence = aItem.getSequence();
       notice.mIsSummary = aItem.getIsSummary();
       notice.mStatements = ReadStatements(aItem);
-      notice.mParts = ReadParts(aItem);
+      notice.mSuspects = ReadSuspects(aItem);
       for (const auto it : aItem.getShares()) {
         notice.mShares.push_back(
           { it.getEngine(),
--- a/src/forwarding/internal/loadsharing.cpp
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -1,5 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
-#include "forwarding/internal/harmfulparts.h"
+#include "forwarding/internal/harmfulrequests.h"
 #include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
@@ -101,7 +101,7 @@
                                         SummarizeGroup(aForwarder),
                                         true,
                                         ReportStatements(aForwarder),
-                                        ReportParts(aForwarder) });
+                                        ReportSuspects(aForwarder) });
   for (const auto& [group, others] : aForwarder.mMembers) {
     if (group == aForwarder.mOwnGroup) {
       continue;
@@ -253,7 +253,7 @@
   }
   ApplyReports(
     aForwarder, notice.mValue->mInstance, notice.mValue->mStatements);
-  ApplyEvidence(aForwarder, notice.mValue->mParts);
+  ApplyEvidence(aForwarder, notice.mValue->mSuspects);
   if (notice.mValue->mIsSummary) {
     ApplySummary(aForwarder, *notice.mValue);
     return;
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -1,5 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
-#include "forwarding/internal/harmfulparts.h"
+#include "forwarding/internal/harmfulrequests.h"
 #include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
@@ -405,7 +405,7 @@
 auto
 PlaceFlight(Forwarder& aForwarder, Flight& aFlight) -> void
 {
-  if (const auto failure = CheckParts(aForwarder, aFlight)) {
+  if (const auto failure = CheckSuspects(aForwarder, aFlight)) {
     FailFlight(aForwarder, aFlight, *failure);
     return;
   }
--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -1,5 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
-#include "forwarding/internal/harmfulparts.h"
+#include "forwarding/internal/harmfulrequests.h"
 #include "forwarding/internal/statements.h"
 
 #include <algorithm>
@@ -60,7 +60,7 @@
     return;
   }
   // NOTE: a part may have proved harmful while the engines were claimed.
-  if (const auto failure = CheckParts(aForwarder, aFlight)) {
+  if (const auto failure = CheckSuspects(aForwarder, aFlight)) {
     aFlight.mAttempt = std::move(aAttempt);
     FailFlight(aForwarder, aFlight, *failure);
     return;
--- a/src/forwarding/loadnotice.h
+++ b/src/forwarding/loadnotice.h
@@ -55,15 +55,15 @@
 };
 
 /// The sender's evidence on a part of prompts.
-struct ReportedPart
+struct ReportedSuspect
 {
-  PartKey mPart = 0;
+  SuspectKey mKey = 0;
   std::uint32_t mDepth = 0;
   std::vector<ReportedCrash> mCrashes;
   /// Time since the last sound answer, if there was one.
   std::optional<Millis> mSoundAge;
 
-  auto operator==(const ReportedPart&) const -> bool = default;
+  auto operator==(const ReportedSuspect&) const -> bool = default;
 };
 
 struct LoadNotice
@@ -78,7 +78,7 @@
   /// Advice: may be incomplete and older than what the receiver knows.
   std::vector<ReportedStatement> mStatements;
   /// The most suspect parts of prompts, and the latest ones.
-  std::vector<ReportedPart> mParts;
+  std::vector<ReportedSuspect> mSuspects;
 
   auto operator==(const LoadNotice&) const -> bool = default;
 };
--- a/src/forwarding/tests/harmfulparts_tests.cpp
+++ b/src/forwarding/tests/harmfulparts_tests.cpp
@@ -69,14 +69,14 @@
   }
 
   /// Returns the parts of the last notice that reports any.
-  auto LastReport() const -> std::vector<ReportedPart>
+  auto LastReport() const -> std::vector<ReportedSuspect>
   {
-    auto parts = std::vector<ReportedPart>{};
+    auto parts = std::vector<ReportedSuspect>{};
     for (const auto& it : mNotices) {
       const auto notice =
         CollectOutcome<LoadNotice>([&] { return DecodeLoadNotice(it.second); });
-      if (notice.mValue && !notice.mValue->mParts.empty()) {
-        parts = notice.mValue->mParts;
+      if (notice.mValue && !notice.mValue->mSuspects.empty()) {
+        parts = notice.mValue->mSuspects;
       }
     }
     return parts;
@@ -84,15 +84,15 @@
 
   auto IsRefusedForItsPrompt(const FakeCaller& aCaller) const -> bool
   {
-    return aCaller.mResponse && aCaller.mResponse->mBody == "harmful_prompt";
+    return aCaller.mResponse && aCaller.mResponse->mBody == "harmful_request";
   }
 };
 
 /// A report of as many crashes, 500 ms apart, the last one just now.
 auto
-Report(PartKey aPart, int aCrashes) -> ReportedPart
+Report(SuspectKey aPart, int aCrashes) -> ReportedSuspect
 {
-  auto part = ReportedPart{ aPart, 1, {}, std::nullopt };
+  auto part = ReportedSuspect{ aPart, 1, {}, std::nullopt };
   for (auto i = 0; i < aCrashes; ++i) {
     part.mCrashes.push_back({ static_cast<std::uint64_t>(i + 1),
                               Millis(500) * (aCrashes - 1 - i),
@@ -103,12 +103,12 @@
 }
 
 auto
-NoticeOf(std::vector<ReportedPart> aParts) -> std::string
+NoticeOf(std::vector<ReportedSuspect> aParts) -> std::string
 {
   auto notice = LoadNotice{};
   notice.mInstance = "10.0.0.2:7000";
   notice.mSequence = 1;
-  notice.mParts = std::move(aParts);
+  notice.mSuspects = std::move(aParts);
   return EncodeLoadNotice(notice);
 }
 
@@ -176,7 +176,7 @@
   BOOST_REQUIRE(sent.size() == 1U);
   BOOST_TEST(sent.front().mCrashes.front().mHadBegun);
 
-  HandleLoadNotice(*mForwarder, NoticeOf({ Report(sent.front().mPart, 3) }));
+  HandleLoadNotice(*mForwarder, NoticeOf({ Report(sent.front().mKey, 3) }));
   Run(kHold);
   BOOST_TEST(IsRefusedForItsPrompt(*AskWith({ 5 })));
 }
@@ -184,7 +184,7 @@
 BOOST_AUTO_TEST_CASE(ASoundAnswerHereAcquitsWhatAnotherReports)
 {
   EndEngines({ 5 }, 1);
-  const auto part = LastReport().front().mPart;
+  const auto part = LastReport().front().mKey;
   AskWith({ 5 });
   Head(LastSend(), 200, kSealed);
   Piece(LastSend(), kEvent);
@@ -233,7 +233,7 @@
   for (const auto& [address, bytes] : mNotices) {
     const auto notice = CollectOutcome<LoadNotice>(
       [&, b = std::string_view(bytes)] { return DecodeLoadNotice(b); });
-    BOOST_TEST(notice.mValue->mParts.size() <= kMaxReported);
+    BOOST_TEST(notice.mValue->mSuspects.size() <= kMaxReported);
   }
 }
 
--- a/src/forwarding/types/forwardevents.h
+++ b/src/forwarding/types/forwardevents.h
@@ -51,9 +51,9 @@
 inline constexpr auto kEndpointPausedEvent =
   Event{ 2021, "forward_endpoint_paused", Severity::Info };
 
-inline constexpr auto kPartHarmfulEvent =
-  Event{ 2022, "prompt_part_harmful", Severity::Warning };
-inline constexpr auto kPartClearedEvent =
-  Event{ 2023, "prompt_part_cleared", Severity::Info };
+inline constexpr auto kHarmfulFoundEvent =
+  Event{ 2022, "harmful_request_found", Severity::Warning };
+inline constexpr auto kHarmfulClearedEvent =
+  Event{ 2023, "harmful_request_cleared", Severity::Info };
 
 } // namespace cuminslip::forwarding
--- a/src/forwarding/types/forwardrequest.h
+++ b/src/forwarding/types/forwardrequest.h
@@ -122,7 +122,7 @@
   /// The deadline has passed, and the request has not run.
   TooLate,
   /// The prompt has a part that ends engines. The request has not run.
-  HarmfulPrompt
+  HarmfulRequest
 };
 
 /// Returns the name used in answers, logs and metrics. Thread safe.
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -110,10 +110,10 @@
           static_cast<double>(forwarding::CountLimitedEndpoints(aForwarder))),
     Gauge("cuminslip_forward_suspect_parts",
           "Parts of prompts with a crash of an engine against them.",
-          static_cast<double>(forwarding::CountSuspectParts(aForwarder))),
-    Gauge("cuminslip_forward_harmful_parts",
+          static_cast<double>(forwarding::CountSuspects(aForwarder))),
+    Gauge("cuminslip_forward_harmful_requests",
           "Parts of prompts that end engines; requests with them are refused.",
-          static_cast<double>(forwarding::CountHarmfulParts(aForwarder)))
+          static_cast<double>(forwarding::CountHarmful(aForwarder)))
   };
 }
 
--- a/src/policy/crashevidence.h
+++ b/src/policy/crashevidence.h
@@ -17,9 +17,9 @@
 namespace cuminslip {
 
 /// Identifies a part of a prompt for one service.
-using PartKey = std::uint64_t;
+using SuspectKey = std::uint64_t;
 
-struct EngineCrash
+struct EndpointCrash
 {
   /// Identifies the engine and its incarnation, so that the reports of several
   /// instances on one crash count once.
@@ -31,14 +31,14 @@
   /// included.
   std::uint32_t mCompany = 1;
 
-  auto operator==(const EngineCrash&) const -> bool = default;
+  auto operator==(const EndpointCrash&) const -> bool = default;
 };
 
 /// What is known of one part of a prompt.
 struct CrashEvidence
 {
   /// Crashes since the last sound answer, oldest first, each engine once.
-  std::vector<EngineCrash> mCrashes;
+  std::vector<EndpointCrash> mCrashes;
   /// When an engine last wrote an answer on the part.
   std::optional<TimePoint> mSoundAt;
   /// Position of the part in the prompts; parts in front are shared by more
@@ -76,13 +76,13 @@
   auto operator==(const CrashRules&) const -> bool = default;
 };
 
-using EvidenceTable = std::map<PartKey, CrashEvidence>;
+using EvidenceTable = std::map<SuspectKey, CrashEvidence>;
 
 /// Adds a crash, unless a later sound answer acquits the part of it. Of several
 /// reports on one crash the earliest counts, since each relay adds its delay.
 auto
 AddCrash(CrashEvidence aEvidence,
-         const EngineCrash& aCrash,
+         const EndpointCrash& aCrash,
          const CrashRules& aRules) -> CrashEvidence;
 
 /// Adds a sound answer; it acquits the part of all earlier crashes.
@@ -104,7 +104,7 @@
 
 /// Returns the number of episodes.
 auto
-CountEpisodes(const std::vector<EngineCrash>& aCrashes,
+CountEpisodes(const std::vector<EndpointCrash>& aCrashes,
               const CrashRules& aRules) -> std::size_t;
 
 /// Returns the harmful parts. A crash is evidence against the parts of the
@@ -113,9 +113,9 @@
 /// prompts, so that what many prompts share is not blamed for a part that
 /// follows it.
 auto
-FindHarmfulParts(const EvidenceTable& aTable,
-                 TimePoint aNow,
-                 const CrashRules& aRules) -> std::set<PartKey>;
+FindHarmful(const EvidenceTable& aTable,
+            TimePoint aNow,
+            const CrashRules& aRules) -> std::set<SuspectKey>;
 
 /// Returns when one request on a harmful part may be tried. Precondition: the
 /// part has a crash.
--- a/src/policy/internal/crashevidence.cpp
+++ b/src/policy/internal/crashevidence.cpp
@@ -30,12 +30,12 @@
 
 /// Returns the crashes until aUntil that count against their part.
 auto
-RelevantCrashes(const std::vector<EngineCrash>& aCrashes,
+RelevantCrashes(const std::vector<EndpointCrash>& aCrashes,
                 const std::set<std::uint64_t>& aBegun,
                 TimePoint aUntil,
-                const CrashRules& aRules) -> std::vector<EngineCrash>
+                const CrashRules& aRules) -> std::vector<EndpointCrash>
 {
-  const auto counts = [&](const EngineCrash& aCrash) {
+  const auto counts = [&](const EndpointCrash& aCrash) {
     const auto n =
       std::count_if(aCrashes.begin(), aCrashes.end(), [&](const auto& aItem) {
         return IsTogether(aItem.mAt, aCrash.mAt, aRules);
@@ -44,7 +44,7 @@
            (aCrash.mHadBegun || !aBegun.contains(aCrash.mEngine)) &&
            static_cast<double>(n) >= aRules.mMinShare * aCrash.mCompany;
   };
-  auto relevant = std::vector<EngineCrash>{};
+  auto relevant = std::vector<EndpointCrash>{};
   std::copy_if(
     aCrashes.begin(), aCrashes.end(), std::back_inserter(relevant), counts);
   return relevant;
@@ -61,7 +61,7 @@
 
 auto
 AddCrash(CrashEvidence aEvidence,
-         const EngineCrash& aCrash,
+         const EndpointCrash& aCrash,
          const CrashRules& aRules) -> CrashEvidence
 {
   auto& crashes = aEvidence.mCrashes;
@@ -135,7 +135,7 @@
 }
 
 auto
-CountEpisodes(const std::vector<EngineCrash>& aCrashes,
+CountEpisodes(const std::vector<EndpointCrash>& aCrashes,
               const CrashRules& aRules) -> std::size_t
 {
   auto episodes = std::size_t{ 0 };
@@ -150,16 +150,16 @@
 }
 
 auto
-FindHarmfulParts(const EvidenceTable& aTable,
-                 TimePoint aNow,
-                 const CrashRules& aRules) -> std::set<PartKey>
+FindHarmful(const EvidenceTable& aTable,
+            TimePoint aNow,
+            const CrashRules& aRules) -> std::set<SuspectKey>
 {
   struct Suspect
   {
-    PartKey mKey = 0;
+    SuspectKey mKey = 0;
     std::uint32_t mDepth = 0;
     std::size_t mEpisodes = 0;
-    std::vector<EngineCrash> mCrashes;
+    std::vector<EndpointCrash> mCrashes;
   };
   const auto begun = ListBegun(aTable);
   auto suspects = std::vector<Suspect>{};
@@ -180,7 +180,7 @@
               return std::tuple(aRight.mEpisodes, aRight.mDepth, aLeft.mKey) <
                      std::tuple(aLeft.mEpisodes, aLeft.mDepth, aRight.mKey);
             });
-  auto harmful = std::set<PartKey>{};
+  auto harmful = std::set<SuspectKey>{};
   auto explained = std::set<std::uint64_t>{};
   for (auto& it : suspects) {
     std::erase_if(it.mCrashes, [&](const auto& aItem) {
--- a/src/policy/tests/crashevidence_tests.cpp
+++ b/src/policy/tests/crashevidence_tests.cpp
@@ -34,7 +34,7 @@
 auto
 IsHarmful(const CrashEvidence& aEvidence, TimePoint aNow) -> bool
 {
-  return FindHarmfulParts({ { 1, aEvidence } }, aNow, kRules).contains(1);
+  return FindHarmful({ { 1, aEvidence } }, aNow, kRules).contains(1);
 }
 
 /// Reports on up to 8 crashes, each with a delay, and a sound answer between
@@ -115,13 +115,13 @@
   behind.mDepth = 1;
   const auto both = EvidenceTable{ { 1, beginning }, { 2, behind } };
   BOOST_TEST(
-    (FindHarmfulParts(both, At(9000), kRules) == std::set<PartKey>{ 2 }));
+    (FindHarmful(both, At(9000), kRules) == std::set<SuspectKey>{ 2 }));
 
   // The beginning ends other engines too, and so explains more.
   beginning = MergeEvidence(beginning, CrashesAt({ 2000, 2500 }, 20), kRules);
   const auto worse = EvidenceTable{ { 1, beginning }, { 2, behind } };
   BOOST_TEST(
-    (FindHarmfulParts(worse, At(9000), kRules) == std::set<PartKey>{ 1 }));
+    (FindHarmful(worse, At(9000), kRules) == std::set<SuspectKey>{ 1 }));
 }
 
 BOOST_AUTO_TEST_CASE(TwoHarmfulPartsAreFoundBesideEachOther)
@@ -129,7 +129,7 @@
   const auto table = EvidenceTable{ { 1, CrashesAt({ 0, 600, 1200 }) },
                                     { 2, CrashesAt({ 300, 900, 1500 }, 9) } };
   BOOST_TEST(
-    (FindHarmfulParts(table, At(9000), kRules) == std::set<PartKey>{ 1, 2 }));
+    (FindHarmful(table, At(9000), kRules) == std::set<SuspectKey>{ 1, 2 }));
 }
 
 BOOST_AUTO_TEST_CASE(APromptThatWasOnlyWaitingIsNotBlamedIfAnAnswerHadBegun)
@@ -141,7 +141,7 @@
   BOOST_TEST(IsHarmful(waiting, At(9000)));
   const auto table =
     EvidenceTable{ { 1, waiting }, { 2, CrashesAt({ 0, 500 }) } };
-  BOOST_TEST(FindHarmfulParts(table, At(9000), kRules).empty());
+  BOOST_TEST(FindHarmful(table, At(9000), kRules).empty());
 }
 
 BOOST_AUTO_TEST_CASE(EvidenceMergesInAnyOrderAndRepeatedly)
@@ -179,7 +179,7 @@
   constexpr auto kMaxParts = std::size_t{ 10 };
   auto table = EvidenceTable{};
   for (auto i = 0; i < 100; ++i) {
-    table[static_cast<PartKey>(i)] = CrashesAt({ i });
+    table[static_cast<SuspectKey>(i)] = CrashesAt({ i });
   }
   table[1000] = CrashesAt({ 0, 500, 1000 });
   table[2000] = AddSoundAnswer({}, At(0));
