Log the digest of the request of a failed send

The ids of a request differ with each attempt of its caller, so that the logs of the incident could not tell which sends were of one request. The digest is of host, method, path, query, client account and body; no decision uses it yet.

--- a/src/forwarding/internal/ending.cpp
+++ b/src/forwarding/internal/ending.cpp
@@ -155,6 +155,7 @@
       { "events", aFlight.mEvents },
       { "at_fault", aFlight.mAttempt.mAnswer.mAtFault },
       { "sent_ms_ago", MillisBetween(aFlight.mAttempt.mSentAt, now).count() },
+      { "digest", aFlight.mDigest },
       { "parts", FormatSharedParts(aFlight) } });
   if (aOutcome != SendOutcome::Answered) {
     NoteFailure(aForwarder, endpoint, aReason);
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "forwarding/internal/forwarderstate.h"
 #include "forwarding/internal/harmfulrequests.h"
 #include "forwarding/internal/statements.h"
+#include "forwarding/requestdigest.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -103,6 +104,7 @@
     routing::ChooseService(*aFlight.mRoute, aFlight.mRequest.mId.mValue);
   aFlight.mService = routing::FindService(*aFlight.mTable, name);
   aFlight.mStrictestPause = StrictestPause(aFlight);
+  aFlight.mDigest = DigestRequest(aFlight.mRequest.mHttp, aFlight.mAccount);
   aFlight.mSuspects = SuspectsOf(aFlight);
   NoteRequest(aForwarder.mBudgets[name],
               aForwarder.mSettings.mRetryBudget,
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -68,6 +68,8 @@
   std::shared_ptr<const routing::RoutingTable> mTable;
   const routing::Route* mRoute = nullptr;
   const routing::Service* mService = nullptr;
+  /// By DigestRequest.
+  std::uint64_t mDigest = 0;
   /// The parts of the prompt that other prompts may share, in their order.
   std::vector<SuspectKey> mSuspects;
   /// The harmful part that this flight tries.
