Refuse whole requests that end endpoints, by the rule for parts of prompts

Cause: evidence was kept for shared parts of prompts only, so a plain request, or a prompt without such parts, was taken for a new one each time.

Change: the digest of the request is a suspect beside the parts of its prompt, the deepest one, in the same table, notice and judgement. An answer acquits it. Ends within 250 ms were one episode; one to which the suspect was sent after the first end now is an episode of its own, if no endpoint without the suspect ended beside it. Notices list the latest ends, so that each instance counts all that ended together; a single crash is repeated for 5 s only, as most requests never come again.

Ruled out: a second table for requests, which would blame a request beside the part that it holds; hashing all of a long body.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -113,12 +113,12 @@
 auto
 CountLimitedEndpoints(const Forwarder& aForwarder) -> std::size_t;
 
-/// Returns the number of parts of prompts with a crash of an engine against
-/// them.
+/// Returns the number of requests and parts of prompts with a crash of an
+/// endpoint against them.
 auto
 CountSuspects(const Forwarder& aForwarder) -> std::size_t;
 
-/// Returns the number of parts of prompts that were last judged to end engines.
+/// Returns the number of those that were last judged to end endpoints.
 auto
 CountHarmful(const Forwarder& aForwarder) -> std::size_t;
 
--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -45,13 +45,6 @@
   RemoveFlight(aForwarder, aFlight);
 }
 
-auto
-IsStream(const Flight& aFlight) -> bool
-{
-  return aFlight.mRoute->mKind == routing::RouteKind::Streaming &&
-         aFlight.mAttempt.mStatus == kOk && aFlight.mAttempt.mAnswer.mIsGenuine;
-}
-
 /// Forwards one event unless the caller already received it. Returns false when
 /// earlier events are missing.
 auto
@@ -248,6 +241,7 @@
     RecoverFlight(aForwarder, aFlight, SendOutcome::NotAnAnswer, kNotGenuine);
     return;
   }
+  NoteSoundAnswer(aForwarder, aFlight);
   const auto isError = attempt.mStatus >= kFirstServerError;
   if (isError && MayRepeatFlight(aForwarder, aFlight, SendOutcome::Answered)) {
     RecoverFlight(aForwarder,
@@ -309,6 +303,13 @@
 
 } // namespace
 
+auto
+IsStream(const Flight& aFlight) -> bool
+{
+  return aFlight.mRoute->mKind == routing::RouteKind::Streaming &&
+         aFlight.mAttempt.mStatus == kOk && aFlight.mAttempt.mAnswer.mIsGenuine;
+}
+
 auto
 MakeHandlers(Forwarder& aForwarder, FlightId aId) -> wire::ExchangeHandlers
 {
--- a/src/forwarding/internal/ending.cpp
+++ b/src/forwarding/internal/ending.cpp
@@ -122,6 +122,7 @@
              { "endpoint", aFlight.mAttempt.mEndpoint.mValue },
              { "sends", aFlight.mSends },
              { "events", aFlight.mEvents },
+             { "suspect", aFlight.mHarmful.value_or(0) },
              { "age_ms", MillisBetween(aFlight.mArrived, now).count() },
              { "retry_after_ms",
                failure.mRetryAfter ? failure.mRetryAfter->count() : -1 } });
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -70,10 +70,13 @@
   const routing::Service* mService = nullptr;
   /// By DigestRequest.
   std::uint64_t mDigest = 0;
-  /// The parts of the prompt that other prompts may share, in their order.
+  /// What of the request may end endpoints: the parts of the prompt that other
+  /// prompts may share, in their order, and the whole request.
   std::vector<SuspectKey> mSuspects;
-  /// The harmful part that this flight tries.
+  /// The harmful one that this flight tries.
   std::optional<SuspectKey> mTrial;
+  /// The harmful one for which it is refused.
+  std::optional<SuspectKey> mHarmful;
   /// Shortest pause target of all routes to the service.
   Millis mStrictestPause{ 0 };
   AccountId mAccount;
@@ -164,15 +167,15 @@
   EngineWork mWork;
 };
 
-/// What is known of parts of prompts that may end engines.
+/// What is known of requests and parts of prompts that may end endpoints.
 struct SuspectKnowledge
 {
   EvidenceTable mEvidence;
-  /// Ends of engines, by the keys of EndpointCrash.
+  /// Ends of endpoints, by the keys of EndpointCrash.
   std::map<std::uint64_t, TimePoint> mEnds;
   std::set<SuspectKey> mHarmful;
   TimePoint mJudgedAt{};
-  /// End of the last trial of a harmful part by this instance.
+  /// End of the last trial of a harmful one by this instance.
   std::map<SuspectKey, TimePoint> mTrialEnds;
   /// Last sound answers to this instance, since mSoundSince and in the span
   /// before it.
@@ -278,6 +281,10 @@
               SendOutcome aOutcome,
               std::string_view aReason) -> void;
 
+/// Returns true if the answer to the flight's attempt is a stream.
+auto
+IsStream(const Flight& aFlight) -> bool;
+
 /// Returns true while the initial discovery may still find better endpoints and
 /// less than half of the allowance of the request is used. Returns false for a
 /// stream that has started.
--- a/src/forwarding/internal/harmfulrequests.cpp
+++ b/src/forwarding/internal/harmfulrequests.cpp
@@ -8,40 +8,50 @@
 
 namespace {
 
-constexpr auto kMaxParts = std::size_t{ 256 };
-/// Ends of engines are remembered for this long, which is longer than reports
-/// on suspect parts take to all instances.
+constexpr auto kMaxSuspects = std::size_t{ 256 };
+/// Ends of endpoints are remembered for this long, which is longer than reports
+/// on suspects take to all instances.
 constexpr auto kEndMemory = Millis(5000);
 constexpr auto kMaxEnds = std::size_t{ 256 };
-/// Keeps a notice within one packet: parts of each of the two orders.
+/// Keeps a notice within one packet: suspects of each of the two orders.
 constexpr auto kMaxReportedPerOrder = std::size_t{ 6 };
+constexpr auto kMaxReportedEnds = std::size_t{ 24 };
 /// Sound answers are remembered for one to two of these spans, in which the
 /// report of an earlier crash arrives from any instance.
 constexpr auto kSoundSpan = Millis(2000);
-constexpr auto kMaxSoundParts = std::size_t{ 8192 };
+constexpr auto kMaxSounds = std::size_t{ 8192 };
 /// Longer than a notice takes. Subtracted from the times of sound answers that
 /// others report, as these would grow with each relay between two instances.
 constexpr auto kRelayTime = Millis(20);
-/// The trial of a part has ended after this time, whatever became of it.
+/// A trial has ended after this time, whatever became of it.
 constexpr auto kTrialTime = Millis(15000);
 constexpr auto kJudgementInterval = Millis(50);
 constexpr auto kReportInterval = Millis(1000);
 
-/// Returns true if the engine had begun the answer, but not written any of it.
+/// Returns true if the endpoint had run the request, wholly or for an event.
 auto
-HasBegun(const Attempt& aAttempt) -> bool
+HasRun(const Flight& aFlight) -> bool
 {
-  return aAttempt.mAnswer.mIsGenuine && !aAttempt.mHasEvents;
+  const auto& attempt = aFlight.mAttempt;
+  return attempt.mHasEvents ||
+         (attempt.mAnswer.mIsGenuine && !IsStream(aFlight));
+}
+
+/// Returns true if the endpoint had begun the answer, but not written any of
+/// it.
+auto
+HasBegun(const Flight& aFlight) -> bool
+{
+  return aFlight.mAttempt.mAnswer.mIsGenuine && !HasRun(aFlight);
 }
 
-/// Returns when an engine last wrote on the part, by the answers to this
-/// instance.
+/// Returns when an endpoint last answered, by the answers to this instance.
 auto
-FindRecentSound(const SuspectKnowledge& aKnowledge, SuspectKey aPart)
+FindRecentSound(const SuspectKnowledge& aKnowledge, SuspectKey aSuspect)
   -> std::optional<TimePoint>
 {
   for (const auto* sound : { &aKnowledge.mSound, &aKnowledge.mFormerSound }) {
-    const auto it = sound->find(aPart);
+    const auto it = sound->find(aSuspect);
     if (it != sound->end()) {
       return it->second;
     }
@@ -50,16 +60,16 @@
 }
 
 auto
-RememberSound(SuspectKnowledge& aKnowledge, SuspectKey aPart, TimePoint aNow)
+RememberSound(SuspectKnowledge& aKnowledge, SuspectKey aSuspect, TimePoint aNow)
   -> void
 {
   const auto isOver = aNow >= aKnowledge.mSoundSince + kSoundSpan ||
-                      aKnowledge.mSound.size() >= kMaxSoundParts;
+                      aKnowledge.mSound.size() >= kMaxSounds;
   if (isOver) {
     aKnowledge.mFormerSound = std::exchange(aKnowledge.mSound, {});
     aKnowledge.mSoundSince = aNow;
   }
-  aKnowledge.mSound[aPart] = aNow;
+  aKnowledge.mSound[aSuspect] = aNow;
 }
 
 /// Lets the next notice carry evidence.
@@ -70,32 +80,31 @@
   aForwarder.mIsNoticeDue = true;
 }
 
-/// Records the end of an engine, and forgets old ones.
+/// Records the end of an endpoint, and forgets old ones.
 auto
 RememberEnd(SuspectKnowledge& aKnowledge,
-            std::uint64_t aEngine,
+            std::uint64_t aEndpoint,
             TimePoint aAt,
             TimePoint aNow) -> void
 {
   if (aNow - aAt > kEndMemory ||
-      !aKnowledge.mEnds.emplace(aEngine, aAt).second) {
+      !aKnowledge.mEnds.emplace(aEndpoint, aAt).second) {
     return;
   }
   std::erase_if(aKnowledge.mEnds, [&](const auto& aItem) {
     return aNow - aItem.second > kEndMemory;
   });
   if (aKnowledge.mEnds.size() > kMaxEnds) {
-    aKnowledge.mEnds.erase(aEngine);
+    aKnowledge.mEnds.erase(aEndpoint);
   }
 }
 
-/// Counts for each part that was suspect lately the engines that ended with its
-/// ones.
+/// Counts for each recent suspect the endpoints that ended with its ones.
 auto
 RefreshCompany(Forwarder& aForwarder, TimePoint aNow) -> void
 {
   auto& knowledge = aForwarder.mSuspects;
-  for (auto& [part, evidence] : knowledge.mEvidence) {
+  for (auto& [suspect, evidence] : knowledge.mEvidence) {
     const auto isRecent = !evidence.mCrashes.empty() &&
                           aNow - evidence.mCrashes.back().mAt <= kEndMemory;
     if (isRecent) {
@@ -106,18 +115,20 @@
 }
 
 auto
-LogVerdict(const Event& aEvent, SuspectKey aPart, const EvidenceTable& aTable)
-  -> void
+LogVerdict(const Event& aEvent,
+           SuspectKey aSuspect,
+           const EvidenceTable& aTable) -> void
 {
-  const auto it = aTable.find(aPart);
+  const auto it = aTable.find(aSuspect);
   const auto evidence = it == aTable.end() ? CrashEvidence{} : it->second;
   LogEvent(aEvent,
-           { { "part", aPart },
+           { { "suspect", aSuspect },
+             { "kind", evidence.mDepth == kRequestDepth ? "request" : "part" },
              { "depth", static_cast<std::int64_t>(evidence.mDepth) },
              { "crashes", evidence.mCrashes.size() } });
 }
 
-/// Judges all parts anew, at most once per interval.
+/// Judges all suspects anew, at most once per interval.
 auto
 RefreshVerdicts(Forwarder& aForwarder) -> void
 {
@@ -130,14 +141,14 @@
   RefreshCompany(aForwarder, now);
   auto harmful =
     FindHarmful(knowledge.mEvidence, now, aForwarder.mSettings.mCrashes);
-  for (const auto part : harmful) {
-    if (!knowledge.mHarmful.contains(part)) {
-      LogVerdict(kHarmfulFoundEvent, part, knowledge.mEvidence);
+  for (const auto it : harmful) {
+    if (!knowledge.mHarmful.contains(it)) {
+      LogVerdict(kHarmfulFoundEvent, it, knowledge.mEvidence);
     }
   }
-  for (const auto part : knowledge.mHarmful) {
-    if (!harmful.contains(part)) {
-      LogVerdict(kHarmfulClearedEvent, part, knowledge.mEvidence);
+  for (const auto it : knowledge.mHarmful) {
+    if (!harmful.contains(it)) {
+      LogVerdict(kHarmfulClearedEvent, it, knowledge.mEvidence);
     }
   }
   knowledge.mHarmful = std::move(harmful);
@@ -148,7 +159,7 @@
 {
   auto& knowledge = aForwarder.mSuspects;
   knowledge.mEvidence = ForgetEvidence(std::move(knowledge.mEvidence),
-                                       kMaxParts,
+                                       kMaxSuspects,
                                        aForwarder.mPorts.mNow(),
                                        aForwarder.mSettings.mCrashes);
   std::erase_if(knowledge.mTrialEnds, [&](const auto& aItem) {
@@ -156,49 +167,49 @@
   });
 }
 
-/// Returns true if this instance tries the part. One instance does for the
-/// fleet, so that a part that is still harmful ends one engine.
+/// Returns true if this instance tries the suspect. One instance does for the
+/// fleet, so that one that is still harmful ends one endpoint.
 auto
-IsTrialHolder(const Forwarder& aForwarder, SuspectKey aPart) -> bool
+IsTrialHolder(const Forwarder& aForwarder, SuspectKey aSuspect) -> bool
 {
   const auto& own = aForwarder.mSettings.mPeerAddress;
-  const auto rank = Checksum(own, aPart);
+  const auto rank = Checksum(own, aSuspect);
   return std::none_of(aForwarder.mEntries.begin(),
                       aForwarder.mEntries.end(),
                       [&](const auto& aItem) {
                         return aItem.mPeerAddress != own &&
-                               Checksum(aItem.mPeerAddress, aPart) < rank;
+                               Checksum(aItem.mPeerAddress, aSuspect) < rank;
                       });
 }
 
-/// Returns true if a request on the harmful part may be sent to learn whether
-/// it is harmful still.
+/// Returns true if a request with the harmful suspect may be sent to learn
+/// whether it is harmful still.
 auto
-BeginTrial(Forwarder& aForwarder, SuspectKey aPart, TimePoint aDue) -> bool
+BeginTrial(Forwarder& aForwarder, SuspectKey aSuspect, TimePoint aDue) -> bool
 {
   const auto now = aForwarder.mPorts.mNow();
-  auto& end = aForwarder.mSuspects.mTrialEnds[aPart];
-  if (now < aDue || now < end || !IsTrialHolder(aForwarder, aPart)) {
+  auto& end = aForwarder.mSuspects.mTrialEnds[aSuspect];
+  if (now < aDue || now < end || !IsTrialHolder(aForwarder, aSuspect)) {
     return false;
   }
   end = now + kTrialTime;
   return true;
 }
 
-/// Returns the parts to report in the order of aIsBefore.
+/// Adds the suspects to report that come first in the order of aIsBefore.
 template<class Order>
 auto
-AddFirst(std::vector<const EvidenceTable::value_type*> aParts,
+AddFirst(std::vector<const EvidenceTable::value_type*> aSuspects,
          const Order& aIsBefore,
          std::map<SuspectKey, const CrashEvidence*>& aChosen) -> void
 {
-  const auto n = std::min(aParts.size(), kMaxReportedPerOrder);
-  std::partial_sort(aParts.begin(),
-                    aParts.begin() + static_cast<std::ptrdiff_t>(n),
-                    aParts.end(),
+  const auto n = std::min(aSuspects.size(), kMaxReportedPerOrder);
+  std::partial_sort(aSuspects.begin(),
+                    aSuspects.begin() + static_cast<std::ptrdiff_t>(n),
+                    aSuspects.end(),
                     aIsBefore);
   for (auto i = std::size_t{ 0 }; i < n; ++i) {
-    aChosen.emplace(aParts[i]->first, &aParts[i]->second);
+    aChosen.emplace(aSuspects[i]->first, &aSuspects[i]->second);
   }
 }
 
@@ -211,17 +222,36 @@
            : std::max(sound, aEvidence.mCrashes.back().mAt);
 }
 
+/// Returns true if the evidence is worth repeating. A single crash is for a
+/// while, in case that notices were lost.
+auto
+IsReported(const CrashEvidence& aEvidence, TimePoint aNow) -> bool
+{
+  return aEvidence.mCrashes.size() > 1 ||
+         aNow - LastChange(aEvidence) <= kEndMemory;
+}
+
 auto
-ToReport(SuspectKey aPart, const CrashEvidence& aEvidence, TimePoint aNow)
+HasReports(const Forwarder& aForwarder) -> bool
+{
+  const auto now = aForwarder.mPorts.mNow();
+  const auto& evidence = aForwarder.mSuspects.mEvidence;
+  return std::any_of(evidence.begin(), evidence.end(), [&](const auto& aItem) {
+    return IsReported(aItem.second, now);
+  });
+}
+
+auto
+ToReport(SuspectKey aSuspect, const CrashEvidence& aEvidence, TimePoint aNow)
   -> ReportedSuspect
 {
   const auto ageOf = [&](TimePoint aAt) {
     return std::max(MillisBetween(aAt, aNow), Millis(0));
   };
-  auto report = ReportedSuspect{ aPart, aEvidence.mDepth, {}, std::nullopt };
+  auto report = ReportedSuspect{ aSuspect, aEvidence.mDepth, {}, std::nullopt };
   for (const auto& it : aEvidence.mCrashes) {
     report.mCrashes.push_back(
-      { it.mEngine, ageOf(it.mAt), it.mHadBegun, it.mCompany });
+      { it.mEndpoint, ageOf(it.mAt), it.mHadBegun, it.mCompany, it.mRanFor });
   }
   if (aEvidence.mSoundAt) {
     report.mSoundAge = ageOf(*aEvidence.mSoundAt);
@@ -234,36 +264,43 @@
 auto
 SuspectsOf(const Flight& aFlight) -> std::vector<SuspectKey>
 {
-  if (!aFlight.mService->mEngine || !aFlight.mRequest.mPrompt) {
-    return {};
-  }
-  const auto service = Checksum(aFlight.mService->mName);
-  auto parts = aFlight.mRequest.mPrompt->mSharedParts;
-  for (auto& it : parts) {
-    it ^= service;
+  auto suspects = std::vector<SuspectKey>{};
+  if (aFlight.mService->mEngine && aFlight.mRequest.mPrompt) {
+    const auto service = Checksum(aFlight.mService->mName);
+    for (const auto it : aFlight.mRequest.mPrompt->mSharedParts) {
+      suspects.push_back(it ^ service);
+    }
   }
-  return parts;
+  suspects.push_back(aFlight.mDigest);
+  return suspects;
 }
 
 auto
 NoteEndpointEnd(Forwarder& aForwarder, const Flight& aFlight) -> void
 {
   const auto& attempt = aFlight.mAttempt;
-  if (aFlight.mSuspects.empty()) {
+  // NOTE: an answer that was cut behind its head says nothing of an end.
+  if (HasRun(aFlight) && !attempt.mHasEvents) {
     return;
   }
   auto& knowledge = aForwarder.mSuspects;
   const auto& rules = aForwarder.mSettings.mCrashes;
   const auto now = aForwarder.mPorts.mNow();
-  const auto engine = Checksum(attempt.mEndpoint.mValue, attempt.mIncarnation);
-  RememberEnd(knowledge, engine, now, now);
+  const auto endpoint =
+    Checksum(attempt.mEndpoint.mValue, attempt.mIncarnation);
+  RememberEnd(knowledge, endpoint, now, now);
   if (attempt.mHasEvents) {
     return;
   }
-  const auto crash = EndpointCrash{ engine, now, HasBegun(attempt) };
+  const auto crash = EndpointCrash{
+    endpoint, now, HasBegun(aFlight), 1, MillisBetween(attempt.mSentAt, now)
+  };
   for (auto i = std::size_t{ 0 }; i < aFlight.mSuspects.size(); ++i) {
+    const auto isRequest = i + 1 == aFlight.mSuspects.size();
     auto& evidence = knowledge.mEvidence[aFlight.mSuspects[i]];
-    evidence.mDepth = std::max(evidence.mDepth, static_cast<std::uint32_t>(i));
+    evidence.mDepth =
+      std::max(evidence.mDepth,
+               isRequest ? kRequestDepth : static_cast<std::uint32_t>(i));
     evidence = AddCrash(std::move(evidence), crash, rules);
   }
   Forget(aForwarder);
@@ -276,9 +313,9 @@
 {
   auto& knowledge = aForwarder.mSuspects;
   const auto now = aForwarder.mPorts.mNow();
-  for (const auto part : aFlight.mSuspects) {
-    RememberSound(knowledge, part, now);
-    const auto it = knowledge.mEvidence.find(part);
+  for (const auto suspect : aFlight.mSuspects) {
+    RememberSound(knowledge, suspect, now);
+    const auto it = knowledge.mEvidence.find(suspect);
     if (it == knowledge.mEvidence.end()) {
       continue;
     }
@@ -295,14 +332,18 @@
 auto
 IsSuspect(const Forwarder& aForwarder, const Flight& aFlight) -> bool
 {
-  if (!HasBegun(aFlight.mAttempt)) {
+  // NOTE: an engine says by the head of its answer that it has begun, other
+  // endpoints do not say so.
+  const auto mayHaveBegun =
+    aFlight.mService->mEngine ? HasBegun(aFlight) : !HasRun(aFlight);
+  if (!mayHaveBegun) {
     return false;
   }
   const auto& evidence = aForwarder.mSuspects.mEvidence;
   const auto& rules = aForwarder.mSettings.mCrashes;
   return std::any_of(
-    aFlight.mSuspects.begin(), aFlight.mSuspects.end(), [&](const auto aPart) {
-      const auto it = evidence.find(aPart);
+    aFlight.mSuspects.begin(), aFlight.mSuspects.end(), [&](auto aSuspect) {
+      const auto it = evidence.find(aSuspect);
       return it != evidence.end() &&
              CountEpisodes(it->second.mCrashes, rules) >= rules.mSuspicion;
     });
@@ -319,20 +360,21 @@
   }
   RefreshVerdicts(aForwarder);
   const auto now = aForwarder.mPorts.mNow();
-  for (const auto part : aFlight.mSuspects) {
-    const auto it = knowledge.mEvidence.find(part);
+  for (const auto suspect : aFlight.mSuspects) {
+    const auto it = knowledge.mEvidence.find(suspect);
     // NOTE: the evidence may have gone since the last judgement.
-    if (!knowledge.mHarmful.contains(part) || it == knowledge.mEvidence.end() ||
-        it->second.mCrashes.empty()) {
+    if (!knowledge.mHarmful.contains(suspect) ||
+        it == knowledge.mEvidence.end() || it->second.mCrashes.empty()) {
       continue;
     }
     const auto& rules = aForwarder.mSettings.mCrashes;
     const auto due = NextTrialAt(it->second, rules);
-    const auto isTrial = aFlight.mTrial == part && aFlight.mSends == 0;
-    if (isTrial || BeginTrial(aForwarder, part, due)) {
-      aFlight.mTrial = part;
+    const auto isTrial = aFlight.mTrial == suspect && aFlight.mSends == 0;
+    if (isTrial || BeginTrial(aForwarder, suspect, due)) {
+      aFlight.mTrial = suspect;
       continue;
     }
+    aFlight.mHarmful = suspect;
     const auto wait = std::max(MillisBetween(now, due), kTrialTime);
     return Failure{ FailureKind::HarmfulRequest, wait };
   }
@@ -343,30 +385,63 @@
 ReportSuspects(const Forwarder& aForwarder) -> std::vector<ReportedSuspect>
 {
   const auto now = aForwarder.mPorts.mNow();
-  auto parts = std::vector<const EvidenceTable::value_type*>{};
+  auto suspects = std::vector<const EvidenceTable::value_type*>{};
   for (const auto& it : aForwarder.mSuspects.mEvidence) {
-    parts.push_back(&it);
+    if (IsReported(it.second, now)) {
+      suspects.push_back(&it);
+    }
   }
   auto chosen = std::map<SuspectKey, const CrashEvidence*>{};
   AddFirst(
-    parts,
+    suspects,
     [](const auto* aLeft, const auto* aRight) {
       return aLeft->second.mCrashes.size() > aRight->second.mCrashes.size();
     },
     chosen);
   AddFirst(
-    parts,
+    suspects,
     [](const auto* aLeft, const auto* aRight) {
       return LastChange(aLeft->second) > LastChange(aRight->second);
     },
     chosen);
   auto reports = std::vector<ReportedSuspect>{};
-  for (const auto& [part, evidence] : chosen) {
-    reports.push_back(ToReport(part, *evidence, now));
+  for (const auto& [suspect, evidence] : chosen) {
+    reports.push_back(ToReport(suspect, *evidence, now));
   }
   return reports;
 }
 
+auto
+ReportEnds(const Forwarder& aForwarder) -> std::vector<ReportedEnd>
+{
+  const auto now = aForwarder.mPorts.mNow();
+  auto ends = std::vector<ReportedEnd>{};
+  for (const auto& [endpoint, at] : aForwarder.mSuspects.mEnds) {
+    const auto age = std::max(MillisBetween(at, now), Millis(0));
+    if (age <= kEndMemory) {
+      ends.push_back({ endpoint, age });
+    }
+  }
+  const auto n = std::min(ends.size(), kMaxReportedEnds);
+  std::partial_sort(ends.begin(),
+                    ends.begin() + static_cast<std::ptrdiff_t>(n),
+                    ends.end(),
+                    [](const auto& aLeft, const auto& aRight) {
+                      return aLeft.mAge < aRight.mAge;
+                    });
+  ends.resize(n);
+  return ends;
+}
+
+auto
+ApplyEnds(Forwarder& aForwarder, const std::vector<ReportedEnd>& aEnds) -> void
+{
+  const auto now = aForwarder.mPorts.mNow();
+  for (const auto& it : aEnds) {
+    RememberEnd(aForwarder.mSuspects, it.mEndpoint, now - it.mAge, now);
+  }
+}
+
 auto
 TakeDueReports(Forwarder& aForwarder) -> std::vector<ReportedSuspect>
 {
@@ -374,7 +449,7 @@
   const auto now = aForwarder.mPorts.mNow();
   const auto isDue =
     knowledge.mHasNews || now >= knowledge.mReportedAt + kReportInterval;
-  if (knowledge.mEvidence.empty() || !isDue) {
+  if (!isDue || !HasReports(aForwarder)) {
     return {};
   }
   knowledge.mHasNews = false;
@@ -383,33 +458,36 @@
 }
 
 auto
-ApplyEvidence(Forwarder& aForwarder, const std::vector<ReportedSuspect>& aParts)
-  -> void
+ApplyEvidence(Forwarder& aForwarder,
+              const std::vector<ReportedSuspect>& aSuspects) -> void
 {
-  if (aParts.empty()) {
+  if (aSuspects.empty()) {
     return;
   }
   auto& knowledge = aForwarder.mSuspects;
   const auto& rules = aForwarder.mSettings.mCrashes;
   const auto now = aForwarder.mPorts.mNow();
-  for (const auto& it : aParts) {
+  for (const auto& it : aSuspects) {
     auto reported = CrashEvidence{};
     reported.mDepth = it.mDepth;
     if (it.mSoundAge) {
       reported.mSoundAt = now - *it.mSoundAge - kRelayTime;
     }
     for (const auto& crash : it.mCrashes) {
-      reported = AddCrash(
-        std::move(reported),
-        { crash.mEngine, now - crash.mAge, crash.mHadBegun, crash.mCompany },
-        rules);
-      RememberEnd(knowledge, crash.mEngine, now - crash.mAge, now);
+      reported = AddCrash(std::move(reported),
+                          { crash.mEndpoint,
+                            now - crash.mAge,
+                            crash.mHadBegun,
+                            crash.mCompany,
+                            crash.mRanFor },
+                          rules);
+      RememberEnd(knowledge, crash.mEndpoint, now - crash.mAge, now);
     }
     const auto hadCrashes = !reported.mCrashes.empty();
     if (const auto sound = FindRecentSound(knowledge, it.mKey)) {
       reported = AddSoundAnswer(std::move(reported), *sound);
     }
-    // NOTE: the other instances do not know yet what acquits the part here.
+    // NOTE: the other instances do not know yet what acquits it here.
     if (hadCrashes && reported.mCrashes.empty()) {
       MakeReportDue(aForwarder);
     }
@@ -441,7 +519,7 @@
   const auto& knowledge = aForwarder.mSuspects;
   aForwarder.mIsNoticeDue |=
     aForwarder.mPorts.mNow() >= knowledge.mReportedAt + kReportInterval &&
-    !knowledge.mEvidence.empty();
+    HasReports(aForwarder);
 }
 
 } // namespace cuminslip::forwarding
--- a/src/forwarding/internal/loadnotice.cpp
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -49,14 +49,14 @@
 }
 
 auto
-WriteSuspects(const std::vector<ReportedSuspect>& aParts,
+WriteSuspects(const std::vector<ReportedSuspect>& aSuspects,
               schema::LoadNotice::Builder aRoot) -> void
 {
-  auto list = aRoot.initParts(static_cast<unsigned>(aParts.size()));
+  auto list = aRoot.initSuspects(static_cast<unsigned>(aSuspects.size()));
   auto n = 0U;
-  for (const auto& it : aParts) {
+  for (const auto& it : aSuspects) {
     auto to = list[n++];
-    to.setPart(it.mKey);
+    to.setKey(it.mKey);
     to.setDepth(it.mDepth);
     if (it.mSoundAge) {
       to.setSoundAgeMillis(it.mSoundAge->count());
@@ -65,38 +65,40 @@
     auto i = 0U;
     for (const auto& crash : it.mCrashes) {
       auto item = crashes[i++];
-      item.setEngine(crash.mEngine);
+      item.setEndpoint(crash.mEndpoint);
       item.setAgeMillis(static_cast<std::uint32_t>(crash.mAge.count()));
       item.setHadBegun(crash.mHadBegun);
       item.setCompany(crash.mCompany);
+      item.setRanMillis(static_cast<std::uint32_t>(crash.mRanFor.count()));
     }
   }
 }
 
-/// Skips parts beyond the number that any sender writes.
+/// Skips those beyond the number that any sender writes.
 auto
 ReadSuspects(schema::LoadNotice::Reader aRoot) -> std::vector<ReportedSuspect>
 {
-  constexpr auto kMaxParts = std::size_t{ 64 };
-  auto parts = std::vector<ReportedSuspect>{};
-  for (const auto it : aRoot.getParts()) {
-    if (parts.size() == kMaxParts) {
+  constexpr auto kMaxSuspects = std::size_t{ 64 };
+  auto suspects = std::vector<ReportedSuspect>{};
+  for (const auto it : aRoot.getSuspects()) {
+    if (suspects.size() == kMaxSuspects) {
       break;
     }
-    auto part =
-      ReportedSuspect{ it.getPart(), it.getDepth(), {}, std::nullopt };
+    auto suspect =
+      ReportedSuspect{ it.getKey(), it.getDepth(), {}, std::nullopt };
     for (const auto crash : it.getCrashes()) {
-      part.mCrashes.push_back({ crash.getEngine(),
-                                Millis(crash.getAgeMillis()),
-                                crash.getHadBegun(),
-                                crash.getCompany() });
+      suspect.mCrashes.push_back({ crash.getEndpoint(),
+                                   Millis(crash.getAgeMillis()),
+                                   crash.getHadBegun(),
+                                   crash.getCompany(),
+                                   Millis(crash.getRanMillis()) });
     }
     if (it.getSoundAgeMillis() >= 0) {
-      part.mSoundAge = Millis(it.getSoundAgeMillis());
+      suspect.mSoundAge = Millis(it.getSoundAgeMillis());
     }
-    parts.push_back(std::move(part));
+    suspects.push_back(std::move(suspect));
   }
-  return parts;
+  return suspects;
 }
 
 } // namespace
@@ -111,6 +113,13 @@
   root.setIsSummary(aNotice.mIsSummary);
   WriteStatements(aNotice.mStatements, root);
   WriteSuspects(aNotice.mSuspects, root);
+  auto ends = root.initEnds(static_cast<unsigned>(aNotice.mEnds.size()));
+  auto i = 0U;
+  for (const auto& it : aNotice.mEnds) {
+    auto to = ends[i++];
+    to.setEndpoint(it.mEndpoint);
+    to.setAgeMillis(static_cast<std::uint32_t>(it.mAge.count()));
+  }
   auto shares = root.initShares(static_cast<unsigned>(aNotice.mShares.size()));
   auto n = 0U;
   for (const auto& it : aNotice.mShares) {
@@ -142,6 +151,9 @@
       notice.mIsSummary = aItem.getIsSummary();
       notice.mStatements = ReadStatements(aItem);
       notice.mSuspects = ReadSuspects(aItem);
+      for (const auto it : aItem.getEnds()) {
+        notice.mEnds.push_back({ it.getEndpoint(), Millis(it.getAgeMillis()) });
+      }
       for (const auto it : aItem.getShares()) {
         notice.mShares.push_back(
           { it.getEngine(),
--- a/src/forwarding/internal/loadsharing.cpp
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -101,7 +101,8 @@
                                         SummarizeGroup(aForwarder),
                                         true,
                                         ReportStatements(aForwarder),
-                                        ReportSuspects(aForwarder) });
+                                        ReportSuspects(aForwarder),
+                                        ReportEnds(aForwarder) });
   for (const auto& [group, others] : aForwarder.mMembers) {
     if (group == aForwarder.mOwnGroup) {
       continue;
@@ -212,7 +213,9 @@
   shares[aForwarder.mOwnGroup];
   const auto sequence = NextSequence(aForwarder);
   const auto limits = ReportStatements(aForwarder);
-  const auto parts = TakeDueReports(aForwarder);
+  const auto suspects = TakeDueReports(aForwarder);
+  const auto ends =
+    suspects.empty() ? std::vector<ReportedEnd>{} : ReportEnds(aForwarder);
   for (const auto& [group, groupShares] : shares) {
     if (group != aForwarder.mOwnGroup && !groupShares.empty()) {
       aForwarder.mNotifiedGroups.insert(group);
@@ -224,7 +227,8 @@
                                    groupShares,
                                    false,
                                    limits,
-                                   parts }));
+                                   suspects,
+                                   ends }));
   }
 }
 
@@ -253,6 +257,7 @@
   }
   ApplyReports(
     aForwarder, notice.mValue->mInstance, notice.mValue->mStatements);
+  ApplyEnds(aForwarder, notice.mValue->mEnds);
   ApplyEvidence(aForwarder, notice.mValue->mSuspects);
   if (notice.mValue->mIsSummary) {
     ApplySummary(aForwarder, *notice.mValue);
--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -59,7 +59,7 @@
     FailFlight(aForwarder, aFlight, { FailureKind::TooLate, {} });
     return;
   }
-  // NOTE: a part may have proved harmful while the engines were claimed.
+  // NOTE: the request may have proved harmful while engines were claimed.
   if (const auto failure = CheckSuspects(aForwarder, aFlight)) {
     aFlight.mAttempt = std::move(aAttempt);
     FailFlight(aForwarder, aFlight, *failure);
--- a/src/forwarding/loadnotice.capnp
+++ b/src/forwarding/loadnotice.capnp
@@ -26,20 +26,29 @@
   isLeaving @4 :Bool;
 }
 
-struct EngineCrash {
-  # Checksum of the engine's id and incarnation.
-  engine @0 :UInt64;
+struct EndpointCrash {
+  # Checksum of the endpoint's id and incarnation.
+  endpoint @0 :UInt64;
   ageMillis @1 :UInt32;
   hadBegun @2 :Bool;
-  # Number of engines that ended at about the same time.
+  # Number of endpoints that ended at about the same time.
   company @3 :UInt32 = 1;
+  # Time from when the suspect was sent to the crash; the default if unknown.
+  ranMillis @4 :UInt32 = 0xffffffff;
+}
+
+struct EndpointEnd {
+  # Checksum of the endpoint's id and incarnation.
+  endpoint @0 :UInt64;
+  ageMillis @1 :UInt32;
 }
 
-# What one entry instance knows of crashes and sound answers on a part of prompts.
-struct PartEvidence {
-  part @0 :UInt64;
+# What one entry instance knows of crashes and sound answers on a request or a
+# part of prompts.
+struct SuspectEvidence {
+  key @0 :UInt64;
   depth @1 :UInt32;
-  crashes @2 :List(EngineCrash);
+  crashes @2 :List(EndpointCrash);
   # Negative if no sound answer is known.
   soundAgeMillis @3 :Int64 = -1;
 }
@@ -53,6 +62,8 @@
   isSummary @3 :Bool;
   # May be a part of what the sender knows; the rest is in later notices.
   statements @4 :List(EndpointStatement);
-  # A bounded number: the most suspect parts, and the latest ones.
-  parts @5 :List(PartEvidence);
+  # A bounded number: the most suspect ones, and the latest ones.
+  suspects @5 :List(SuspectEvidence);
+  # The latest ends of endpoints; empty in notices without suspects.
+  ends @6 :List(EndpointEnd);
 }
--- a/src/forwarding/loadnotice.h
+++ b/src/forwarding/loadnotice.h
@@ -41,20 +41,32 @@
   auto operator==(const ReportedStatement&) const -> bool = default;
 };
 
-/// The end of an engine, as the sender knows of it.
+/// The end of an endpoint, as the sender knows of it.
 struct ReportedCrash
 {
-  /// Checksum of the engine's id and incarnation.
-  std::uint64_t mEngine = 0;
+  /// Checksum of the endpoint's id and incarnation.
+  std::uint64_t mEndpoint = 0;
   Millis mAge{ 0 };
   bool mHadBegun = false;
-  /// Number of engines that ended at about the same time.
+  /// Number of endpoints that ended at about the same time.
   std::uint32_t mCompany = 1;
+  /// Time from when the suspect was sent to the crash.
+  Millis mRanFor = kRanForUnknown;
 
   auto operator==(const ReportedCrash&) const -> bool = default;
 };
 
-/// The sender's evidence on a part of prompts.
+/// An endpoint that ended, whatever it ran.
+struct ReportedEnd
+{
+  /// Checksum of the endpoint's id and incarnation.
+  std::uint64_t mEndpoint = 0;
+  Millis mAge{ 0 };
+
+  auto operator==(const ReportedEnd&) const -> bool = default;
+};
+
+/// The sender's evidence on a request or a part of prompts.
 struct ReportedSuspect
 {
   SuspectKey mKey = 0;
@@ -77,8 +89,10 @@
   bool mIsSummary = false;
   /// Advice: may be incomplete and older than what the receiver knows.
   std::vector<ReportedStatement> mStatements;
-  /// The most suspect parts of prompts, and the latest ones.
+  /// The most suspect ones, and the latest ones.
   std::vector<ReportedSuspect> mSuspects;
+  /// The latest ends of endpoints; only beside suspects.
+  std::vector<ReportedEnd> mEnds;
 
   auto operator==(const LoadNotice&) const -> bool = default;
 };
--- a/src/forwarding/tests/harmfulparts_tests.cpp
+++ b/src/forwarding/tests/harmfulparts_tests.cpp
@@ -16,6 +16,7 @@
 struct EngineWorld : ReadyWorld
 {
   Incarnation mIncarnation = 1;
+  int mLastBody = 0;
 
   EngineWorld()
   {
@@ -30,6 +31,8 @@
   {
     auto request = MakeRequest("long");
     request.mPrompt = PromptFacts{ 4960, 1600, aParts };
+    // NOTE: no two requests are alike, so that only their parts are judged.
+    request.mHttp.mBody = std::to_string(++mLastBody);
     return Ask(request);
   }
 
@@ -68,7 +71,7 @@
     }
   }
 
-  /// Returns the parts of the last notice that reports any.
+  /// Returns the parts of prompts of the last notice that reports any.
   auto LastReport() const -> std::vector<ReportedSuspect>
   {
     auto parts = std::vector<ReportedSuspect>{};
@@ -77,6 +80,9 @@
         CollectOutcome<LoadNotice>([&] { return DecodeLoadNotice(it.second); });
       if (notice.mValue && !notice.mValue->mSuspects.empty()) {
         parts = notice.mValue->mSuspects;
+        std::erase_if(parts, [](const auto& aItem) {
+          return aItem.mDepth == kRequestDepth;
+        });
       }
     }
     return parts;
--- a/src/forwarding/types/forwardrequest.h
+++ b/src/forwarding/types/forwardrequest.h
@@ -121,7 +121,7 @@
   TimedOut,
   /// The deadline has passed, and the request has not run.
   TooLate,
-  /// The prompt has a part that ends engines. The request has not run.
+  /// The request, or a part of its prompt, ends endpoints. It has not run.
   HarmfulRequest
 };
 
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -108,11 +108,12 @@
     Gauge("cuminslip_forward_limited_endpoints",
           "Endpoints with a request limit in force.",
           static_cast<double>(forwarding::CountLimitedEndpoints(aForwarder))),
-    Gauge("cuminslip_forward_suspect_parts",
-          "Parts of prompts with a crash of an engine against them.",
+    Gauge("cuminslip_forward_suspect_requests",
+          "Requests and parts of prompts with a crash of an endpoint against "
+          "them.",
           static_cast<double>(forwarding::CountSuspects(aForwarder))),
     Gauge("cuminslip_forward_harmful_requests",
-          "Parts of prompts that end engines; requests with them are refused.",
+          "Requests and parts of prompts that end endpoints; they are refused.",
           static_cast<double>(forwarding::CountHarmful(aForwarder)))
   };
 }
--- a/src/policy/internal/crashevidence.cpp
+++ b/src/policy/internal/crashevidence.cpp
@@ -7,7 +7,10 @@
 
 namespace {
 
-/// Returns the engines that ended with an answer begun.
+/// Precision of the times in reports, in both directions.
+constexpr auto kPrecision = Millis(2);
+
+/// Returns the endpoints that ended with an answer begun.
 auto
 ListBegun(const EvidenceTable& aTable) -> std::set<std::uint64_t>
 {
@@ -15,7 +18,7 @@
   for (const auto& [key, evidence] : aTable) {
     for (const auto& it : evidence.mCrashes) {
       if (it.mHadBegun) {
-        begun.insert(it.mEngine);
+        begun.insert(it.mEndpoint);
       }
     }
   }
@@ -28,7 +31,20 @@
   return aLeft < aRight + aRules.mEpisode && aRight < aLeft + aRules.mEpisode;
 }
 
-/// Returns the crashes until aUntil that count against their part.
+/// Returns the number of aCrashes that came together with aCrash, which is one
+/// of them.
+auto
+CountTogether(const std::vector<EndpointCrash>& aCrashes,
+              const EndpointCrash& aCrash,
+              const CrashRules& aRules) -> std::uint32_t
+{
+  return static_cast<std::uint32_t>(
+    std::count_if(aCrashes.begin(), aCrashes.end(), [&](const auto& aItem) {
+      return IsTogether(aItem.mAt, aCrash.mAt, aRules);
+    }));
+}
+
+/// Returns the crashes until aUntil that count against their suspect.
 auto
 RelevantCrashes(const std::vector<EndpointCrash>& aCrashes,
                 const std::set<std::uint64_t>& aBegun,
@@ -36,12 +52,9 @@
                 const CrashRules& aRules) -> std::vector<EndpointCrash>
 {
   const auto counts = [&](const EndpointCrash& aCrash) {
-    const auto n =
-      std::count_if(aCrashes.begin(), aCrashes.end(), [&](const auto& aItem) {
-        return IsTogether(aItem.mAt, aCrash.mAt, aRules);
-      });
+    const auto n = CountTogether(aCrashes, aCrash, aRules);
     return aCrash.mAt <= aUntil &&
-           (aCrash.mHadBegun || !aBegun.contains(aCrash.mEngine)) &&
+           (aCrash.mHadBegun || !aBegun.contains(aCrash.mEndpoint)) &&
            static_cast<double>(n) >= aRules.mMinShare * aCrash.mCompany;
   };
   auto relevant = std::vector<EndpointCrash>{};
@@ -68,12 +81,13 @@
   auto crash = aCrash;
   const auto known =
     std::find_if(crashes.begin(), crashes.end(), [&](const auto& aItem) {
-      return aItem.mEngine == aCrash.mEngine;
+      return aItem.mEndpoint == aCrash.mEndpoint;
     });
   if (known != crashes.end()) {
     crash.mAt = std::min(crash.mAt, known->mAt);
     crash.mHadBegun |= known->mHadBegun;
     crash.mCompany = std::max(crash.mCompany, known->mCompany);
+    crash.mRanFor = std::max(crash.mRanFor, known->mRanFor);
     crashes.erase(known);
   }
   if (aEvidence.mSoundAt && crash.mAt <= *aEvidence.mSoundAt) {
@@ -84,8 +98,8 @@
                      crashes.end(),
                      crash,
                      [](const auto& aLeft, const auto& aRight) {
-                       return std::tuple(aLeft.mAt, aLeft.mEngine) <
-                              std::tuple(aRight.mAt, aRight.mEngine);
+                       return std::tuple(aLeft.mAt, aLeft.mEndpoint) <
+                              std::tuple(aRight.mAt, aRight.mEndpoint);
                      });
   crashes.insert(place, crash);
   if (crashes.size() > aRules.mMaxCrashes) {
@@ -139,11 +153,16 @@
               const CrashRules& aRules) -> std::size_t
 {
   auto episodes = std::size_t{ 0 };
-  auto end = TimePoint::min();
+  auto first = TimePoint{};
   for (const auto& it : aCrashes) {
-    if (it.mAt >= end) {
+    const auto isLater = it.mAt >= first + aRules.mEpisode;
+    const auto wasSentLater =
+      it.mAt - it.mRanFor + kPrecision >= first &&
+      it.mRanFor >= aRules.mMinRun &&
+      CountTogether(aCrashes, it, aRules) >= it.mCompany;
+    if (episodes == 0 || isLater || wasSentLater) {
       ++episodes;
-      end = it.mAt + aRules.mEpisode;
+      first = it.mAt;
     }
   }
   return episodes;
@@ -184,14 +203,14 @@
   auto explained = std::set<std::uint64_t>{};
   for (auto& it : suspects) {
     std::erase_if(it.mCrashes, [&](const auto& aItem) {
-      return explained.contains(aItem.mEngine);
+      return explained.contains(aItem.mEndpoint);
     });
     if (CountEpisodes(it.mCrashes, aRules) < aRules.mProof) {
       continue;
     }
     harmful.insert(it.mKey);
     for (const auto& crash : aTable.at(it.mKey).mCrashes) {
-      explained.insert(crash.mEngine);
+      explained.insert(crash.mEndpoint);
     }
   }
   return harmful;
@@ -213,7 +232,7 @@
 
 auto
 ForgetEvidence(EvidenceTable aTable,
-               std::size_t aMaxParts,
+               std::size_t aMaxSuspects,
                TimePoint aNow,
                const CrashRules& aRules) -> EvidenceTable
 {
@@ -228,7 +247,7 @@
                                   : aRules.mMemory;
     return aNow - LastChange(evidence) > limit;
   });
-  while (aTable.size() > aMaxParts) {
+  while (aTable.size() > aMaxSuspects) {
     const auto least = std::min_element(
       aTable.begin(), aTable.end(), [](const auto& aLeft, const auto& aRight) {
         const auto rank = [](const CrashEvidence& aEvidence) {
