Let a request that reached no endpoint go on without a retry budget

The budget is for arrivals beyond the first of a request, and such a request has not arrived anywhere. The new test fails without the change.

--- a/src/forwarding/internal/ending.cpp
+++ b/src/forwarding/internal/ending.cpp
@@ -74,10 +74,14 @@
   facts.mSends = aFlight.mSends;
   facts.mMaxSends = aFlight.mRoute->mMaxAttempts;
   facts.mHasTime = now < aFlight.mDeadline;
-  facts.mHasBudget = MayRetrySend(aForwarder.mBudgets[aFlight.mService->mName],
-                                  aForwarder.mSettings.mRetryBudget,
-                                  aForwarder.mEntries.size(),
-                                  now);
+  // NOTE: the budget is for what endpoints receive again; a request that none
+  // has received yet needs none.
+  facts.mHasBudget =
+    aFlight.mSends == 0 ||
+    MayRetrySend(aForwarder.mBudgets[aFlight.mService->mName],
+                 aForwarder.mSettings.mRetryBudget,
+                 aForwarder.mEntries.size(),
+                 now);
   return MayRetryRequest(facts);
 }
 
--- a/src/forwarding/tests/forwarder_tests.cpp
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -274,6 +274,25 @@
   BOOST_TEST(CountersOf(*mForwarder).mRepeats == repeats);
 }
 
+BOOST_AUTO_TEST_CASE(ARequestThatReachedNoEndpointNeedsNoBudget)
+{
+  // Uses up the budget.
+  for (auto i = 0; i < 400; ++i) {
+    auto request = MakeRequest("read");
+    request.mHttp.mBody = std::to_string(i);
+    Ask(request);
+    while (!IsIdle(*mForwarder)) {
+      End(LastSend(), ExchangeEnd::Broken);
+    }
+  }
+  const auto caller = Ask(MakeRequest("book"));
+  const auto sends = mSends.size();
+  End(LastSend(), ExchangeEnd::NotConnected);
+  BOOST_REQUIRE(mSends.size() == sends + 1);
+  Answer(LastSend(), 200, kSealed, "x");
+  BOOST_TEST(caller->mResponse->mStatus == 200);
+}
+
 BOOST_AUTO_TEST_CASE(AnUnreadableNoticeIsDropped)
 {
   HandleLoadNotice(*mForwarder, "no notice at all");
