Send requests through other instances while no endpoint is reached

Cause: an instance had no way to an endpoint but its own connections, and took the loss of its sight for the loss of endpoints.

Change: three endpoints without a connection, and no answer to a request sent since, make an instance cut off (policy/reach.h). It then sends requests through others, one hop, its own failure domain first (forwarding/internal/relaying.h, listen.relay); so does a request that found no connection at three endpoints, since new connections may fail while kept ones serve. The other instance admits, places and repeats the request as one of its own, with the number of sends so far; budgets and metrics count at one of the two. A cut off instance ejects no endpoint.

Ruled out: failing the readiness probe, which leaves open connections and whole zones; taking silent kept connections for a cut, since an endpoint may be silent for a second.

--- a/src/client/internal/requeststory.cpp
+++ b/src/client/internal/requeststory.cpp
@@ -53,13 +53,22 @@
   return { std::move(line), std::move(aFields) };
 }
 
+/// Returns true for the end of a request at the instance that it was sent
+/// through: the caller knows only that of the first one.
+auto
+IsForOther(const json::object& aFields) -> bool
+{
+  const auto* relayed = aFields.if_contains("relayed");
+  return relayed != nullptr && relayed->is_bool() && relayed->as_bool();
+}
+
 auto
 FindLast(const std::vector<ParsedLine>& aLines, std::string_view aName)
   -> const json::object*
 {
   const auto it =
     std::find_if(aLines.rbegin(), aLines.rend(), [&](const auto& aItem) {
-      return aItem.mLine.mName == aName;
+      return aItem.mLine.mName == aName && !IsForOther(aItem.mFields);
     });
   return it == aLines.rend() ? nullptr : &it->mFields;
 }
@@ -102,6 +111,9 @@
   if (FindLast(aLines, "forward_waits") != nullptr) {
     cause += "; it had waited for engines";
   }
+  if (const auto* relayed = FindLast(aLines, "forward_relayed")) {
+    cause += "; sent through " + TextOf(*relayed, "relay");
+  }
   return cause + FailedSend(aLines);
 }
 
--- a/src/client/tests/requeststory_tests.cpp
+++ b/src/client/tests/requeststory_tests.cpp
@@ -86,6 +86,23 @@
     "longest pause 70 ms; placed packed, predicted 80 ms");
 }
 
+BOOST_AUTO_TEST_CASE(TheEndAtTheFirstInstanceCountsForARelayedRequest)
+{
+  const auto relayed =
+    Line(5, "forward_relayed", R"(,"relay":"10.0.0.2:7000")");
+  const auto served = Line(
+    60, "forward_delivered", R"(,"relayed":true,"endpoint":"e1","status":200)");
+  BOOST_TEST(CauseOf(relayed + served).starts_with("no end"));
+  const auto cut = Line(
+    70, "forward_cut", R"(,"relayed":false,"events":3,"reason":"timed_out")");
+  BOOST_TEST(CauseOf(relayed + served + cut).starts_with("cut after 3 events"));
+  const auto whole = Line(
+    70, "forward_delivered", R"(,"relayed":false,"endpoint":"","status":200)");
+  BOOST_TEST(
+    CauseOf(relayed + served + whole).find("; sent through 10.0.0.2:7000") !=
+    std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(APlainRequestHasNoPrediction)
 {
   const auto placed =
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -45,6 +45,11 @@
   std::uint64_t mLimitRefusals = 0;
   /// Answers by which endpoints asked this instance for time.
   std::uint64_t mPausesAsked = 0;
+  /// Requests sent through other instances.
+  std::uint64_t mRelayed = 0;
+  /// Requests that other instances sent through this one, and those refused.
+  std::uint64_t mRelaysAccepted = 0;
+  std::uint64_t mRelaysRefused = 0;
 
   auto operator==(const ForwardCounters&) const -> bool = default;
 };
@@ -90,6 +95,16 @@
               ForwardRequest aRequest,
               wire::CallerPort aCaller) -> void;
 
+/// Handles a request that another instance sends through this one, with the
+/// headers of that hop. Its caller, the other instance, gets exactly one final
+/// answer. Refused at once if the key is wrong, this instance reaches no
+/// endpoint itself or serves enough such requests, or if not aIsAccepting.
+auto
+HandleRelayedRequest(Forwarder& aForwarder,
+                     ForwardRequest aRequest,
+                     bool aIsAccepting,
+                     wire::CallerPort aCaller) -> void;
+
 /// Returns true when no request is in flight.
 auto
 IsIdle(const Forwarder& aForwarder) -> bool;
@@ -105,6 +120,10 @@
 auto
 TimesOf(const Forwarder& aForwarder) -> const ForwardTimes&;
 
+/// Returns true if this instance reaches no endpoint, as far as it knows.
+auto
+IsCutOff(const Forwarder& aForwarder) -> bool;
+
 /// Returns the number of endpoints that stated that they leave.
 auto
 CountLeavingEndpoints(const Forwarder& aForwarder) -> std::size_t;
--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/internal/forwarderstate.h"
 #include "forwarding/internal/harmfulrequests.h"
+#include "forwarding/internal/relaying.h"
 #include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
@@ -20,6 +21,8 @@
     kForwardDeliveredEvent,
     { { "request", aFlight.mRequest.mId.mValue },
       { "endpoint", aFlight.mAttempt.mEndpoint.mValue },
+      { "relay", aFlight.mAttempt.mRelay },
+      { "relayed", aFlight.mIsRelayed },
       { "status", aFlight.mAttempt.mStatus },
       { "events", aFlight.mEvents },
       { "first_event_ms",
@@ -108,6 +111,21 @@
   auto& attempt = flight->mAttempt;
   attempt.mStatus = aStatus;
   attempt.mAnswer = aForwarder.mPorts.mCodec.mReadAnswer(aStatus, aHeaders);
+  if (!attempt.mRelay.empty()) {
+    if (HandleRelayFailure(aForwarder, *flight, aHeaders)) {
+      return;
+    }
+    if (!attempt.mAnswer.mIsGenuine) {
+      GiveUpAnswer(aForwarder, *flight, SendOutcome::NotAnAnswer, kNotGenuine);
+    }
+    return;
+  }
+  std::erase_if(attempt.mAnswer.mHeaders, [](const auto& aItem) {
+    return aItem.mName.starts_with(kRelayHeaderPrefix);
+  });
+  if (attempt.mAnswer.mIsGenuine) {
+    NoteReached(aForwarder, attempt.mSentAt);
+  }
   NoteStatement(aForwarder,
                 { attempt.mEndpoint,
                   attempt.mIncarnation,
@@ -242,7 +260,8 @@
     return;
   }
   NoteSoundAnswer(aForwarder, aFlight);
-  const auto isError = attempt.mStatus >= kFirstServerError;
+  const auto isError =
+    attempt.mStatus >= kFirstServerError && attempt.mRelay.empty();
   if (isError && MayRepeatFlight(aForwarder, aFlight, SendOutcome::Answered)) {
     RecoverFlight(aForwarder,
                   aFlight,
--- a/src/forwarding/internal/ending.cpp
+++ b/src/forwarding/internal/ending.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/internal/forwarderstate.h"
 #include "forwarding/internal/harmfulrequests.h"
+#include "forwarding/internal/relaying.h"
 #include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
@@ -13,6 +14,9 @@
 /// This also limits attempts that found no connection, which the route's
 /// maximum of attempts does not count.
 constexpr auto kMaxTriedEndpoints = std::size_t{ 4 };
+/// A request for another instance goes back to it sooner, since this one may be
+/// cut off too.
+constexpr auto kMaxUnconnectedRelayed = std::size_t{ 2 };
 /// Retry-after times. An endpoint that refused is full and has a free slot
 /// within about the duration of a short request; one that failed is replaced by
 /// others immediately.
@@ -127,14 +131,19 @@
              { "sends", aFlight.mSends },
              { "events", aFlight.mEvents },
              { "suspect", aFlight.mHarmful.value_or(0) },
+             { "relayed", aFlight.mIsRelayed },
              { "age_ms", MillisBetween(aFlight.mArrived, now).count() },
              { "retry_after_ms",
                failure.mRetryAfter ? failure.mRetryAfter->count() : -1 } });
   if (aFlight.mHasStarted) {
     aFlight.mCaller.mAbort();
   } else {
-    aFlight.mCaller.mRespond(
-      aForwarder.mPorts.mCodec.mWriteFailure(aFlight.mRequest, failure));
+    auto response =
+      aForwarder.mPorts.mCodec.mWriteFailure(aFlight.mRequest, failure);
+    if (aFlight.mIsRelayed) {
+      WriteRelayFailure(aForwarder, aFlight, failure, response);
+    }
+    aFlight.mCaller.mRespond(response);
   }
   RemoveFlight(aForwarder, aFlight);
 }
@@ -145,6 +154,10 @@
               SendOutcome aOutcome,
               std::string_view aReason) -> void
 {
+  if (!aFlight.mAttempt.mRelay.empty()) {
+    RecoverRelay(aForwarder, aFlight, aOutcome, aReason);
+    return;
+  }
   const auto endpoint = aFlight.mAttempt.mEndpoint;
   const auto isRefused = aOutcome == SendOutcome::RefusedNotRun;
   const auto verdict = ClassifyOutcome(aOutcome);
@@ -167,12 +180,16 @@
   }
   // NOTE: without a connection, no endpoint received the request.
   if (aOutcome == SendOutcome::NotConnected) {
+    ++aFlight.mUnconnected;
+    NoteUnreached(aForwarder, endpoint);
     --aFlight.mSends;
     ReturnSend(aForwarder, endpoint);
   }
-  const auto mayRepeat = MayRepeatFlight(aForwarder, aFlight, aOutcome) &&
-                         aFlight.mTried.size() <= kMaxTriedEndpoints &&
-                         !IsSuspect(aForwarder, aFlight);
+  const auto mayRepeat =
+    MayRepeatFlight(aForwarder, aFlight, aOutcome) &&
+    aFlight.mTried.size() <= kMaxTriedEndpoints &&
+    !(aFlight.mIsRelayed && aFlight.mUnconnected >= kMaxUnconnectedRelayed) &&
+    !IsSuspect(aForwarder, aFlight);
   if (mayRepeat && aFlight.mHasStarted) {
     ++aForwarder.mCounters.mResumed;
     LogEvent(kForwardResumedEvent,
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -106,9 +106,12 @@
   aFlight.mStrictestPause = StrictestPause(aFlight);
   aFlight.mDigest = DigestRequest(aFlight.mRequest.mHttp, aFlight.mAccount);
   aFlight.mSuspects = SuspectsOf(aFlight);
-  NoteRequest(aForwarder.mBudgets[name],
-              aForwarder.mSettings.mRetryBudget,
-              aForwarder.mPorts.mNow());
+  // NOTE: the instance that the caller sent it to counts it.
+  if (!aFlight.mIsRelayed) {
+    NoteRequest(aForwarder.mBudgets[name],
+                aForwarder.mSettings.mRetryBudget,
+                aForwarder.mPorts.mNow());
+  }
   return std::nullopt;
 }
 
@@ -130,23 +133,6 @@
   FailFlight(aForwarder, *flight, { FailureKind::TooLate, {} });
 }
 
-auto
-AdmitFlight(Forwarder& aForwarder, Flight& aFlight) -> void
-{
-  aFlight.mIsUnadmitted = false;
-  aForwarder.mPorts.mTimers.mStop(std::exchange(aFlight.mDeadlineTimer, 0));
-  for (const auto filter : kAdmission) {
-    if (const auto failure = filter(aForwarder, aFlight)) {
-      FailFlight(aForwarder, aFlight, *failure);
-      return;
-    }
-  }
-  aFlight.mDeadlineTimer = aForwarder.mPorts.mTimers.mStart(
-    aFlight.mDeadline - aForwarder.mPorts.mNow(),
-    [&aForwarder, id = aFlight.mId] { OnDeadline(aForwarder, id); });
-  PlaceFlight(aForwarder, aFlight);
-}
-
 /// Lets a request wait for the first routing document, which arrives soon when
 /// the whole system is started.
 auto
@@ -214,6 +200,39 @@
 
 } // namespace
 
+auto
+AdmitFlight(Forwarder& aForwarder, Flight& aFlight) -> void
+{
+  aFlight.mIsUnadmitted = false;
+  aForwarder.mPorts.mTimers.mStop(std::exchange(aFlight.mDeadlineTimer, 0));
+  for (const auto filter : kAdmission) {
+    if (const auto failure = filter(aForwarder, aFlight)) {
+      FailFlight(aForwarder, aFlight, *failure);
+      return;
+    }
+  }
+  aFlight.mDeadlineTimer = aForwarder.mPorts.mTimers.mStart(
+    aFlight.mDeadline - aForwarder.mPorts.mNow(),
+    [&aForwarder, id = aFlight.mId] { OnDeadline(aForwarder, id); });
+  PlaceFlight(aForwarder, aFlight);
+}
+
+auto
+AddFlight(Forwarder& aForwarder,
+          ForwardRequest aRequest,
+          wire::CallerPort aCaller) -> Flight&
+{
+  auto created = std::make_unique<Flight>();
+  auto& flight = *created;
+  flight.mId = aForwarder.mNextFlight++;
+  flight.mRequest = std::move(aRequest);
+  flight.mCaller = std::move(aCaller);
+  flight.mArrived = aForwarder.mPorts.mNow();
+  aForwarder.mFlights.emplace(flight.mId, std::move(created));
+  StartTick(aForwarder);
+  return flight;
+}
+
 auto
 ForwarderDeleter::operator()(Forwarder* aForwarder) const -> void
 {
@@ -306,14 +325,7 @@
               wire::CallerPort aCaller) -> void
 {
   ++aForwarder.mCounters.mRequests;
-  auto created = std::make_unique<Flight>();
-  auto& flight = *created;
-  flight.mId = aForwarder.mNextFlight++;
-  flight.mRequest = std::move(aRequest);
-  flight.mCaller = std::move(aCaller);
-  flight.mArrived = aForwarder.mPorts.mNow();
-  aForwarder.mFlights.emplace(flight.mId, std::move(created));
-  StartTick(aForwarder);
+  auto& flight = AddFlight(aForwarder, std::move(aRequest), std::move(aCaller));
   if (aForwarder.mTable == nullptr) {
     WaitForDocument(aForwarder, flight);
     return;
@@ -349,6 +361,19 @@
   return aForwarder.mTimes;
 }
 
+auto
+ParseFailureKind(std::string_view aText) -> std::optional<FailureKind>
+{
+  constexpr auto kLast = static_cast<int>(FailureKind::HarmfulRequest);
+  for (auto i = 0; i <= kLast; ++i) {
+    const auto kind = static_cast<FailureKind>(i);
+    if (ToText(kind) == aText) {
+      return kind;
+    }
+  }
+  return std::nullopt;
+}
+
 auto
 ToText(FailureKind aKind) -> std::string_view
 {
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -7,6 +7,7 @@
 #include "forwarding/loadnotice.h"
 #include "policy/crashevidence.h"
 #include "policy/instanceroster.h"
+#include "policy/reach.h"
 #include "policy/requestlimits.h"
 #include "policy/runverdict.h"
 
@@ -54,6 +55,9 @@
   bool mHasEvents = false;
   /// The answer ended with its connection, not with a length or chunks.
   bool mIsUnframed = false;
+  /// Peer address of the instance that the request was sent through, instead of
+  /// to an endpoint; empty if none.
+  std::string mRelay;
   std::vector<AssignedWork> mWork;
   /// mWork was announced to the other entry instances.
   bool mIsAnnounced = false;
@@ -89,6 +93,13 @@
   std::set<EndpointId> mTried;
   /// The request may have run in an earlier attempt.
   bool mMayHaveRun = false;
+  /// Came through another instance, so that it is not sent through a third one.
+  bool mIsRelayed = false;
+  /// Instances that it was sent through, and endpoints without a connection.
+  std::set<std::string> mTriedRelays;
+  std::size_t mUnconnected = 0;
+  /// Is sent to an endpoint though this instance is cut off, to learn if it is.
+  bool mIsReachTrial = false;
   /// The caller received the head of the answer and the events up to
   /// mLastEvent.
   bool mHasStarted = false;
@@ -150,6 +161,8 @@
   TimePoint mHeard{};
   /// Checksums of the engines that have work of the instance.
   std::vector<std::uint64_t> mEngines;
+  /// It reaches no endpoint.
+  bool mIsCutOff = false;
 };
 
 /// The work of another entry instance on one engine.
@@ -206,6 +219,10 @@
   std::unordered_map<std::uint64_t, StatedEndpoint> mStated;
   std::size_t mNextReported = 0;
   SuspectKnowledge mSuspects;
+  Reach mReach;
+  /// Instances that refused a relayed request or gave no answer, until when
+  /// they are not used, by peer address.
+  std::map<std::string, TimePoint> mAvoidedRelays;
   GroupLayout mGroups;
   LoadGroup mOwnGroup;
   /// Peer addresses of the instances of each group, this one included.
@@ -234,8 +251,18 @@
 auto
 FindFlight(Forwarder& aForwarder, FlightId aFlight) -> Flight*;
 
-/// Chooses an endpoint for a flight and sends it, lets it wait for one, or
-/// fails it.
+/// Creates the flight of a request.
+auto
+AddFlight(Forwarder& aForwarder,
+          ForwardRequest aRequest,
+          wire::CallerPort aCaller) -> Flight&;
+
+/// Places a flight if it passes all checks, otherwise fails it.
+auto
+AdmitFlight(Forwarder& aForwarder, Flight& aFlight) -> void;
+
+/// Chooses an endpoint or another instance for a flight and sends it, lets it
+/// wait for an endpoint, or fails it.
 auto
 PlaceFlight(Forwarder& aForwarder, Flight& aFlight) -> void;
 
@@ -333,7 +360,7 @@
 SendFlight(Forwarder& aForwarder, Flight& aFlight, Attempt aAttempt) -> void;
 
 /// Records the result of a call to an endpoint. Failures eject the endpoint
-/// temporarily.
+/// temporarily, unless this instance is cut off.
 auto
 NoteSuccess(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void;
 
--- a/src/forwarding/internal/harmfulrequests.cpp
+++ b/src/forwarding/internal/harmfulrequests.cpp
@@ -279,6 +279,9 @@
 NoteEndpointEnd(Forwarder& aForwarder, const Flight& aFlight) -> void
 {
   const auto& attempt = aFlight.mAttempt;
+  if (!attempt.mRelay.empty()) {
+    return;
+  }
   // NOTE: an answer that was cut behind its head says nothing of an end.
   if (HasRun(aFlight) && !attempt.mHasEvents) {
     return;
--- a/src/forwarding/internal/health.cpp
+++ b/src/forwarding/internal/health.cpp
@@ -8,6 +8,9 @@
 auto
 NoteSuccess(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void
 {
+  if (aEndpoint.mValue.empty()) {
+    return;
+  }
   auto& health = aForwarder.mHealth[aEndpoint];
   health.mFailuresInRow = 0;
   health.mEjectedUntil = {};
@@ -19,6 +22,9 @@
             std::string_view aReason) -> void
 {
   constexpr auto kMaxDoublings = 10;
+  if (aForwarder.mReach.mIsLost) {
+    return;
+  }
   auto& health = aForwarder.mHealth[aEndpoint];
   const auto doublings = std::min(health.mFailuresInRow++, kMaxDoublings);
   const auto pause =
--- a/src/forwarding/internal/loadnotice.cpp
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -111,6 +111,7 @@
   root.setInstance(TextFrom(aNotice.mInstance));
   root.setSequence(aNotice.mSequence);
   root.setIsSummary(aNotice.mIsSummary);
+  root.setIsCutOff(aNotice.mIsCutOff);
   WriteStatements(aNotice.mStatements, root);
   WriteSuspects(aNotice.mSuspects, root);
   auto ends = root.initEnds(static_cast<unsigned>(aNotice.mEnds.size()));
@@ -149,6 +150,7 @@
       notice.mInstance = TextOf(aItem.getInstance());
       notice.mSequence = aItem.getSequence();
       notice.mIsSummary = aItem.getIsSummary();
+      notice.mIsCutOff = aItem.getIsCutOff();
       notice.mStatements = ReadStatements(aItem);
       notice.mSuspects = ReadSuspects(aItem);
       for (const auto it : aItem.getEnds()) {
--- a/src/forwarding/internal/loadsharing.cpp
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -228,7 +228,8 @@
                                    false,
                                    limits,
                                    suspects,
-                                   ends }));
+                                   ends,
+                                   aForwarder.mReach.mIsLost }));
   }
 }
 
@@ -269,6 +270,7 @@
   }
   remote.mSequence = notice.mValue->mSequence;
   remote.mHeard = aForwarder.mPorts.mNow();
+  remote.mIsCutOff = notice.mValue->mIsCutOff;
   RemoveShares(aForwarder, remote);
   remote.mEngines.clear();
   for (const auto& it : notice.mValue->mShares) {
--- a/src/forwarding/internal/outcomes.cpp
+++ b/src/forwarding/internal/outcomes.cpp
@@ -37,6 +37,10 @@
             const Flight& aFlight,
             ForwardOutcome aOutcome) -> void
 {
+  // NOTE: the instance that the caller sent it to counts it.
+  if (aFlight.mIsRelayed) {
+    return;
+  }
   auto& counters = aForwarder.mCounters;
   switch (aOutcome) {
     case ForwardOutcome::Delivered:
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/internal/forwarderstate.h"
 #include "forwarding/internal/harmfulrequests.h"
+#include "forwarding/internal/relaying.h"
 #include "forwarding/internal/statements.h"
 #include "forwarding/types/forwardevents.h"
 
@@ -409,6 +410,9 @@
     FailFlight(aForwarder, aFlight, *failure);
     return;
   }
+  if (RelayFlight(aForwarder, aFlight)) {
+    return;
+  }
   const auto list = ListCandidates(aForwarder, aFlight);
   const auto& candidates = list.mEndpoints;
   if (candidates.empty() && MayWaitForEndpoints(aForwarder, aFlight)) {
--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -92,6 +92,8 @@
   exchange.mRequest.mHeaders =
     aForwarder.mPorts.mCodec.mWriteHeaders(aFlight.mRequest, facts);
   exchange.mEcho = aForwarder.mPorts.mCodec.mEchoOf(aFlight.mRequest);
+  // NOTE: a kept connection may hang without a sign of it.
+  exchange.mNeedsNewConnection = aFlight.mIsReachTrial;
   aFlight.mAttempt.mExchange = aForwarder.mPorts.mExchanges.mStart(
     std::move(exchange), MakeHandlers(aForwarder, aFlight.mId));
   aFlight.mIsWaiting = false;
--- a/src/forwarding/loadnotice.capnp
+++ b/src/forwarding/loadnotice.capnp
@@ -66,4 +66,6 @@
   suspects @5 :List(SuspectEvidence);
   # The latest ends of endpoints; empty in notices without suspects.
   ends @6 :List(EndpointEnd);
+  # The sender reaches no endpoint.
+  isCutOff @7 :Bool;
 }
--- a/src/forwarding/loadnotice.h
+++ b/src/forwarding/loadnotice.h
@@ -93,6 +93,8 @@
   std::vector<ReportedSuspect> mSuspects;
   /// The latest ends of endpoints; only beside suspects.
   std::vector<ReportedEnd> mEnds;
+  /// The sender reaches no endpoint.
+  bool mIsCutOff = false;
 
   auto operator==(const LoadNotice&) const -> bool = default;
 };
--- a/src/forwarding/tests/fakeworld.h
+++ b/src/forwarding/tests/fakeworld.h
@@ -44,6 +44,9 @@
   std::vector<std::shared_ptr<FakeSend>> mSends;
   std::vector<std::pair<std::string, std::string>> mNotices;
   ForwarderPtr mForwarder;
+  /// Requests come from another instance, which this one accepts or not.
+  bool mAsksAsInstance = false;
+  bool mIsAccepting = true;
 
   explicit FakeWorld(std::string aPeerAddress = "10.0.0.1:7000")
   {
@@ -191,7 +194,12 @@
     port.mUnsentBytes = [caller] {
       return caller->mIsReading ? std::size_t{ 0 } : caller->mStreamed.size();
     };
-    HandleRequest(*mForwarder, std::move(aRequest), std::move(port));
+    if (mAsksAsInstance) {
+      HandleRelayedRequest(
+        *mForwarder, std::move(aRequest), mIsAccepting, std::move(port));
+    } else {
+      HandleRequest(*mForwarder, std::move(aRequest), std::move(port));
+    }
     return caller;
   }
 
--- a/src/forwarding/types/forwardevents.h
+++ b/src/forwarding/types/forwardevents.h
@@ -56,4 +56,17 @@
 inline constexpr auto kHarmfulClearedEvent =
   Event{ 2023, "harmful_request_cleared", Severity::Info };
 
+inline constexpr auto kReachLostEvent =
+  Event{ 2024, "forward_reach_lost", Severity::Warning };
+inline constexpr auto kReachRegainedEvent =
+  Event{ 2025, "forward_reach_regained", Severity::Info };
+inline constexpr auto kForwardRelayedEvent =
+  Event{ 2026, "forward_relayed", Severity::Info };
+inline constexpr auto kRelayFailedEvent =
+  Event{ 2027, "forward_relay_failed", Severity::Warning };
+inline constexpr auto kRelayAcceptedEvent =
+  Event{ 2028, "forward_relay_accepted", Severity::Info };
+inline constexpr auto kRelayRefusedEvent =
+  Event{ 2029, "forward_relay_refused", Severity::Warning };
+
 } // namespace cuminslip::forwarding
--- a/src/forwarding/types/forwardrequest.h
+++ b/src/forwarding/types/forwardrequest.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Requests that are forwarded unchanged to endpoints, and their answers.
@@ -67,6 +68,7 @@
 /// Parameters of one attempt to send a request.
 struct AttemptParameters
 {
+  /// Empty if another instance chooses the endpoint.
   EndpointId mEndpoint;
   /// Empty for a public route.
   AccountId mAccount;
@@ -129,6 +131,10 @@
 auto
 ToText(FailureKind aKind) -> std::string_view;
 
+/// Reads a name of ToText. Thread safe.
+auto
+ParseFailureKind(std::string_view aText) -> std::optional<FailureKind>;
+
 /// A final answer created by this instance.
 struct Failure
 {
--- a/src/forwarding/types/forwardsettings.h
+++ b/src/forwarding/types/forwardsettings.h
@@ -7,6 +7,7 @@
 #include "policy/enginelanes.h"
 #include "policy/instanceroster.h"
 #include "policy/loadgroups.h"
+#include "policy/reach.h"
 #include "policy/requestlimits.h"
 #include "policy/retrybudget.h"
 
@@ -27,6 +28,13 @@
   LimitRules mLimits;
   RosterRules mRoster;
   CrashRules mCrashes;
+  ReachRules mReach;
+  RelayRules mRelay;
+  /// Port at which all entry instances serve requests for those that reach no
+  /// endpoint; 0 for none.
+  int mRelayPort = 0;
+  /// Shown by instances to each other with such requests.
+  std::string mRelayKey;
   /// Maximum time for an endpoint to accept a connection.
   Millis mConnectTimeout{ 500 };
   /// Lower bound of the connect timeout for routes with a short answer target.
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "base/digest.h"
 #include "gateway/internal/gatewaystate.h"
 #include "gateway/listener.h"
 #include "gateway/types/gatewayevents.h"
@@ -169,8 +170,16 @@
   return ports;
 }
 
+/// Returns what instances show each other with relayed requests: not the peer
+/// key itself, which relays would pass on.
 auto
-MakeForwarder(Gateway& aGateway) -> forwarding::ForwarderPtr
+RelayKeyFrom(const std::string& aPeerKey) -> std::string
+{
+  return Sha256Hex("relay " + aPeerKey);
+}
+
+auto
+MakeForwarder(Gateway& aGateway) -> leaf::result<forwarding::ForwarderPtr>
 {
   const auto& settings = aGateway.mSettings;
   auto forward = forwarding::ForwardSettings{};
@@ -180,6 +189,11 @@
   forward.mRetryBudget.mRatio = settings.mRetries.mRatio;
   forward.mRetryBudget.mSlack = settings.mRetries.mSlack;
   forward.mRetryBudget.mWindow = settings.mRetries.mWindow;
+  if (settings.mListen.mRelay) {
+    BOOST_LEAF_AUTO(key, LoadPeerKey(settings));
+    forward.mRelayPort = settings.mListen.mRelay->mPort;
+    forward.mRelayKey = RelayKeyFrom(key);
+  }
   return forwarding::CreateForwarder(
     std::move(forward), MakeForwardPorts(aGateway), std::random_device{}());
 }
@@ -236,6 +250,18 @@
     *aGateway.mForwarder, request, wire::PortOf(aResponder));
 }
 
+/// Serves a request that another instance sends through this one.
+auto
+HandleRelay(Gateway& aGateway,
+            const wire::HttpRequest& aRequest,
+            const wire::ResponderPtr& aResponder) -> void
+{
+  forwarding::HandleRelayedRequest(*aGateway.mForwarder,
+                                   aGateway.mAdapter.mReadRequest(aRequest),
+                                   !aGateway.mIsStopping,
+                                   wire::PortOf(aResponder));
+}
+
 using Handler = auto(*)(Gateway&,
                         const wire::HttpRequest&,
                         const wire::ResponderPtr&) -> void;
@@ -270,6 +296,11 @@
   BOOST_LEAF_ASSIGN(
     aGateway.mPlatformServer,
     StartGatewayListener(aGateway, listen.mPlatform, HandlePlatformCall));
+  if (aGateway.mForwarder) {
+    BOOST_LEAF_ASSIGN(
+      aGateway.mRelayServer,
+      StartGatewayListener(aGateway, listen.mRelay, HandleRelay));
+  }
   return {};
 }
 
@@ -280,7 +311,7 @@
     return {};
   }
   aGateway.mPool = wire::CreateConnectionPool(*aGateway.mLoop, {});
-  aGateway.mForwarder = MakeForwarder(aGateway);
+  BOOST_LEAF_ASSIGN(aGateway.mForwarder, MakeForwarder(aGateway));
   BOOST_LEAF_ASSIGN(aGateway.mDatagrams,
                     wire::OpenDatagrams(*aGateway.mLoop,
                                         *aGateway.mSettings.mListen.mPeer,
@@ -328,6 +359,7 @@
   aGateway->mCallerServer.reset();
   aGateway->mOperatorServer.reset();
   aGateway->mPlatformServer.reset();
+  aGateway->mRelayServer.reset();
   aGateway->mForwarder.reset();
   delete aGateway;
 }
--- a/src/gateway/internal/gatewaystate.h
+++ b/src/gateway/internal/gatewaystate.h
@@ -24,6 +24,7 @@
   wire::HttpServerPtr mCallerServer;
   wire::HttpServerPtr mOperatorServer;
   wire::HttpServerPtr mPlatformServer;
+  wire::HttpServerPtr mRelayServer;
   /// Destroyed before the loop and its users, since its callbacks post to the
   /// loop.
   std::unique_ptr<PeerTask> mPeers;
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -80,7 +80,7 @@
   return family;
 }
 
-/// Returns the metrics of what endpoints state in their answers.
+/// Returns the metrics of what is known of endpoints and the way to them.
 auto
 StatementMetrics(const forwarding::Forwarder& aForwarder)
   -> std::vector<MetricFamily>
@@ -108,6 +108,18 @@
     Gauge("cuminslip_forward_limited_endpoints",
           "Endpoints with a request limit in force.",
           static_cast<double>(forwarding::CountLimitedEndpoints(aForwarder))),
+    Gauge("cuminslip_forward_cut_off",
+          "1 while this instance reaches no endpoint.",
+          forwarding::IsCutOff(aForwarder) ? 1 : 0),
+    Counter("cuminslip_forward_relayed_total",
+            "Requests sent through other instances.",
+            counters.mRelayed),
+    Counter("cuminslip_forward_relays_accepted_total",
+            "Requests of other instances served here.",
+            counters.mRelaysAccepted),
+    Counter("cuminslip_forward_relays_refused_total",
+            "Requests of other instances refused at once.",
+            counters.mRelaysRefused),
     Gauge("cuminslip_forward_suspect_requests",
           "Requests and parts of prompts with a crash of an endpoint against "
           "them.",
--- a/src/settings/internal/settingschecks.cpp
+++ b/src/settings/internal/settingschecks.cpp
@@ -19,13 +19,14 @@
 };
 
 auto
-ListListeners(const ListenAddresses& aListen) -> std::array<Listener, 5>
+ListListeners(const ListenAddresses& aListen) -> std::array<Listener, 6>
 {
   return { Listener{ "listen.caller", &aListen.mCaller },
            Listener{ "listen.operator", &aListen.mOperator },
            Listener{ "listen.endpoint", &aListen.mEndpoint },
            Listener{ "listen.platform", &aListen.mPlatform },
-           Listener{ "listen.peer", &aListen.mPeer } };
+           Listener{ "listen.peer", &aListen.mPeer },
+           Listener{ "listen.relay", &aListen.mRelay } };
 }
 
 auto
@@ -72,6 +73,10 @@
       RequireListener(aRoot, "endpoint", listen.mEndpoint, reason);
     }
   }
+  if (listen.mRelay && !listen.mPeer) {
+    RequireListener(
+      aRoot, "peer", listen.mPeer, "instances that relay hear of each other");
+  }
   RequireListener(
     aRoot, "platform", listen.mPlatform, "the platform asks for liveness");
   if (HasRole(aSettings, Role::Control) && aSettings.mDataFolder.empty()) {
--- a/src/settings/internal/settingssections.cpp
+++ b/src/settings/internal/settingssections.cpp
@@ -144,6 +144,7 @@
   listen.mEndpoint = ReadAddress(section, "endpoint");
   listen.mPlatform = ReadAddress(section, "platform");
   listen.mPeer = ReadAddress(section, "peer");
+  listen.mRelay = ReadAddress(section, "relay");
   CloseSection(section);
   return listen;
 }
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -29,6 +29,9 @@
   std::optional<wire::SocketAddress> mEndpoint;
   std::optional<wire::SocketAddress> mPlatform;
   std::optional<wire::SocketAddress> mPeer;
+  /// Where other entry instances send requests when they reach no endpoint; the
+  /// port is the same at all of them.
+  std::optional<wire::SocketAddress> mRelay;
 
   auto operator==(const ListenAddresses&) const -> bool = default;
 };
