Give incarnations of endpoints keys of their own in crash evidence

XXH3 of a few bytes with a small number as seed gives equal checksums. The incarnation is hashed with the id's checksum as seed now. The new test finds 5,000 keys for 100 ids of 50 incarnations.

--- a/src/forwarding/internal/harmfulrequests.cpp
+++ b/src/forwarding/internal/harmfulrequests.cpp
@@ -289,8 +289,7 @@
   auto& knowledge = aForwarder.mSuspects;
   const auto& rules = aForwarder.mSettings.mCrashes;
   const auto now = aForwarder.mPorts.mNow();
-  const auto endpoint =
-    Checksum(attempt.mEndpoint.mValue, attempt.mIncarnation);
+  const auto endpoint = KeyOf(attempt.mEndpoint, attempt.mIncarnation);
   RememberEnd(knowledge, endpoint, now, now);
   if (attempt.mHasEvents) {
     return;
--- a/src/forwarding/internal/loadnotice.cpp
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/loadnotice.h"
 
 #include "base/capnpmessage.h"
+#include "base/digest.h"
 #include "forwarding/generated/loadnotice.capnp.h"
 
 #include <algorithm>
@@ -103,6 +104,13 @@
 
 } // namespace
 
+auto
+KeyOf(const EndpointId& aEndpoint, Incarnation aIncarnation) -> std::uint64_t
+{
+  // NOTE: with a small number as seed, short ids have equal checksums.
+  return Checksum(std::to_string(aIncarnation), Checksum(aEndpoint.mValue));
+}
+
 auto
 EncodeLoadNotice(const LoadNotice& aNotice) -> std::string
 {
--- a/src/forwarding/loadnotice.h
+++ b/src/forwarding/loadnotice.h
@@ -99,6 +99,10 @@
   auto operator==(const LoadNotice&) const -> bool = default;
 };
 
+/// Returns the key of an endpoint's incarnation in notices.
+auto
+KeyOf(const EndpointId& aEndpoint, Incarnation aIncarnation) -> std::uint64_t;
+
 auto
 EncodeLoadNotice(const LoadNotice& aNotice) -> std::string;
 
--- a/src/forwarding/tests/harmfulrequests_tests.cpp
+++ b/src/forwarding/tests/harmfulrequests_tests.cpp
@@ -128,6 +128,20 @@
   BOOST_TEST(!IsRefused(*AskWith("book", "sound")));
 }
 
+BOOST_AUTO_TEST_CASE(IncarnationsOfEndpointsHaveKeysOfTheirOwn)
+{
+  auto keys = std::set<std::uint64_t>{};
+  constexpr auto kIds = 100;
+  constexpr auto kIncarnations = 50;
+  for (auto id = 0; id < kIds; ++id) {
+    for (auto n = 0; n < kIncarnations; ++n) {
+      keys.insert(
+        KeyOf({ "e" + std::to_string(id) }, static_cast<Incarnation>(n)));
+    }
+  }
+  BOOST_TEST(keys.size() == std::size_t{ kIds } * kIncarnations);
+}
+
 BOOST_AUTO_TEST_CASE(ANoticeKnowsWhenTheRequestWasSent)
 {
   mNotices.clear();
