Count each end under a request that never was answered as an episode

Three callers may send the same harmful request at once; the ends of three endpoints within 250 ms were one episode then, and the judgement waited for two more waves. If no endpoint without the request ended beside them and it had no sound answer for 10 s, each is an episode of its own now. A path that everyone calls has answers, and in a power failure others end too. Crashes reported without the time of the sending stay in one episode.

--- a/src/forwarding/internal/harmfulrequests.cpp
+++ b/src/forwarding/internal/harmfulrequests.cpp
@@ -347,7 +347,8 @@
     aFlight.mSuspects.begin(), aFlight.mSuspects.end(), [&](auto aSuspect) {
       const auto it = evidence.find(aSuspect);
       return it != evidence.end() &&
-             CountEpisodes(it->second.mCrashes, rules) >= rules.mSuspicion;
+             CountEpisodes(it->second.mCrashes, it->second.mSoundAt, rules) >=
+               rules.mSuspicion;
     });
 }
 
--- a/src/policy/crashevidence.h
+++ b/src/policy/crashevidence.h
@@ -61,10 +61,11 @@
 struct CrashRules
 {
   /// Crashes within this time count as one episode, since a power failure or a
-  /// reset of connections ends many endpoints at once. One to which the suspect
-  /// was sent after the first crash is an episode of its own if no endpoint
-  /// without the suspect ended with it.
+  /// reset of connections ends many endpoints at once. A crash is an episode of
+  /// its own if no endpoint without the suspect ended with it, and the suspect
+  /// was sent after the first crash or had no sound answer for mUnknownAfter.
   Millis mEpisode{ 250 };
+  Millis mUnknownAfter{ 10000 };
   /// About a round trip; an endpoint that ends sooner after the suspect was
   /// sent was ending already.
   Millis mMinRun{ 5 };
@@ -118,9 +119,11 @@
              const std::map<std::uint64_t, TimePoint>& aEnds,
              const CrashRules& aRules) -> CrashEvidence;
 
-/// Returns the number of episodes.
+/// Returns the number of episodes of aCrashes. aSoundAt is the last sound
+/// answer before them.
 auto
 CountEpisodes(const std::vector<EndpointCrash>& aCrashes,
+              std::optional<TimePoint> aSoundAt,
               const CrashRules& aRules) -> std::size_t;
 
 /// Returns the harmful suspects. A crash is evidence against the answers that
--- a/src/policy/internal/crashevidence.cpp
+++ b/src/policy/internal/crashevidence.cpp
@@ -1,6 +1,7 @@
 #include "policy/crashevidence.h"
 
 #include <algorithm>
+#include <ranges>
 #include <tuple>
 
 namespace cuminslip {
@@ -150,17 +151,23 @@
 
 auto
 CountEpisodes(const std::vector<EndpointCrash>& aCrashes,
+              std::optional<TimePoint> aSoundAt,
               const CrashRules& aRules) -> std::size_t
 {
-  auto episodes = std::size_t{ 0 };
-  auto first = TimePoint{};
-  for (const auto& it : aCrashes) {
+  if (aCrashes.empty()) {
+    return 0;
+  }
+  const auto isUnknown =
+    !aSoundAt || *aSoundAt + aRules.mUnknownAfter < aCrashes.front().mAt;
+  auto episodes = std::size_t{ 1 };
+  auto first = aCrashes.front().mAt;
+  for (const auto& it : aCrashes | std::views::drop(1)) {
     const auto isLater = it.mAt >= first + aRules.mEpisode;
-    const auto wasSentLater =
-      it.mAt - it.mRanFor + kPrecision >= first &&
-      it.mRanFor >= aRules.mMinRun &&
-      CountTogether(aCrashes, it, aRules) >= it.mCompany;
-    if (episodes == 0 || isLater || wasSentLater) {
+    const auto wasSentLater = it.mAt - it.mRanFor + kPrecision >= first;
+    const auto hasRun =
+      it.mRanFor >= aRules.mMinRun && it.mRanFor != kRanForUnknown;
+    const auto isAlone = CountTogether(aCrashes, it, aRules) >= it.mCompany;
+    if (isLater || (isAlone && hasRun && (wasSentLater || isUnknown))) {
       ++episodes;
       first = it.mAt;
     }
@@ -178,6 +185,7 @@
     SuspectKey mKey = 0;
     std::uint32_t mDepth = 0;
     std::size_t mEpisodes = 0;
+    std::optional<TimePoint> mSoundAt;
     std::vector<EndpointCrash> mCrashes;
   };
   const auto begun = ListBegun(aTable);
@@ -188,9 +196,10 @@
     }
     auto crashes =
       RelevantCrashes(evidence.mCrashes, begun, aNow - aRules.mHold, aRules);
-    const auto episodes = CountEpisodes(crashes, aRules);
+    const auto episodes = CountEpisodes(crashes, evidence.mSoundAt, aRules);
     if (episodes >= aRules.mProof) {
-      suspects.push_back({ key, evidence.mDepth, episodes, crashes });
+      suspects.push_back(
+        { key, evidence.mDepth, episodes, evidence.mSoundAt, crashes });
     }
   }
   std::sort(suspects.begin(),
@@ -205,7 +214,7 @@
     std::erase_if(it.mCrashes, [&](const auto& aItem) {
       return explained.contains(aItem.mEndpoint);
     });
-    if (CountEpisodes(it.mCrashes, aRules) < aRules.mProof) {
+    if (CountEpisodes(it.mCrashes, it.mSoundAt, aRules) < aRules.mProof) {
       continue;
     }
     harmful.insert(it.mKey);
@@ -221,7 +230,8 @@
   -> TimePoint
 {
   constexpr auto kMaxDoublings = std::size_t{ 10 };
-  const auto episodes = CountEpisodes(aEvidence.mCrashes, aRules);
+  const auto episodes =
+    CountEpisodes(aEvidence.mCrashes, aEvidence.mSoundAt, aRules);
   const auto doublings = std::min(
     episodes > aRules.mProof ? episodes - aRules.mProof : 0, kMaxDoublings);
   const auto wait =
@@ -240,7 +250,8 @@
   std::erase_if(aTable, [&](const auto& aItem) {
     const auto& evidence = aItem.second;
     const auto isProven =
-      CountEpisodes(evidence.mCrashes, aRules) >= aRules.mProof;
+      CountEpisodes(evidence.mCrashes, evidence.mSoundAt, aRules) >=
+      aRules.mProof;
     const auto limit = evidence.mCrashes.empty()
                          ? aRules.mHold * kAcquittedHolds
                        : isProven ? 2 * aRules.mLongestTrial
--- a/src/policy/tests/crashevidence_tests.cpp
+++ b/src/policy/tests/crashevidence_tests.cpp
@@ -90,8 +90,8 @@
 BOOST_AUTO_TEST_CASE(EnginesThatEndAtOnceAreOneEpisode)
 {
   BOOST_TEST(!IsHarmful(CrashesAt({ 0, 1, 2, 50, 100, 249 }), At(60000)));
-  BOOST_TEST(CountEpisodes(CrashesAt({ 0, 100, 250, 300 }).mCrashes, kRules) ==
-             2U);
+  BOOST_TEST(
+    CountEpisodes(CrashesAt({ 0, 100, 250, 300 }).mCrashes, {}, kRules) == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(ARequestSentAfterACrashMakesItsOwnEpisode)
@@ -105,7 +105,7 @@
     ++crash.mEndpoint;
     crash.mAt += Millis(75);
   }
-  BOOST_TEST(CountEpisodes(evidence.mCrashes, kRules) == 3U);
+  BOOST_TEST(CountEpisodes(evidence.mCrashes, At(-100), kRules) == 3U);
   BOOST_TEST(IsHarmful(evidence, At(9000)));
 
   // Another endpoint ended with them.
@@ -113,15 +113,38 @@
     { 1, At(0) }, { 2, At(75) }, { 3, At(150) }, { 9, At(60) }
   };
   const auto beside = CountCompany(evidence, ends, kRules);
-  BOOST_TEST(CountEpisodes(beside.mCrashes, kRules) == 1U);
+  BOOST_TEST(CountEpisodes(beside.mCrashes, {}, kRules) == 1U);
   // They were sent before the first crash, or too late to have run.
   for (const auto ran : { Millis(160), Millis(1) }) {
     auto other = evidence.mCrashes;
     for (auto& it : other) {
       it.mRanFor = ran;
     }
-    BOOST_TEST(CountEpisodes(other, kRules) == 1U, ran.count());
+    BOOST_TEST(CountEpisodes(other, At(-100), kRules) == 1U, ran.count());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(EachEndUnderAnUnknownRequestMakesItsOwnEpisode)
+{
+  // Three callers came at once.
+  auto evidence = CrashEvidence{};
+  for (auto i = 0; i < 3; ++i) {
+    evidence = AddCrash(
+      std::move(evidence),
+      { static_cast<std::uint64_t>(i + 1), At(i * 20), false, 1, Millis(70) },
+      kRules);
   }
+  const auto count = [&](std::optional<TimePoint> aSoundAt) {
+    return CountEpisodes(evidence.mCrashes, aSoundAt, kRules);
+  };
+  BOOST_TEST(count({}) == 3U);
+  BOOST_TEST(count(At(-10001)) == 3U);
+  BOOST_TEST(count(At(-9000)) == 1U, "known to be sound");
+  evidence =
+    CountCompany(evidence,
+                 { { 1, At(0) }, { 2, At(20) }, { 3, At(40) }, { 9, At(60) } },
+                 kRules);
+  BOOST_TEST(count({}) == 1U, "another endpoint ended too");
 }
 
 BOOST_AUTO_TEST_CASE(APartOfFewEnginesOfAPowerFailureIsNotBlamed)
