Take a service that is down for no cut

Three refused connections made an instance cut off, so that a service of three endpoints that all ended would have sent all its requests through others. Endpoints of several services must fail, six of one, or all there are, over 100 ms or more.

--- a/src/forwarding/internal/ending.cpp
+++ b/src/forwarding/internal/ending.cpp
@@ -80,12 +80,11 @@
   facts.mHasTime = now < aFlight.mDeadline;
   // NOTE: the budget is for what endpoints receive again; a request that none
   // has received yet needs none.
-  facts.mHasBudget =
-    aFlight.mSends == 0 ||
-    MayRetrySend(aForwarder.mBudgets[aFlight.mService->mName],
-                 aForwarder.mSettings.mRetryBudget,
-                 aForwarder.mEntries.size(),
-                 now);
+  facts.mHasBudget = aFlight.mSends == 0 ||
+                     MayRetrySend(aForwarder.mBudgets[aFlight.mService->mName],
+                                  aForwarder.mSettings.mRetryBudget,
+                                  aForwarder.mEntries.size(),
+                                  now);
   return MayRetryRequest(facts);
 }
 
@@ -181,7 +180,7 @@
   // NOTE: without a connection, no endpoint received the request.
   if (aOutcome == SendOutcome::NotConnected) {
     ++aFlight.mUnconnected;
-    NoteUnreached(aForwarder, endpoint);
+    NoteUnreached(aForwarder, aFlight);
     --aFlight.mSends;
     ReturnSend(aForwarder, endpoint);
   }
--- a/src/forwarding/internal/relaying.cpp
+++ b/src/forwarding/internal/relaying.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/internal/relaying.h"
 
+
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -230,11 +231,12 @@
 } // namespace
 
 auto
-NoteUnreached(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void
+NoteUnreached(Forwarder& aForwarder, const Flight& aFlight) -> void
 {
   const auto wasLost = aForwarder.mReach.mIsLost;
   aForwarder.mReach = AddUnreached(std::move(aForwarder.mReach),
-                                   Checksum(aEndpoint.mValue),
+                                   Checksum(aFlight.mAttempt.mEndpoint.mValue),
+                                   Checksum(aFlight.mService->mName),
                                    CountInService(aForwarder),
                                    aForwarder.mPorts.mNow(),
                                    aForwarder.mSettings.mReach);
--- a/src/forwarding/internal/relaying.h
+++ b/src/forwarding/internal/relaying.h
@@ -11,9 +11,9 @@
 /// endpoints answer.
 inline constexpr auto kRelayHeaderPrefix = std::string_view("cuminslip-relay-");
 
-/// Records that an endpoint gave no connection.
+/// Records that the endpoint of the flight's attempt gave no connection.
 auto
-NoteUnreached(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void;
+NoteUnreached(Forwarder& aForwarder, const Flight& aFlight) -> void;
 
 /// Records the answer of an endpoint to a request sent at aSentAt.
 auto
--- a/src/policy/internal/reach.cpp
+++ b/src/policy/internal/reach.cpp
@@ -1,13 +1,33 @@
 #include "policy/reach.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace cuminslip {
 
+namespace {
+
+/// Returns true if enough endpoints gave no connection.
+auto
+AreEnough(const Reach& aReach, std::size_t aKnown, const ReachRules& aRules)
+  -> bool
+{
+  auto services = std::set<std::uint64_t>{};
+  for (const auto& [endpoint, service] : aReach.mUnreached) {
+    services.insert(service);
+  }
+  const auto least =
+    services.size() > 1 ? aRules.mMinEndpoints : aRules.mMinOfOneService;
+  return aReach.mUnreached.size() >= std::min(least, aKnown);
+}
+
+} // namespace
+
 auto
 AddUnreached(Reach aReach,
              std::uint64_t aEndpoint,
+             std::uint64_t aService,
              std::size_t aKnown,
              TimePoint aNow,
              const ReachRules& aRules) -> Reach
@@ -16,12 +36,11 @@
     aReach.mFailingSince = aNow;
   }
   // NOTE: no more than this is needed to know of a cut.
-  if (aReach.mUnreached.size() < aRules.mMinEndpoints) {
-    aReach.mUnreached.insert(aEndpoint);
+  if (aReach.mUnreached.size() < aRules.mMinOfOneService) {
+    aReach.mUnreached.emplace(aEndpoint, aService);
   }
-  const auto enough =
-    std::max<std::size_t>(std::min(aRules.mMinEndpoints, aKnown), 1);
-  if (!aReach.mIsLost && aReach.mUnreached.size() >= enough) {
+  const auto isLong = aNow >= aReach.mFailingSince + aRules.mMinSpan;
+  if (!aReach.mIsLost && isLong && AreEnough(aReach, aKnown, aRules)) {
     aReach.mIsLost = true;
     aReach.mTriedAt = aNow;
   }
@@ -48,8 +67,7 @@
   -> std::optional<std::size_t>
 {
   const auto rank = [](const RelayCandidate& aItem) {
-    return std::tuple(
-      !aItem.mIsPreferred, aItem.mInFlight, aItem.mRandomKey);
+    return std::tuple(!aItem.mIsPreferred, aItem.mInFlight, aItem.mRandomKey);
   };
   auto best = std::optional<std::size_t>{};
   for (auto i = std::size_t{ 0 }; i < aCandidates.size(); ++i) {
--- a/src/policy/reach.h
+++ b/src/policy/reach.h
@@ -4,8 +4,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 /// Decides whether an instance has lost its way to all endpoints, and through
@@ -14,10 +14,14 @@
 
 struct ReachRules
 {
-  /// Endpoints, or all known ones if there are fewer, that gave no connection
-  /// while none answered: the instance is cut off. Single endpoints that are
-  /// down or silent for a second do not make a cut.
+  /// Endpoints of several services, or all known ones if there are fewer, that
+  /// gave no connection while none answered: the instance is cut off. Single
+  /// endpoints that are down or silent for a second do not make a cut.
   std::size_t mMinEndpoints = 3;
+  /// The same, if they are of one service, which may be down as a whole.
+  std::size_t mMinOfOneService = 6;
+  /// Least time from the first failure, in which an endpoint could answer.
+  Millis mMinSpan{ 100 };
   /// An instance that is cut off tries an endpoint again after this time.
   Millis mTrialInterval{ 500 };
 
@@ -27,8 +31,9 @@
 /// What an instance knows of its way to endpoints.
 struct Reach
 {
-  /// Endpoints that gave no connection since an endpoint last answered.
-  std::set<std::uint64_t> mUnreached;
+  /// Endpoints that gave no connection since an endpoint last answered, with
+  /// their services.
+  std::map<std::uint64_t, std::uint64_t> mUnreached;
   /// The first of these failures.
   TimePoint mFailingSince{};
   bool mIsLost = false;
@@ -37,11 +42,12 @@
   auto operator==(const Reach&) const -> bool = default;
 };
 
-/// Adds an endpoint that gave no connection. aKnown is the number of endpoints
-/// in service.
+/// Adds an endpoint of a service that gave no connection. aKnown is the number
+/// of endpoints in service.
 auto
 AddUnreached(Reach aReach,
              std::uint64_t aEndpoint,
+             std::uint64_t aService,
              std::size_t aKnown,
              TimePoint aNow,
              const ReachRules& aRules) -> Reach;
