Keep back the ends of endpoints that only a cut off instance may have seen

An end that only this instance saw is reported once another endpoint answers, 50 ms later or more, or after 200 ms without a failed connection; when the instance turns out to be cut off, it is forgotten.

--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -125,6 +125,7 @@
   });
   if (attempt.mAnswer.mIsGenuine) {
     NoteReached(aForwarder, attempt.mSentAt);
+    ConfirmEnds(aForwarder, attempt);
   }
   NoteStatement(aForwarder,
                 { attempt.mEndpoint,
@@ -171,6 +172,9 @@
     BufferPiece(aForwarder, *flight, aPiece);
     return;
   }
+  if (attempt.mRelay.empty()) {
+    ConfirmEnds(aForwarder, attempt);
+  }
   for (const auto& event : SplitEvents(attempt.mSplitter, aPiece)) {
     if (!std::exchange(attempt.mHasEvents, true)) {
       NoteSoundAnswer(aForwarder, *flight);
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -192,7 +192,8 @@
       SendLoadNotice(aForwarder, false);
       // NOTE: on an idle instance the timer stops, so that only external events
       // wake it.
-      if (!aForwarder.mFlights.empty() || aForwarder.mIsNoticeDue) {
+      if (!aForwarder.mFlights.empty() || aForwarder.mIsNoticeDue ||
+          !aForwarder.mSuspects.mUnconfirmed.empty()) {
         StartTick(aForwarder);
       }
     });
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -186,6 +186,9 @@
   EvidenceTable mEvidence;
   /// Ends of endpoints, by the keys of EndpointCrash.
   std::map<std::uint64_t, TimePoint> mEnds;
+  /// Ends that only this instance saw, by the same keys. They are not reported
+  /// until it is known to reach other endpoints.
+  std::map<std::uint64_t, TimePoint> mUnconfirmed;
   std::set<SuspectKey> mHarmful;
   TimePoint mJudgedAt{};
   /// End of the last trial of a harmful one by this instance.
--- a/src/forwarding/internal/harmfulrequests.cpp
+++ b/src/forwarding/internal/harmfulrequests.cpp
@@ -26,6 +26,12 @@
 /// A trial has ended after this time, whatever became of it.
 constexpr auto kTrialTime = Millis(15000);
 constexpr auto kJudgementInterval = Millis(50);
+/// An answer that arrives so long after an end was under way no longer when a
+/// cut reset all connections.
+constexpr auto kSightDelay = Millis(50);
+/// Without an answer, an end counts after this time: a cut would have failed
+/// connections by then.
+constexpr auto kSightTime = Millis(200);
 constexpr auto kReportInterval = Millis(1000);
 
 /// Returns true if the endpoint had run the request, wholly or for an event.
@@ -80,16 +86,17 @@
   aForwarder.mIsNoticeDue = true;
 }
 
-/// Records the end of an endpoint, and forgets old ones.
+/// Records the end of an endpoint, and forgets old ones. Returns true if it is
+/// news.
 auto
 RememberEnd(SuspectKnowledge& aKnowledge,
             std::uint64_t aEndpoint,
             TimePoint aAt,
-            TimePoint aNow) -> void
+            TimePoint aNow) -> bool
 {
   if (aNow - aAt > kEndMemory ||
       !aKnowledge.mEnds.emplace(aEndpoint, aAt).second) {
-    return;
+    return false;
   }
   std::erase_if(aKnowledge.mEnds, [&](const auto& aItem) {
     return aNow - aItem.second > kEndMemory;
@@ -97,6 +104,18 @@
   if (aKnowledge.mEnds.size() > kMaxEnds) {
     aKnowledge.mEnds.erase(aEndpoint);
   }
+  return true;
+}
+
+/// Lets the ends of which aIsConfirmed is true be reported.
+template<class Predicate>
+auto
+ConfirmIf(Forwarder& aForwarder, const Predicate& aIsConfirmed) -> void
+{
+  if (std::erase_if(aForwarder.mSuspects.mUnconfirmed, aIsConfirmed) > 0) {
+    MakeReportDue(aForwarder);
+    SendLoadNotice(aForwarder, false);
+  }
 }
 
 /// Counts for each recent suspect the endpoints that ended with its ones.
@@ -242,16 +261,20 @@
 }
 
 auto
-ToReport(SuspectKey aSuspect, const CrashEvidence& aEvidence, TimePoint aNow)
-  -> ReportedSuspect
+ToReport(SuspectKey aSuspect,
+         const CrashEvidence& aEvidence,
+         const std::map<std::uint64_t, TimePoint>& aUnconfirmed,
+         TimePoint aNow) -> ReportedSuspect
 {
   const auto ageOf = [&](TimePoint aAt) {
     return std::max(MillisBetween(aAt, aNow), Millis(0));
   };
   auto report = ReportedSuspect{ aSuspect, aEvidence.mDepth, {}, std::nullopt };
   for (const auto& it : aEvidence.mCrashes) {
-    report.mCrashes.push_back(
-      { it.mEndpoint, ageOf(it.mAt), it.mHadBegun, it.mCompany, it.mRanFor });
+    if (!aUnconfirmed.contains(it.mEndpoint)) {
+      report.mCrashes.push_back(
+        { it.mEndpoint, ageOf(it.mAt), it.mHadBegun, it.mCompany, it.mRanFor });
+    }
   }
   if (aEvidence.mSoundAt) {
     report.mSoundAge = ageOf(*aEvidence.mSoundAt);
@@ -279,7 +302,7 @@
 NoteEndpointEnd(Forwarder& aForwarder, const Flight& aFlight) -> void
 {
   const auto& attempt = aFlight.mAttempt;
-  if (!attempt.mRelay.empty()) {
+  if (!attempt.mRelay.empty() || aForwarder.mReach.mIsLost) {
     return;
   }
   // NOTE: an answer that was cut behind its head says nothing of an end.
@@ -290,7 +313,9 @@
   const auto& rules = aForwarder.mSettings.mCrashes;
   const auto now = aForwarder.mPorts.mNow();
   const auto endpoint = KeyOf(attempt.mEndpoint, attempt.mIncarnation);
-  RememberEnd(knowledge, endpoint, now, now);
+  if (RememberEnd(knowledge, endpoint, now, now)) {
+    knowledge.mUnconfirmed[endpoint] = now;
+  }
   if (attempt.mHasEvents) {
     return;
   }
@@ -306,8 +331,39 @@
     evidence = AddCrash(std::move(evidence), crash, rules);
   }
   Forget(aForwarder);
-  MakeReportDue(aForwarder);
-  SendLoadNotice(aForwarder, false);
+  if (!knowledge.mUnconfirmed.contains(endpoint)) {
+    MakeReportDue(aForwarder);
+    SendLoadNotice(aForwarder, false);
+  }
+}
+
+auto
+ConfirmEnds(Forwarder& aForwarder, const Attempt& aAttempt) -> void
+{
+  if (aForwarder.mSuspects.mUnconfirmed.empty()) {
+    return;
+  }
+  const auto now = aForwarder.mPorts.mNow();
+  const auto answering = KeyOf(aAttempt.mEndpoint, aAttempt.mIncarnation);
+  ConfirmIf(aForwarder, [&](const auto& aItem) {
+    return aItem.first != answering && now >= aItem.second + kSightDelay;
+  });
+}
+
+auto
+DropUnconfirmedEnds(Forwarder& aForwarder) -> void
+{
+  auto& knowledge = aForwarder.mSuspects;
+  const auto unconfirmed = std::exchange(knowledge.mUnconfirmed, {});
+  for (const auto& [endpoint, at] : unconfirmed) {
+    knowledge.mEnds.erase(endpoint);
+  }
+  for (auto& [suspect, evidence] : knowledge.mEvidence) {
+    std::erase_if(evidence.mCrashes, [&](const auto& aItem) {
+      return unconfirmed.contains(aItem.mEndpoint);
+    });
+  }
+  knowledge.mJudgedAt = {};
 }
 
 auto
@@ -409,7 +465,11 @@
     chosen);
   auto reports = std::vector<ReportedSuspect>{};
   for (const auto& [suspect, evidence] : chosen) {
-    reports.push_back(ToReport(suspect, *evidence, now));
+    auto report =
+      ToReport(suspect, *evidence, aForwarder.mSuspects.mUnconfirmed, now);
+    if (!report.mCrashes.empty() || report.mSoundAge) {
+      reports.push_back(std::move(report));
+    }
   }
   return reports;
 }
@@ -421,7 +481,9 @@
   auto ends = std::vector<ReportedEnd>{};
   for (const auto& [endpoint, at] : aForwarder.mSuspects.mEnds) {
     const auto age = std::max(MillisBetween(at, now), Millis(0));
-    if (age <= kEndMemory) {
+    const auto isConfirmed =
+      !aForwarder.mSuspects.mUnconfirmed.contains(endpoint);
+    if (age <= kEndMemory && isConfirmed) {
       ends.push_back({ endpoint, age });
     }
   }
@@ -442,6 +504,7 @@
   const auto now = aForwarder.mPorts.mNow();
   for (const auto& it : aEnds) {
     RememberEnd(aForwarder.mSuspects, it.mEndpoint, now - it.mAge, now);
+    aForwarder.mSuspects.mUnconfirmed.erase(it.mEndpoint);
   }
 }
 
@@ -485,6 +548,7 @@
                             crash.mRanFor },
                           rules);
       RememberEnd(knowledge, crash.mEndpoint, now - crash.mAge, now);
+      knowledge.mUnconfirmed.erase(crash.mEndpoint);
     }
     const auto hadCrashes = !reported.mCrashes.empty();
     if (const auto sound = FindRecentSound(knowledge, it.mKey)) {
@@ -519,9 +583,14 @@
 auto
 RepeatEvidence(Forwarder& aForwarder) -> void
 {
-  const auto& knowledge = aForwarder.mSuspects;
+  const auto now = aForwarder.mPorts.mNow();
+  if (aForwarder.mReach.mUnreached.empty()) {
+    ConfirmIf(aForwarder, [&](const auto& aItem) {
+      return now >= aItem.second + kSightTime;
+    });
+  }
   aForwarder.mIsNoticeDue |=
-    aForwarder.mPorts.mNow() >= knowledge.mReportedAt + kReportInterval &&
+    now >= aForwarder.mSuspects.mReportedAt + kReportInterval &&
     HasReports(aForwarder);
 }
 
--- a/src/forwarding/internal/harmfulrequests.h
+++ b/src/forwarding/internal/harmfulrequests.h
@@ -15,6 +15,15 @@
 auto
 NoteEndpointEnd(Forwarder& aForwarder, const Flight& aFlight) -> void;
 
+/// Confirms the ends seen before an answer of the endpoint of this attempt.
+auto
+ConfirmEnds(Forwarder& aForwarder, const Attempt& aAttempt) -> void;
+
+/// Forgets the ends that were not confirmed, since this instance lost its way
+/// to the endpoints.
+auto
+DropUnconfirmedEnds(Forwarder& aForwarder) -> void;
+
 /// Records that an endpoint ran the flight's request, or wrote on its prompt.
 auto
 NoteSoundAnswer(Forwarder& aForwarder, const Flight& aFlight) -> void;
@@ -53,7 +62,8 @@
 ApplyEvidence(Forwarder& aForwarder,
               const std::vector<ReportedSuspect>& aSuspects) -> void;
 
-/// Makes a load notice due when evidence was not reported for a while.
+/// Makes a load notice due when evidence was not reported for a while, and
+/// confirms ends that no failure of connections followed.
 auto
 RepeatEvidence(Forwarder& aForwarder) -> void;
 
--- a/src/forwarding/internal/relaying.cpp
+++ b/src/forwarding/internal/relaying.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/internal/relaying.h"
 
+#include "forwarding/internal/harmfulrequests.h"
 
 #include "forwarding/types/forwardevents.h"
 
@@ -247,6 +248,7 @@
            { { "unreached", aForwarder.mReach.mUnreached.size() },
              { "endpoints", CountInService(aForwarder) } });
   ClearEjections(aForwarder);
+  DropUnconfirmedEnds(aForwarder);
   aForwarder.mIsNoticeDue = true;
   SendLoadNotice(aForwarder, true);
   SchedulePlacement(aForwarder, true);
--- a/src/forwarding/tests/relaying_tests.cpp
+++ b/src/forwarding/tests/relaying_tests.cpp
@@ -318,4 +318,56 @@
   BOOST_TEST(CountersOf(*mForwarder).mRelayed == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(WhatACutEndsIsNoEvidenceForOthers)
+{
+  for (auto round = 0; round < 3; ++round) {
+    auto sends = std::vector<std::shared_ptr<FakeSend>>{};
+    for (auto i = 0; i < 4; ++i) {
+      Ask(MakeRequest("book"));
+      sends.push_back(mSends.back());
+    }
+    Run(Millis(20));
+    mNotices.clear();
+    for (const auto& it : sends) {
+      End(*it, ExchangeEnd::Broken);
+    }
+    LoseEndpoints();
+    Answer(LastSend(), 200, kSealed, "x");
+    Run(Seconds(3));
+    for (const auto& [address, bytes] : mNotices) {
+      const auto notice = CollectOutcome<LoadNotice>(
+        [&, b = std::string_view(bytes)] { return DecodeLoadNotice(b); });
+      BOOST_TEST(notice.mValue->mEnds.empty());
+      for (const auto& it : notice.mValue->mSuspects) {
+        BOOST_TEST(it.mCrashes.empty());
+      }
+    }
+    Ask(MakeRequest("read"));
+    BOOST_REQUIRE(!IsRelay(LastSend()));
+    Answer(LastSend(), 200, kSealed, "x");
+  }
+  const auto caller = Ask(MakeRequest("book"));
+  BOOST_TEST(!caller->mResponse.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AnEndIsReportedOnceOtherEndpointsAnswer)
+{
+  Ask(MakeRequest("book"));
+  const auto ended = mSends.back();
+  Ask(MakeRequest("read"));
+  const auto other = mSends.back();
+  Run(Millis(20));
+  mNotices.clear();
+  End(*ended, ExchangeEnd::Broken);
+  Run(Millis(60));
+  BOOST_TEST(mNotices.empty());
+  Answer(*other, 200, kSealed, "x");
+  Run(Millis(20));
+  BOOST_REQUIRE(!mNotices.empty());
+  const auto notice = CollectOutcome<LoadNotice>(
+    [&] { return DecodeLoadNotice(mNotices.back().second); });
+  BOOST_TEST(notice.mValue->mEnds.size() == 1U);
+  BOOST_TEST(notice.mValue->mSuspects.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
