Leave to a third instance what the second can't serve, and refuse when none is left

A relayed request that the second instance did not know yet, by its route or key, would be failed with 404 or 401 though the first one had admitted it; it now goes to another instance. With no instance left, a cut off one tried four endpoints for 100 ms each before it refused; it now refuses at once. An instance that stops closes the connections of others after their answers.

--- a/src/forwarding/internal/relaying.cpp
+++ b/src/forwarding/internal/relaying.cpp
@@ -128,10 +128,7 @@
 auto
 ShouldRelay(Forwarder& aForwarder, Flight& aFlight) -> bool
 {
-  const auto mayRelay = aForwarder.mSettings.mRelayPort != 0 &&
-                        !aFlight.mIsRelayed &&
-                        aFlight.mTriedRelays.size() < kMaxRelays;
-  if (!mayRelay) {
+  if (aForwarder.mSettings.mRelayPort == 0 || aFlight.mIsRelayed) {
     return false;
   }
   if (aFlight.mUnconnected >= kMaxUnconnected) {
@@ -221,6 +218,30 @@
   return {};
 }
 
+/// Returns true if another instance may serve a request that failed here: it
+/// may reach endpoints, or have another routing document.
+auto
+MayServeElsewhere(const Forwarder& aForwarder,
+                  const Flight& aFlight,
+                  FailureKind aKind) -> bool
+{
+  switch (aKind) {
+    case FailureKind::UnknownKey:
+    case FailureKind::NoRoute:
+    case FailureKind::NotReady:
+      return true;
+    case FailureKind::NoCapacity:
+      return aForwarder.mReach.mIsLost || aFlight.mUnconnected > 0;
+    case FailureKind::BadRequest:
+    case FailureKind::EndpointFailed:
+    case FailureKind::TimedOut:
+    case FailureKind::TooLate:
+    case FailureKind::HarmfulRequest:
+      return false;
+  }
+  return false;
+}
+
 auto
 AddHeader(wire::HttpResponse& aResponse,
           std::string_view aName,
@@ -277,7 +298,15 @@
   if (now >= aFlight.mDeadline || !ShouldRelay(aForwarder, aFlight)) {
     return false;
   }
-  const auto relay = FindRelay(aForwarder, aFlight);
+  const auto relay = aFlight.mTriedRelays.size() < kMaxRelays
+                       ? FindRelay(aForwarder, aFlight)
+                       : std::string{};
+  const auto isHopeless =
+    relay.empty() && aForwarder.mReach.mIsLost && !aFlight.mTriedRelays.empty();
+  if (isHopeless) {
+    FailFlight(aForwarder, aFlight, { FailureKind::NoCapacity, kRelayRetry });
+    return true;
+  }
   if (relay.empty()) {
     return false;
   }
@@ -368,10 +397,8 @@
                   const Failure& aFailure,
                   wire::HttpResponse& aResponse) -> void
 {
-  // NOTE: an instance that may be cut off too leaves the request to others.
   const auto isForOthers =
-    (aForwarder.mReach.mIsLost || aFlight.mUnconnected > 0) &&
-    aFailure.mKind == FailureKind::NoCapacity;
+    MayServeElsewhere(aForwarder, aFlight, aFailure.mKind);
   AddHeader(aResponse,
             kFailureHeader,
             std::string(isForOthers ? kRefused : ToText(aFailure.mKind)));
--- a/src/forwarding/internal/relaying.h
+++ b/src/forwarding/internal/relaying.h
@@ -19,8 +19,9 @@
 auto
 NoteReached(Forwarder& aForwarder, TimePoint aSentAt) -> void;
 
-/// Sends a flight through another instance if it should be and one is left.
-/// Returns false if the flight is to be placed here.
+/// Sends a flight through another instance if it should be, or fails it if this
+/// instance is cut off and no other one is left. Returns false if the flight is
+/// to be placed here.
 auto
 RelayFlight(Forwarder& aForwarder, Flight& aFlight) -> bool;
 
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -409,6 +409,9 @@
     if (aGateway.mCallerServer) {
       wire::CloseAfterAnswers(*aGateway.mCallerServer);
     }
+    if (aGateway.mRelayServer) {
+      wire::CloseAfterAnswers(*aGateway.mRelayServer);
+    }
     CheckStopped(aGateway);
   });
 }
