--- a/src/forwarding/internal/relaying.cpp
+++ b/src/forwarding/internal/relaying.cpp
@@ -280,7 +280,7 @@
 {
   const auto wasLost = aForwarder.mReach.mIsLost;
   const auto since = aForwarder.mReach.mFailingSince;
-  aForwarder.mReach = AddReached(std::move(aForwarder.mReach), aSentAt);
+  aForwarder.mReach = AddReached(aForwarder.mReach, aSentAt);
   if (!wasLost || aForwarder.mReach.mIsLost) {
     return;
   }
--- a/src/forwarding/tests/relaying_tests.cpp
+++ b/src/forwarding/tests/relaying_tests.cpp
@@ -84,7 +84,7 @@
       request.mHttp.mHeaders.end(), aHeaders.begin(), aHeaders.end());
     mIsAccepting = aIsAccepting;
     mAsksAsInstance = true;
-    const auto caller = Ask(std::move(request));
+    auto caller = Ask(std::move(request));
     mAsksAsInstance = false;
     return caller;
   }
--- a/src/policy/internal/crashevidence.cpp
+++ b/src/policy/internal/crashevidence.cpp
@@ -1,7 +1,6 @@
 #include "policy/crashevidence.h"
 
 #include <algorithm>
-#include <ranges>
 #include <tuple>
 
 namespace cuminslip {
@@ -161,7 +160,8 @@
     !aSoundAt || *aSoundAt + aRules.mUnknownAfter < aCrashes.front().mAt;
   auto episodes = std::size_t{ 1 };
   auto first = aCrashes.front().mAt;
-  for (const auto& it : aCrashes | std::views::drop(1)) {
+  for (auto i = std::size_t{ 1 }; i < aCrashes.size(); ++i) {
+    const auto& it = aCrashes[i];
     const auto isLater = it.mAt >= first + aRules.mEpisode;
     const auto wasSentLater = it.mAt - it.mRanFor + kPrecision >= first;
     const auto hasRun =
--- a/src/policy/internal/reach.cpp
+++ b/src/policy/internal/reach.cpp
@@ -48,7 +48,7 @@
 }
 
 auto
-AddReached(Reach aReach, TimePoint aSentAt) -> Reach
+AddReached(const Reach& aReach, TimePoint aSentAt) -> Reach
 {
   const auto isProof =
     aReach.mUnreached.empty() || aSentAt >= aReach.mFailingSince;
--- a/src/policy/reach.h
+++ b/src/policy/reach.h
@@ -56,7 +56,7 @@
 /// before the failures does not end them: old connections may go on while new
 /// ones fail.
 auto
-AddReached(Reach aReach, TimePoint aSentAt) -> Reach;
+AddReached(const Reach& aReach, TimePoint aSentAt) -> Reach;
 
 /// Returns true if a request should go to an endpoint to learn whether the cut
 /// has ended.
--- a/src/policy/tests/reach_tests.cpp
+++ b/src/policy/tests/reach_tests.cpp
@@ -56,7 +56,7 @@
              "none had the time to answer");
 
   auto reach = FailAt({ { 1, 1, 0 }, { 2, 1, 100 } });
-  reach = AddReached(std::move(reach), At(150));
+  reach = AddReached(reach, At(150));
   reach = AddUnreached(std::move(reach), 3, 2, kKnown, At(200), kRules);
   BOOST_TEST(!reach.mIsLost);
 }
@@ -76,7 +76,7 @@
 {
   auto reach = AddReached(FailAt(kCut), At(-10));
   BOOST_TEST(reach.mIsLost);
-  reach = AddReached(std::move(reach), At(300));
+  reach = AddReached(reach, At(300));
   BOOST_TEST(!reach.mIsLost);
 }
 
