Remember the answers of a request before the first end under it

Whether a request was never answered was asked of the evidence alone, which begins with the first end: three endpoints that ended at once under a path that everyone calls condemned it. The answers that this instance saw count now.

--- a/src/forwarding/internal/harmfulrequests.cpp
+++ b/src/forwarding/internal/harmfulrequests.cpp
@@ -328,6 +328,9 @@
     evidence.mDepth =
       std::max(evidence.mDepth,
                isRequest ? kRequestDepth : static_cast<std::uint32_t>(i));
+    if (const auto sound = FindRecentSound(knowledge, aFlight.mSuspects[i])) {
+      evidence = AddSoundAnswer(std::move(evidence), *sound);
+    }
     evidence = AddCrash(std::move(evidence), crash, rules);
   }
   Forget(aForwarder);
--- a/src/forwarding/tests/harmfulrequests_tests.cpp
+++ b/src/forwarding/tests/harmfulrequests_tests.cpp
@@ -99,6 +99,28 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ARequestThatAllCallersSendOutlivesThreeEndsAtOnce)
+{
+  for (const auto isKnown : { true, false }) {
+    const auto body = std::string(isKnown ? "common" : "rare");
+    if (isKnown) {
+      AskWith("book", body);
+      Answer(LastSend(), 200, kSealed, "x");
+    }
+    const auto first = mSends.size();
+    for (auto i = 0; i < 3; ++i) {
+      AskWith("book", body);
+    }
+    Run(kRun);
+    for (auto i = first; i < first + 3; ++i) {
+      End(*mSends[i], ExchangeEnd::Broken);
+    }
+    Run(kHold);
+    BOOST_TEST(IsRefused(*AskWith("book", body)) != isKnown, body);
+    Run(Seconds(6));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerThatIsCutBehindItsHeadIsNoEvidence)
 {
   for (auto i = 0; i < 6; ++i) {
