Do not ask other instances for a service that is down with each request

A request that found no connection at three endpoints went through up to three other instances even if this one was not cut off; with a whole service down for all, each request would have been held for their failures too. Two are asked then, and for 2 s none after both refused. Found by reading; the new test counts 2 relays in 10 requests.

--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -226,6 +226,9 @@
   /// Instances that refused a relayed request or gave no answer, until when
   /// they are not used, by peer address.
   std::map<std::string, TimePoint> mAvoidedRelays;
+  /// Services whose endpoints the other instances did not reach either, until
+  /// when they are not asked again unless this instance is cut off.
+  std::map<std::string, TimePoint> mUnreachedServices;
   GroupLayout mGroups;
   LoadGroup mOwnGroup;
   /// Peer addresses of the instances of each group, this one included.
--- a/src/forwarding/internal/relaying.cpp
+++ b/src/forwarding/internal/relaying.cpp
@@ -27,6 +27,10 @@
 /// A request that found no connection at this many endpoints is sent through
 /// another instance even if this one is not known to be cut off.
 constexpr auto kMaxUnconnected = std::size_t{ 3 };
+/// Of these, the first is in the own failure domain, the second is not.
+constexpr auto kMaxFallbackRelays = std::size_t{ 2 };
+/// A service that is down is not asked for at others with each request.
+constexpr auto kServicePause = Millis(2000);
 constexpr auto kAvoidTime = Millis(1000);
 constexpr auto kRelayRetry = Millis(250);
 /// The other instance's failure arrives before the deadline here.
@@ -131,11 +135,13 @@
   if (aForwarder.mSettings.mRelayPort == 0 || aFlight.mIsRelayed) {
     return false;
   }
-  if (aFlight.mUnconnected >= kMaxUnconnected) {
-    return true;
-  }
   if (!aForwarder.mReach.mIsLost) {
-    return false;
+    const auto paused =
+      aForwarder.mUnreachedServices.find(aFlight.mService->mName);
+    const auto isPaused = paused != aForwarder.mUnreachedServices.end() &&
+                          aForwarder.mPorts.mNow() < paused->second;
+    return aFlight.mUnconnected >= kMaxUnconnected && !isPaused &&
+           aFlight.mTriedRelays.size() < kMaxFallbackRelays;
   }
   const auto isTrial = aFlight.mIsReachTrial && aFlight.mUnconnected == 0;
   return !isTrial && !BeginReachTrial(aForwarder, aFlight);
@@ -384,6 +390,12 @@
     --aFlight.mSends;
   }
   aFlight.mAttempt.mRelay.clear();
+  const auto isDown = !aForwarder.mReach.mIsLost &&
+                      aFlight.mTriedRelays.size() >= kMaxFallbackRelays;
+  if (isDown) {
+    aForwarder.mUnreachedServices[aFlight.mService->mName] =
+      now + kServicePause;
+  }
   if (MayRepeatFlight(aForwarder, aFlight, aOutcome)) {
     PlaceFlight(aForwarder, aFlight);
     return;
--- a/src/forwarding/tests/relaying_tests.cpp
+++ b/src/forwarding/tests/relaying_tests.cpp
@@ -245,6 +245,29 @@
   BOOST_TEST(CountersOf(*mForwarder).mRelaysAccepted == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(AServiceThatIsDownIsNotAskedForAtOthersEachTime)
+{
+  for (auto i = 1; i <= 8; ++i) {
+    AddEndpoint("n" + std::to_string(i), "engines", 20 + i);
+  }
+  auto relays = 0;
+  for (auto i = 0; i < 10; ++i) {
+    const auto caller = Ask(MakeRequest("read"));
+    while (!caller->mResponse) {
+      if (IsRelay(LastSend())) {
+        ++relays;
+        FailAtRelay(LastSend(), "refused");
+      } else {
+        End(LastSend(), ExchangeEnd::NotConnected);
+      }
+    }
+    BOOST_TEST(caller->mResponse->mBody == "no_capacity");
+    Run(Millis(100));
+  }
+  BOOST_TEST(!IsCutOff(*mForwarder));
+  BOOST_TEST(relays == 2);
+}
+
 BOOST_AUTO_TEST_CASE(WhatAnOlderRoutingDocumentDoesNotKnowIsLeftToOthers)
 {
   auto request = MakeRequest("none");
