Let short prompts that are late on every engine give way to those in time

Each was sent to the engine with the earliest predicted first event, all slots were in use and 40 to 50 prompts more waited in the engines, so nearly all were late: 1,221 of 2,857. Instances that learned together of a free slot took it together (45 in 100 of those placed beside 11 streams found the slot taken). Some went to engines with free slots and 4 s of long prompts to prefill.

Now a prompt that no engine with a free slot answers in time waits at the instance; those still in time come first, late ones leave a tenth of the slots free and are refused with a Retry-After before their callers leave. One of the last two slots of an engine is claimed by a notice first, and granted by rank.

--- a/src/forwarding/internal/claiming.cpp
+++ b/src/forwarding/internal/claiming.cpp
@@ -38,6 +38,49 @@
   SendFlight(aForwarder, aFlight, std::exchange(aFlight.mAttempt, {}));
 }
 
+/// Returns the number of slots of the engine that this instance may take now.
+auto
+OwnSlots(const Forwarder& aForwarder,
+         const EndpointId& aEngine,
+         std::int64_t aSlots) -> std::int64_t
+{
+  const auto key = Checksum(aEngine.mValue);
+  const auto rankOf = [&](const std::string& aInstance) {
+    return Checksum(aInstance, key);
+  };
+  const auto all = WorkOn(aForwarder, aEngine);
+  const auto own = OwnWorkOn(aForwarder, aEngine);
+  auto others = std::vector<SlotClaim>{};
+  const auto shares = aForwarder.mRemoteShares.find(key);
+  if (shares != aForwarder.mRemoteShares.end()) {
+    for (const auto& it : shares->second) {
+      if (it.mWork.mClaimedStreams > 0) {
+        others.push_back(
+          { rankOf(it.mSource->mInstance), it.mWork.mClaimedStreams });
+      }
+    }
+  }
+  return GrantedSlots(
+    aSlots - (all.mStreams - all.mClaimedStreams),
+    { rankOf(aForwarder.mSettings.mPeerAddress), own.mClaimedStreams },
+    others);
+}
+
+auto
+EndSlotClaim(Forwarder& aForwarder, Flight& aFlight) -> void
+{
+  const auto isGranted = MaySendNow(CheckSend(aForwarder, aFlight.mAttempt)) &&
+                         OwnSlots(aForwarder,
+                                  aFlight.mAttempt.mEndpoint,
+                                  aFlight.mService->mEngine->mSlots) > 0;
+  aFlight.mIsSlotClaimed = false;
+  if (isGranted || aFlight.mClaims >= kMaxClaims) {
+    SendFlight(aForwarder, aFlight, std::exchange(aFlight.mAttempt, {}));
+    return;
+  }
+  PlaceAgain(aForwarder, aFlight);
+}
+
 auto
 EndClaim(Forwarder& aForwarder, Flight& aFlight) -> void
 {
@@ -88,4 +131,28 @@
   NoteWorkChanged(aForwarder, aFlight);
 }
 
+auto
+BeginSlotClaim(Forwarder& aForwarder, Flight& aFlight, Attempt aAttempt) -> void
+{
+  aFlight.mIsWaiting = false;
+  aFlight.mIsDeferred = false;
+  aFlight.mIsSlotClaimed = true;
+  aFlight.mAttempt = std::move(aAttempt);
+  const auto others =
+    GroupSize(aForwarder, aFlight.mAttempt.mWork.front().mGroup) - 1;
+  ++aFlight.mClaims;
+  // NOTE: long enough to hear of a claim that another instance made just before
+  // it heard of this one.
+  constexpr auto kNoticesInTime = 2;
+  aFlight.mClaimTimer = aForwarder.mPorts.mTimers.mStart(
+    aForwarder.mSettings.mClaimTimePerInstance * kNoticesInTime * others,
+    [&aForwarder, id = aFlight.mId] {
+      if (auto* flight = FindFlight(aForwarder, id)) {
+        flight->mClaimTimer = 0;
+        EndSlotClaim(aForwarder, *flight);
+      }
+    });
+  NoteWorkChanged(aForwarder, aFlight);
+}
+
 } // namespace cuminslip::forwarding
--- a/src/forwarding/internal/enginework.cpp
+++ b/src/forwarding/internal/enginework.cpp
@@ -34,6 +34,7 @@
       const auto& timing = *aFlight.mService->mEngine;
       const auto prompt = ToPromptWork(aForwarder, aFlight);
       work.mStreams = 1;
+      work.mClaimedStreams = aFlight.mIsSlotClaimed ? 1 : 0;
       work.mStreamsInPrefill = aFlight.mEvents == 0 ? 1 : 0;
       work.mContextTokens = prompt.mPromptTokens;
       work.mLongStreams = IsLongPrompt(timing, prompt) ? 1 : 0;
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -105,11 +105,15 @@
   bool mHasStarted = false;
   /// Waits for an endpoint; placement is retried when capacity may be free.
   bool mIsWaiting = false;
+  /// Waits as a short prompt that is late on every engine.
+  bool mIsDeferred = false;
   /// Waits for the first routing document.
   bool mIsUnadmitted = false;
   /// Fires at the end of the claim of the attempt's engines.
   wire::TimerId mClaimTimer = 0;
   int mClaims = 0;
+  /// Claims one of the last free slots of an engine.
+  bool mIsSlotClaimed = false;
   /// Number of other instances' long prompts on the claimed engines when the
   /// claim began.
   std::int64_t mCompetingPrompts = 0;
@@ -157,6 +161,8 @@
 /// The load reported by another entry instance.
 struct RemoteLoad
 {
+  /// Peer address.
+  std::string mInstance;
   std::uint64_t mSequence = 0;
   TimePoint mHeard{};
   /// Checksums of the engines that have work of the instance.
@@ -347,6 +353,13 @@
 auto
 BeginClaim(Forwarder& aForwarder, Flight& aFlight, Attempt aAttempt) -> void;
 
+/// Claims one of the last free slots of the attempt's engine by announcing it,
+/// and sends the flight at the end of the claim if the slot is its own then,
+/// otherwise places it again.
+auto
+BeginSlotClaim(Forwarder& aForwarder, Flight& aFlight, Attempt aAttempt)
+  -> void;
+
 /// Reserves memory at the engines of the flight's attempt and sends the flight
 /// once all reservations are confirmed. When an engine refuses or does not
 /// confirm in time, all are released and the flight is placed again.
--- a/src/forwarding/internal/loadnotice.cpp
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -142,6 +142,7 @@
     to.setUnread(static_cast<std::uint32_t>(it.mWork.mStreamsInPrefill));
     to.setUnreadLong(
       static_cast<std::uint32_t>(it.mWork.mLongPromptsInPrefill));
+    to.setClaimed(static_cast<std::uint32_t>(it.mWork.mClaimedStreams));
     if (it.mWork.mPauseMillis < kNoPauseLimitMillis) {
       to.setPauseMillis(static_cast<std::uint32_t>(it.mWork.mPauseMillis));
     }
@@ -175,7 +176,8 @@
                 ? kNoPauseLimitMillis
                 : static_cast<double>(it.getPauseMillis()),
               it.getUnread(),
-              it.getUnreadLong() } });
+              it.getUnreadLong(),
+              it.getClaimed() } });
       }
       return notice;
     });
--- a/src/forwarding/internal/loadsharing.cpp
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -233,6 +233,25 @@
   }
 }
 
+namespace {
+
+/// Returns true if the engine of the flight's attempt has hardly a free slot.
+/// Instances that learn late of its last slots would all take them.
+auto
+IsEngineNearlyFull(const Forwarder& aForwarder, const Flight& aFlight) -> bool
+{
+  const auto& rules = aForwarder.mSettings.mDeferral;
+  if (!rules || aFlight.mService == nullptr || !aFlight.mService->mEngine) {
+    return false;
+  }
+  const auto& engine = aFlight.mAttempt.mWork.front().mEngine;
+  return IsNearlyFull(WorkOn(aForwarder, engine).mStreams,
+                      aFlight.mService->mEngine->mSlots,
+                      *rules);
+}
+
+} // namespace
+
 auto
 NoteWorkChanged(Forwarder& aForwarder, const Flight& aFlight) -> void
 {
@@ -241,7 +260,9 @@
   }
   const auto prompt = aFlight.mRequest.mPrompt.value_or(PromptFacts{});
   aForwarder.mIsNoticeDue = true;
-  SendLoadNotice(aForwarder, prompt.mPromptTokens >= kUrgentTokens);
+  const auto isUrgent = prompt.mPromptTokens >= kUrgentTokens ||
+                        IsEngineNearlyFull(aForwarder, aFlight);
+  SendLoadNotice(aForwarder, isUrgent);
   SchedulePlacement(aForwarder, true);
 }
 
@@ -268,6 +289,7 @@
   if (notice.mValue->mSequence <= remote.mSequence) {
     return;
   }
+  remote.mInstance = notice.mValue->mInstance;
   remote.mSequence = notice.mValue->mSequence;
   remote.mHeard = aForwarder.mPorts.mNow();
   remote.mIsCutOff = notice.mValue->mIsCutOff;
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -368,13 +368,103 @@
   return ChooseAmongGroups(aForwarder, aFlight, aCandidates);
 }
 
+auto
+ToLatePrompt(const Flight& aFlight,
+             const PromptWork& aPrompt,
+             double aFirstEventMillis,
+             bool aHasFreeSlot) -> LatePrompt
+{
+  return { aPrompt.mAnswerTarget,
+           aFlight.mRoute->mPauseTarget,
+           aFlight.mRoute->mTimeout,
+           aPrompt.mWaited,
+           aPrompt.mAllowance,
+           aFirstEventMillis,
+           aHasFreeSlot };
+}
+
+/// Returns true if the choice is for a short prompt that would be late or find
+/// no free slot.
+auto
+MayDefer(const Forwarder& aForwarder,
+         const Flight& aFlight,
+         const GroupChoice& aChosen) -> bool
+{
+  const auto& choice = aChosen.mChoice;
+  const auto isShort = choice.mReason == LaneReason::Packed ||
+                       choice.mReason == LaneReason::Spilled;
+  if (!aForwarder.mSettings.mDeferral || !isShort || aFlight.mHasStarted) {
+    return false;
+  }
+  const auto isFull = aChosen.mEngines[*choice.mEngine].mWork.mStreams >=
+                      aFlight.mService->mEngine->mSlots;
+  return isFull || !IsInTime(ToPromptWork(aForwarder, aFlight), choice);
+}
+
+/// Sends, defers or refuses a short prompt that is late on every engine.
+/// Returns true if it was deferred or refused; aChosen is the choice to send
+/// it.
+auto
+DeferFlight(Forwarder& aForwarder, Flight& aFlight, GroupChoice& aChosen)
+  -> bool
+{
+  const auto& rules = *aForwarder.mSettings.mDeferral;
+  const auto& timing = *aFlight.mService->mEngine;
+  const auto prompt = ToPromptWork(aForwarder, aFlight);
+  auto free = ChooseFreeEngine(
+    timing, prompt, aChosen.mEngines, 0, aForwarder.mSettings.mLanes);
+  if (!free.mEngine || !IsInTime(prompt, free)) {
+    free = ChooseFreeEngine(timing,
+                            prompt,
+                            aChosen.mEngines,
+                            ReservedSlots(timing.mSlots, rules),
+                            aForwarder.mSettings.mLanes);
+  }
+  const auto hasFreeSlot = free.mEngine.has_value();
+  if (hasFreeSlot) {
+    aChosen.mChoice = std::move(free);
+  }
+  const auto late = ToLatePrompt(
+    aFlight, prompt, aChosen.mChoice.mFirstEventMillis, hasFreeSlot);
+  const auto verdict = DecideDeferral(late, rules);
+  if (verdict == DeferralVerdict::Send) {
+    return false;
+  }
+  if (verdict == DeferralVerdict::Defer) {
+    aFlight.mIsDeferred = true;
+    WaitForEngine(aFlight, aChosen.mCandidates.size());
+    return true;
+  }
+  auto draw = std::uniform_real_distribution<double>(0, 1);
+  FailFlight(aForwarder,
+             aFlight,
+             { FailureKind::NoCapacity,
+               ReturnTime(late, draw(aForwarder.mRandom), rules) });
+  return true;
+}
+
+/// Returns true if the chosen engine has free slots, but so few that other
+/// instances may be about to take them.
+auto
+IsSlotScarce(const Forwarder& aForwarder,
+             const Flight& aFlight,
+             const GroupChoice& aChosen) -> bool
+{
+  const auto& rules = aForwarder.mSettings.mDeferral;
+  const auto streams =
+    aChosen.mEngines[*aChosen.mChoice.mEngine].mWork.mStreams;
+  const auto slots = aFlight.mService->mEngine->mSlots;
+  return rules && streams < slots && IsNearlyFull(streams, slots, *rules) &&
+         GroupSize(aForwarder, aChosen.mGroup) > 1;
+}
+
 auto
 PlaceOnEngines(Forwarder& aForwarder,
                Flight& aFlight,
                const std::vector<Candidate>& aCandidates) -> void
 {
   const auto prompt = ToPromptWork(aForwarder, aFlight);
-  const auto chosen = ChooseWithinLimits(aForwarder, aFlight, aCandidates);
+  auto chosen = ChooseWithinLimits(aForwarder, aFlight, aCandidates);
   const auto& choice = chosen.mChoice;
   if (choice.mReason == LaneReason::Wait) {
     WaitForEngine(aFlight, aCandidates.size());
@@ -390,6 +480,10 @@
                { FailureKind::NoCapacity, AddSpread(aForwarder, kRetryAfter) });
     return;
   }
+  if (MayDefer(aForwarder, aFlight, chosen) &&
+      DeferFlight(aForwarder, aFlight, chosen)) {
+    return;
+  }
   auto attempt = MakeAttempt(aForwarder, chosen);
   LogPlacement(aForwarder, aFlight, attempt, chosen);
   const auto isLong = choice.mReason == LaneReason::Together ||
@@ -398,6 +492,10 @@
     BeginClaim(aForwarder, aFlight, std::move(attempt));
     return;
   }
+  if (IsSlotScarce(aForwarder, aFlight, chosen)) {
+    BeginSlotClaim(aForwarder, aFlight, std::move(attempt));
+    return;
+  }
   SendFlight(aForwarder, aFlight, std::move(attempt));
 }
 
--- a/src/forwarding/internal/waiting.cpp
+++ b/src/forwarding/internal/waiting.cpp
@@ -2,6 +2,7 @@
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace cuminslip::forwarding {
@@ -28,9 +29,21 @@
     }
   }
   std::sort(waiting.begin(), waiting.end());
+  // NOTE: where no slot is free for one deferred prompt, the later ones need
+  // not be tried. A burst leaves many of them.
+  auto full = std::set<const routing::Service*>{};
   for (const auto& [isLate, arrived, id] : waiting) {
-    if (auto* flight = FindFlight(aForwarder, id)) {
-      PlaceFlight(aForwarder, *flight);
+    auto* flight = FindFlight(aForwarder, id);
+    const auto isHopeless =
+      flight == nullptr ||
+      (flight->mIsDeferred && full.contains(flight->mService));
+    if (isHopeless) {
+      continue;
+    }
+    PlaceFlight(aForwarder, *flight);
+    flight = FindFlight(aForwarder, id);
+    if (flight != nullptr && flight->mIsWaiting && flight->mIsDeferred) {
+      full.insert(flight->mService);
     }
   }
 }
--- a/src/forwarding/loadnotice.capnp
+++ b/src/forwarding/loadnotice.capnp
@@ -14,6 +14,8 @@
   pauseMillis @5 :UInt32;
   unread @6 :UInt32;
   unreadLong @7 :UInt32;
+  # Of the streams, those that claim a slot and are not sent yet.
+  claimed @8 :UInt32;
 }
 
 # What one entry instance knows of an endpoint from its answers.
--- a/src/forwarding/tests/fakeworld.h
+++ b/src/forwarding/tests/fakeworld.h
@@ -48,9 +48,10 @@
   bool mAsksAsInstance = false;
   bool mIsAccepting = true;
 
-  explicit FakeWorld(std::string aPeerAddress = "10.0.0.1:7000")
+  explicit FakeWorld(std::string aPeerAddress = "10.0.0.1:7000",
+                     ForwardSettings aSettings = {})
   {
-    auto settings = ForwardSettings{};
+    auto settings = std::move(aSettings);
     settings.mFailureDomain = { "a" };
     settings.mPeerAddress = std::move(aPeerAddress);
     settings.mIncarnation = 1;
--- a/src/forwarding/types/forwardsettings.h
+++ b/src/forwarding/types/forwardsettings.h
@@ -4,6 +4,7 @@
 #include "base/types/ids.h"
 #include "policy/borrowing.h"
 #include "policy/crashevidence.h"
+#include "policy/deferral.h"
 #include "policy/enginelanes.h"
 #include "policy/instanceroster.h"
 #include "policy/loadgroups.h"
@@ -11,6 +12,7 @@
 #include "policy/requestlimits.h"
 #include "policy/retrybudget.h"
 
+#include <optional>
 #include <string>
 
 namespace cuminslip::forwarding {
@@ -23,6 +25,8 @@
   Incarnation mIncarnation = 0;
   RetryBudgetRules mRetryBudget;
   LaneRules mLanes;
+  /// Empty: short prompts are sent in the order of arrival.
+  std::optional<DeferralRules> mDeferral;
   GroupRules mGroups;
   BorrowRules mBorrowing;
   LimitRules mLimits;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -189,6 +189,9 @@
   forward.mRetryBudget.mRatio = settings.mRetries.mRatio;
   forward.mRetryBudget.mSlack = settings.mRetries.mSlack;
   forward.mRetryBudget.mWindow = settings.mRetries.mWindow;
+  if (settings.mOverload.mDefersLate) {
+    forward.mDeferral.emplace();
+  }
   if (settings.mListen.mRelay) {
     BOOST_LEAF_AUTO(key, LoadPeerKey(settings));
     forward.mRelayPort = settings.mListen.mRelay->mPort;
--- a/src/policy/enginelanes.h
+++ b/src/policy/enginelanes.h
@@ -40,6 +40,9 @@
   /// Number of long prompts of which a part is still in prefill here. An engine
   /// prefills the newest part first, so another part delays all of them.
   std::int64_t mLongPromptsInPrefill = 0;
+  /// Number of mStreams that claim one of the last free slots and are not sent
+  /// yet.
+  std::int64_t mClaimedStreams = 0;
 
   auto operator==(const EngineWork&) const -> bool = default;
 };
@@ -125,6 +128,8 @@
   /// A short prompt placed by comparing all engines, since the packed ones that
   /// were compared would be late.
   Spilled,
+  /// A short prompt that is late on every engine, on one with free slots.
+  FreeSlot,
   /// A long prompt that one engine prefills.
   Alone,
   /// A long prompt that several engines prefill.
@@ -179,4 +184,14 @@
               std::span<const EngineCandidate> aEngines,
               const LaneRules& aRules) -> LaneChoice;
 
+/// Chooses the engine with the earliest first event for a short prompt, among
+/// those that have more than aReservedSlots slots free and would bring the
+/// event within the answer target from now on. Thread safe.
+auto
+ChooseFreeEngine(const routing::EngineTiming& aTiming,
+                 const PromptWork& aPrompt,
+                 std::span<const EngineCandidate> aEngines,
+                 std::int64_t aReservedSlots,
+                 const LaneRules& aRules) -> LaneChoice;
+
 } // namespace cuminslip
--- a/src/policy/internal/enginelanes.cpp
+++ b/src/policy/internal/enginelanes.cpp
@@ -420,7 +420,8 @@
            aLeft.mLongStreams + aRight.mLongStreams,
            std::min(aLeft.mPauseMillis, aRight.mPauseMillis),
            aLeft.mStreamsInPrefill + aRight.mStreamsInPrefill,
-           aLeft.mLongPromptsInPrefill + aRight.mLongPromptsInPrefill };
+           aLeft.mLongPromptsInPrefill + aRight.mLongPromptsInPrefill,
+           aLeft.mClaimedStreams + aRight.mClaimedStreams };
 }
 
 auto
@@ -431,6 +432,8 @@
       return "packed";
     case LaneReason::Spilled:
       return "spilled";
+    case LaneReason::FreeSlot:
+      return "free_slot";
     case LaneReason::Alone:
       return "alone";
     case LaneReason::Together:
@@ -471,4 +474,31 @@
   return choice;
 }
 
+auto
+ChooseFreeEngine(const EngineTiming& aTiming,
+                 const PromptWork& aPrompt,
+                 std::span<const EngineCandidate> aEngines,
+                 std::int64_t aReservedSlots,
+                 const LaneRules& aRules) -> LaneChoice
+{
+  auto places = std::vector<std::size_t>{};
+  for (auto i = std::size_t{ 0 }; i < aEngines.size(); ++i) {
+    const auto hasSlot =
+      aEngines[i].mWork.mStreams + aReservedSlots < aTiming.mSlots;
+    if (hasSlot && PredictShort(aTiming, aPrompt, aEngines[i], aRules) <=
+                     ToMillis(aPrompt.mAnswerTarget)) {
+      places.push_back(i);
+    }
+  }
+  if (places.empty()) {
+    return {};
+  }
+  const auto best = FindEarliest(aTiming,
+                                 aPrompt,
+                                 aEngines,
+                                 DrawSample(aEngines, places, aRules.mSample),
+                                 aRules);
+  return { best.mEngine, {}, LaneReason::FreeSlot, best.mMillis };
+}
+
 } // namespace cuminslip
--- a/src/settings/internal/settings.cpp
+++ b/src/settings/internal/settings.cpp
@@ -54,6 +54,7 @@
   settings.mAdapter = settings::ReadAdapter(aRoot);
   settings.mDiscovery = settings::ReadDiscovery(aRoot);
   settings.mRetries = settings::ReadRetries(aRoot);
+  settings.mOverload = settings::ReadOverload(aRoot);
   settings.mLog = settings::ReadLog(aRoot);
   documents::CloseSection(aRoot);
   return settings;
--- a/src/settings/internal/settingssections.cpp
+++ b/src/settings/internal/settingssections.cpp
@@ -331,6 +331,17 @@
   return retries;
 }
 
+auto
+ReadOverload(Section& aRoot) -> OverloadOptions
+{
+  auto section = OpenSection(aRoot, "overload");
+  auto overload = OverloadOptions{};
+  overload.mDefersLate =
+    documents::ReadBool(section, "defer", overload.mDefersLate);
+  CloseSection(section);
+  return overload;
+}
+
 auto
 ReadLog(Section& aRoot) -> LogSettings
 {
--- a/src/settings/internal/settingssections.h
+++ b/src/settings/internal/settingssections.h
@@ -43,6 +43,9 @@
 auto
 ReadRetries(documents::Section& aRoot) -> RetryBudgetSettings;
 
+auto
+ReadOverload(documents::Section& aRoot) -> OverloadOptions;
+
 auto
 ReadLog(documents::Section& aRoot) -> LogSettings;
 
--- a/src/settings/tests/settings_tests.cpp
+++ b/src/settings/tests/settings_tests.cpp
@@ -229,6 +229,8 @@
   ratio: 0.2
   slack: 104
   window: 10 s
+overload:
+  defer: true
 keys:
   peer_file: deploy/peer.key
 )";
@@ -245,6 +247,7 @@
   BOOST_TEST(settings.mValue->mDiscovery.mSeeds.size() == 2U);
   BOOST_TEST(settings.mValue->mDiscovery.mMayFound);
   BOOST_TEST(settings.mValue->mRetries.mSlack == 104);
+  BOOST_TEST(settings.mValue->mOverload.mDefersLate);
 }
 
 /// A platform scales its bounds with the size of a deployment.
@@ -272,6 +275,7 @@
     WrongCase{ "10.2.0.32:8229", "nowhere", "discovery.seeds: has" },
     WrongCase{ "peer: 10.1.0.40:7340", "", "listen.peer: missing" },
     WrongCase{ "ratio: 0.2", "ratio: 7", "retries.ratio" },
+    WrongCase{ "defer: true", "defer: 3", "overload.defer" },
     WrongCase{ "adapter: platform", "adapter: other", "adapter: " },
   };
   for (const auto& it : cases) {
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -186,6 +186,16 @@
   auto operator==(const RetryBudgetSettings&) const -> bool = default;
 };
 
+/// What happens to requests when there is too little room for all of them.
+struct OverloadOptions
+{
+  /// Short prompts that would be late on every engine give way to those that
+  /// can still be in time; see policy/deferral.h.
+  bool mDefersLate = false;
+
+  auto operator==(const OverloadOptions&) const -> bool = default;
+};
+
 struct LogSettings
 {
   /// Empty for standard output.
@@ -216,6 +226,7 @@
   AdapterKind mAdapter = AdapterKind::None;
   DiscoverySettings mDiscovery;
   RetryBudgetSettings mRetries;
+  OverloadOptions mOverload;
   LogSettings mLog;
 
   auto operator==(const Settings&) const -> bool = default;
