Evacuate failure domains by an operator's order

An order is now a change of one document in the control log, under a reserved account, published with the revision that a confirmed reading had: no new kind of command, so that control instances of the previous version keep the same state. Entry instances send nothing to the endpoints of an evacuated domain; what was claimed or reserved there is placed again, what runs ends. In a divided fleet the domain's instances join the load groups of the others.

Ruled out: a command of its own (old versions can't apply it), a field of the routing document (it is read back as the operator sent it), answering from the local copy (an instance that is cut off may hold one that was withdrawn).

--- a/src/control/types/storedtemplate.h
+++ b/src/control/types/storedtemplate.h
@@ -8,6 +8,9 @@
 /// Key of the routing document, which is stored and distributed like a
 /// template. No client account can have this name.
 inline const auto kRoutingAccount = AccountId{ "$routing" };
+/// Key of the document of evacuated failure domains, which is stored and
+/// distributed like a template.
+inline const auto kEvacuationsAccount = AccountId{ "$evacuations" };
 
 /// Opaque document text; its revision is the log index that accepted it.
 struct StoredTemplate
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -2,6 +2,7 @@
 
 #include "directory/types/endpointnotice.h"
 #include "directory/types/entryinstance.h"
+#include "evacuation/types/evacuations.h"
 #include "forwarding/types/forwardports.h"
 #include "forwarding/types/forwardsettings.h"
 #include "forwarding/types/forwardtimes.h"
@@ -50,6 +51,12 @@
   /// Requests that other instances sent through this one, and those refused.
   std::uint64_t mRelaysAccepted = 0;
   std::uint64_t mRelaysRefused = 0;
+  /// Short prompts that waited since no engine with a free slot could answer
+  /// them in time, and those of them that were refused.
+  std::uint64_t mDeferred = 0;
+  std::uint64_t mDeferredRefused = 0;
+  /// Claims of a free slot that another instance was granted.
+  std::uint64_t mSlotClaimsLost = 0;
 
   auto operator==(const ForwardCounters&) const -> bool = default;
 };
@@ -79,6 +86,16 @@
 auto
 RemoveSource(Forwarder& aForwarder, const std::string& aSource) -> void;
 
+/// Sets the failure domains whose endpoints get no requests. Requests that were
+/// sent there end there; those not sent yet are placed elsewhere.
+auto
+SetEvacuations(Forwarder& aForwarder, evacuation::Evacuations aEvacuations)
+  -> void;
+
+/// Returns the number of endpoints that get no requests for that reason.
+auto
+CountEvacuatedEndpoints(const Forwarder& aForwarder) -> std::size_t;
+
 /// Sets all entry instances, this one included. They share the retry budget,
 /// and those of a load group exchange load notices.
 auto
--- a/src/forwarding/internal/claiming.cpp
+++ b/src/forwarding/internal/claiming.cpp
@@ -78,6 +78,7 @@
     SendFlight(aForwarder, aFlight, std::exchange(aFlight.mAttempt, {}));
     return;
   }
+  ++aForwarder.mCounters.mSlotClaimsLost;
   PlaceAgain(aForwarder, aFlight);
 }
 
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -220,6 +220,7 @@
   std::map<FlightId, std::unique_ptr<Flight>> mFlights;
   FlightId mNextFlight = 1;
   std::map<std::string, SendRetryBudget> mBudgets;
+  evacuation::Evacuations mEvacuations;
   std::vector<directory::EntryInstance> mEntries;
   InstanceRoster mRoster;
   /// The endpoints that have not left, by the checksums of their ids.
@@ -235,6 +236,9 @@
   /// Services whose endpoints the other instances did not reach either, until
   /// when they are not asked again unless this instance is cut off.
   std::map<std::string, TimePoint> mUnreachedServices;
+  /// The fleet's groups by its instances; mGroups leaves out evacuated failure
+  /// domains.
+  GroupLayout mDivision;
   GroupLayout mGroups;
   LoadGroup mOwnGroup;
   /// Peer addresses of the instances of each group, this one included.
@@ -388,6 +392,16 @@
             const EndpointId& aEndpoint,
             std::string_view aReason) -> void;
 
+/// Returns true if the endpoint is in an evacuated failure domain.
+auto
+IsInEvacuatedDomain(const Forwarder& aForwarder,
+                    const directory::EndpointNotice& aEndpoint) -> bool;
+
+/// Divides the fleet into load groups, by the present instances and
+/// evacuations.
+auto
+RefreshGroups(Forwarder& aForwarder) -> void;
+
 /// Returns the flight's prompt with its elapsed and remaining time.
 auto
 ToPromptWork(const Forwarder& aForwarder, const Flight& aFlight) -> PromptWork;
--- a/src/forwarding/internal/loadsharing.cpp
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -1,3 +1,4 @@
+#include "evacuation/evacuation.h"
 #include "forwarding/internal/forwarderstate.h"
 #include "forwarding/internal/harmfulrequests.h"
 #include "forwarding/internal/statements.h"
@@ -163,17 +164,18 @@
 }
 
 auto
-SetEntries(Forwarder& aForwarder,
-           std::vector<directory::EntryInstance> aEntries) -> void
+RefreshGroups(Forwarder& aForwarder) -> void
 {
-  aForwarder.mEntries = std::move(aEntries);
-  RefreshRoster(aForwarder);
   auto domains = std::vector<FailureDomainId>{};
   for (const auto& it : aForwarder.mEntries) {
     domains.push_back(it.mFailureDomain);
   }
+  aForwarder.mDivision =
+    DivideFleet(domains, aForwarder.mDivision, aForwarder.mSettings.mGroups);
   auto groups =
-    DivideFleet(domains, aForwarder.mGroups, aForwarder.mSettings.mGroups);
+    WithoutDomains(aForwarder.mDivision, [&](const FailureDomainId& aDomain) {
+      return evacuation::IsEvacuated(aForwarder.mEvacuations, aDomain);
+    });
   if (groups != aForwarder.mGroups) {
     aForwarder.mSummaries.clear();
     LogEvent(kLoadGroupsEvent,
@@ -193,6 +195,15 @@
   }
 }
 
+auto
+SetEntries(Forwarder& aForwarder,
+           std::vector<directory::EntryInstance> aEntries) -> void
+{
+  aForwarder.mEntries = std::move(aEntries);
+  RefreshRoster(aForwarder);
+  RefreshGroups(aForwarder);
+}
+
 auto
 SendLoadNotice(Forwarder& aForwarder, bool aIsUrgent) -> void
 {
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -86,7 +86,8 @@
   auto healthy = CandidateList{};
   auto suspect = std::vector<Candidate>{};
   for (const auto& [id, entry] : aForwarder.mView.mEntries) {
-    if (!MayServe(entry.mNotice, aFlight)) {
+    if (!MayServe(entry.mNotice, aFlight) ||
+        IsInEvacuatedDomain(aForwarder, entry.mNotice)) {
       continue;
     }
     const auto check = CheckSend(aForwarder, entry.mNotice);
@@ -431,10 +432,12 @@
     return false;
   }
   if (verdict == DeferralVerdict::Defer) {
+    aForwarder.mCounters.mDeferred += aFlight.mIsDeferred ? 0 : 1;
     aFlight.mIsDeferred = true;
     WaitForEngine(aFlight, aChosen.mCandidates.size());
     return true;
   }
+  ++aForwarder.mCounters.mDeferredRefused;
   auto draw = std::uniform_real_distribution<double>(0, 1);
   FailFlight(aForwarder,
              aFlight,
--- a/src/forwarding/internal/statements.cpp
+++ b/src/forwarding/internal/statements.cpp
@@ -268,6 +268,15 @@
 auto
 CheckSend(Forwarder& aForwarder, const Attempt& aAttempt) -> SendCheck
 {
+  const auto isEvacuated = std::any_of(
+    aAttempt.mWork.begin(), aAttempt.mWork.end(), [&](const auto& aItem) {
+      const auto entry = aForwarder.mView.mEntries.find(aItem.mEngine);
+      return entry != aForwarder.mView.mEntries.end() &&
+             IsInEvacuatedDomain(aForwarder, entry->second.mNotice);
+    });
+  if (isEvacuated) {
+    return { false, std::nullopt, false };
+  }
   const auto it = aForwarder.mView.mEntries.find(aAttempt.mEndpoint);
   return it == aForwarder.mView.mEntries.end()
            ? SendCheck{}
--- a/src/forwarding/internal/statements.h
+++ b/src/forwarding/internal/statements.h
@@ -44,7 +44,8 @@
 CheckSend(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
   -> SendCheck;
 
-/// Checks the limit of the endpoint of an attempt.
+/// Checks the endpoint of an attempt and that none of its engines is in an
+/// evacuated failure domain.
 auto
 CheckSend(Forwarder& aForwarder, const Attempt& aAttempt) -> SendCheck;
 
--- a/src/forwarding/types/forwardevents.h
+++ b/src/forwarding/types/forwardevents.h
@@ -69,4 +69,7 @@
 inline constexpr auto kRelayRefusedEvent =
   Event{ 2029, "forward_relay_refused", Severity::Warning };
 
+inline constexpr auto kEvacuationsInForceEvent =
+  Event{ 2030, "forward_evacuations", Severity::Info };
+
 } // namespace cuminslip::forwarding
--- a/src/gateway/internal/controlcalls.cpp
+++ b/src/gateway/internal/controlcalls.cpp
@@ -44,6 +44,11 @@
   auto operator()(const PublishCall& aCall) const -> void;
   auto operator()(const ReadCall&) const -> void;
 
+  auto operator()(const EvacuationCall& aCall) const -> void
+  {
+    HandleEvacuation(mGateway, aCall.mOrder, mResponder);
+  }
+
   auto operator()(const BadCall& aCall) const -> void
   {
     LogEvent(kControlCallRefusedEvent,
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "base/digest.h"
+#include "evacuation/evacuation.h"
 #include "gateway/internal/gatewaystate.h"
 #include "gateway/listener.h"
 #include "gateway/types/gatewayevents.h"
@@ -84,10 +85,28 @@
   return peers;
 }
 
+auto
+ApplyEvacuations(Gateway& aGateway, const StoredTemplate& aStored) -> void
+{
+  auto evacuations = CollectOutcome<evacuation::Evacuations>(
+    [&] { return evacuation::ParseEvacuations(aStored.mDocument); });
+  if (!evacuations.mValue) {
+    LogEvent(kEvacuationsUnreadableEvent,
+             { { "revision", aStored.mRevision },
+               { "findings", FormatFindings(evacuations.mFindings) } });
+    return;
+  }
+  forwarding::SetEvacuations(*aGateway.mForwarder,
+                             std::move(*evacuations.mValue));
+}
+
 auto
 ApplyTemplates(Gateway& aGateway, const TemplateUpdate& aUpdate) -> void
 {
   for (const auto& it : aUpdate.mTemplates) {
+    if (it.mAccount == kEvacuationsAccount) {
+      ApplyEvacuations(aGateway, it);
+    }
     if (it.mAccount != kRoutingAccount) {
       continue;
     }
--- a/src/gateway/internal/gatewaystate.h
+++ b/src/gateway/internal/gatewaystate.h
@@ -48,6 +48,13 @@
                   const wire::HttpRequest& aRequest,
                   const wire::ResponderPtr& aResponder) -> void;
 
+/// Carries out an operator's order to evacuate a failure domain or to withdraw
+/// that, and answers once it is accepted by the control log. Owner thread only.
+auto
+HandleEvacuation(Gateway& aGateway,
+                 const evacuation::EvacuationOrder& aOrder,
+                 const wire::ResponderPtr& aResponder) -> void;
+
 /// Decodes a routing document as stored in the control log. Fails with
 /// Findings.
 auto
--- a/src/gateway/types/adapter.h
+++ b/src/gateway/types/adapter.h
@@ -2,6 +2,7 @@
 
 #include "base/findings.h"
 #include "directory/types/endpointnotice.h"
+#include "evacuation/types/evacuations.h"
 #include "forwarding/types/forwardports.h"
 #include "routing/types/routingdocument.h"
 
@@ -38,6 +39,14 @@
   auto operator==(const ReadCall&) const -> bool = default;
 };
 
+/// An operator evacuates a failure domain, or withdraws that.
+struct EvacuationCall
+{
+  evacuation::EvacuationOrder mOrder;
+
+  auto operator==(const EvacuationCall&) const -> bool = default;
+};
+
 /// A call that is malformed.
 struct BadCall
 {
@@ -52,8 +61,12 @@
   auto operator==(const UnknownCall&) const -> bool = default;
 };
 
-using ControlCall =
-  std::variant<NoticeCall, PublishCall, ReadCall, BadCall, UnknownCall>;
+using ControlCall = std::variant<NoticeCall,
+                                 PublishCall,
+                                 ReadCall,
+                                 EvacuationCall,
+                                 BadCall,
+                                 UnknownCall>;
 
 enum class ControlStatus : std::uint8_t
 {
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -28,4 +28,11 @@
 inline constexpr auto kSeedsRefusedEvent =
   Event{ 2110, "seeds_refused", Severity::Error };
 
+inline constexpr auto kEvacuationChangedEvent =
+  Event{ 2111, "evacuation_changed", Severity::Info };
+inline constexpr auto kEvacuationRefusedEvent =
+  Event{ 2112, "evacuation_refused", Severity::Warning };
+inline constexpr auto kEvacuationsUnreadableEvent =
+  Event{ 2113, "evacuations_unreadable", Severity::Error };
+
 } // namespace cuminslip::gateway
--- a/src/policy/internal/loadgroups.cpp
+++ b/src/policy/internal/loadgroups.cpp
@@ -30,6 +30,17 @@
   return layout;
 }
 
+auto
+WithoutDomains(const GroupLayout& aLayout,
+               const std::function<bool(const FailureDomainId&)>& aIsLeftOut)
+  -> GroupLayout
+{
+  auto layout = aLayout;
+  std::erase_if(layout.mParts,
+                [&](const auto& aItem) { return aIsLeftOut(aItem.first); });
+  return layout.mParts.empty() ? aLayout : layout;
+}
+
 auto
 GroupOf(const GroupLayout& aLayout,
         const FailureDomainId& aFailureDomain,
--- a/src/policy/loadgroups.h
+++ b/src/policy/loadgroups.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -53,6 +54,15 @@
             const GroupLayout& aPrevious,
             const GroupRules& aRules) -> GroupLayout;
 
+/// Returns the layout without the groups of the failure domains for which
+/// aIsLeftOut is true; unchanged if that leaves none. The instances of such a
+/// domain, which have no engines of their own, belong to groups of other
+/// domains: they would place on engines whose load they know by summaries only.
+auto
+WithoutDomains(const GroupLayout& aLayout,
+               const std::function<bool(const FailureDomainId&)>& aIsLeftOut)
+  -> GroupLayout;
+
 /// Returns the group of an instance or engine. aKey selects the part of its
 /// failure domain. An engine of a failure domain that never had instances
 /// belongs to a group of another one.
--- a/src/policy/tests/loadgroups_tests.cpp
+++ b/src/policy/tests/loadgroups_tests.cpp
@@ -82,4 +82,29 @@
   BOOST_TEST(!groups.contains({ { "empty" }, 0 }));
 }
 
+// Load: a failure domain of a large fleet is evacuated. Its instances would
+// place on the other domains' engines by summaries alone.
+BOOST_AUTO_TEST_CASE(InstancesOfALeftOutDomainJoinOtherGroups)
+{
+  auto instances = std::vector<FailureDomainId>{};
+  for (const auto* domain : { "a", "b", "c" }) {
+    instances.insert(instances.end(), 25, FailureDomainId{ domain });
+  }
+  const auto whole = DivideFleet(instances, {}, {});
+  const auto isLeftOut = [](const FailureDomainId& aDomain) {
+    return aDomain.mValue == "a";
+  };
+  const auto layout = WithoutDomains(whole, isLeftOut);
+  auto joined = std::set<LoadGroup>{};
+  for (auto key = std::uint64_t{ 0 }; key < 25; ++key) {
+    const auto group = GroupOf(layout, { "a" }, key * 7919);
+    BOOST_TEST(group.mFailureDomain.mValue != "a");
+    joined.insert(group);
+  }
+  BOOST_TEST(joined.size() == 2U, "they are dealt to both");
+  BOOST_TEST((GroupOf(layout, { "b" }, 5) == GroupOf(whole, { "b" }, 5)));
+  BOOST_TEST((WithoutDomains(whole, [](const auto&) { return true; }) == whole),
+             "with all domains left out the layout stays");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
