--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -25,6 +25,9 @@
 /// Fill level of packed engines in that case, lower to leave room for requests
 /// that instances place without knowing of each other.
 constexpr auto kReducedPackShare = 0.5;
+/// Fill level where instances claim the last free slots of an engine first.
+/// Prompts on fewer engines leave more of them to long prompts.
+constexpr auto kClaimedPackShare = 0.75;
 
 struct Candidate
 {
@@ -285,7 +288,8 @@
   auto rules = aForwarder.mSettings.mLanes;
   if (GroupSize(aForwarder, aGroup) > kMaxEntriesForFullComparison) {
     rules.mSample = kSampledEngines;
-    rules.mPackShare = kReducedPackShare;
+    rules.mPackShare =
+      aForwarder.mSettings.mDeferral ? kClaimedPackShare : kReducedPackShare;
   }
   // NOTE: a limit counts requests, not the parts that an engine prefills for
   // others, so a long prompt on a limited engine gets no other engines.
