Decide founding and joining of the control log by a pure function

The rule was spread over callbacks of the survey, so that it could only be tested with processes, and an answer that did not count left no trace. The survey is now a value, DecideFounding turns it into a decision with its reason, and joining.cpp carries that out. The rule itself is unchanged.

--- /dev/null
+++ b/src/peers/internal/founding.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/types/ids.h"
+
+#include <string>
+#include <vector>
+
+/// How a control instance whose disk belongs to no control log founds one or
+/// joins one. Addresses the start of a fleet, during which control instances
+/// start late, restart, or can't reach each other for a time. All functions are
+/// pure and thread safe.
+namespace cuminslip {
+
+/// How the call that asks another control instance for its control log ended.
+enum class SurveyOutcome : std::uint8_t
+{
+  NoLog,
+  HasLog,
+  /// It answered, but has no data folder.
+  NotControl,
+  /// No answer within the time limit.
+  TimedOut,
+  /// No connection, or the connection ended.
+  Disconnected,
+  /// It refused the session or the call.
+  Refused
+};
+
+/// What one other control instance answered.
+struct SurveyAnswer
+{
+  std::string mAddress;
+  SurveyOutcome mOutcome = SurveyOutcome::TimedOut;
+  Millis mTime{ 0 };
+  /// Why there is no answer, or what a join request was answered.
+  std::string mDetail;
+
+  auto operator==(const SurveyAnswer&) const -> bool = default;
+};
+
+/// Input of the decision: one round of questions.
+struct FoundingSurvey
+{
+  InstanceId mInstance;
+  bool mMayFound = false;
+  /// The control instances of the settings.
+  std::vector<InstanceId> mNamed;
+  /// One for each other control instance that is known.
+  std::vector<SurveyAnswer> mAnswers;
+
+  auto operator==(const FoundingSurvey&) const -> bool = default;
+};
+
+enum class FoundingStep : std::uint8_t
+{
+  Wait,
+  Found,
+  /// Ask the instances that have a control log to be added to it.
+  Join
+};
+
+struct FoundingDecision
+{
+  FoundingStep mStep = FoundingStep::Wait;
+  /// Addresses of the instances with a control log, if the step is Join.
+  std::vector<std::string> mWithLog;
+  /// Why the instance waits; empty otherwise.
+  std::string mReason;
+
+  auto operator==(const FoundingDecision&) const -> bool = default;
+};
+
+/// Decides what follows from a round of questions. At most one instance founds:
+/// the first by name of those in the settings, which must be the same on all of
+/// them, and only once all others have answered that they have no log.
+auto
+DecideFounding(const FoundingSurvey& aSurvey) -> FoundingDecision;
+
+/// The answers as text for a log line, "ADDRESS OUTCOME in N ms" each.
+auto
+FormatAnswers(const std::vector<SurveyAnswer>& aAnswers) -> std::string;
+
+} // namespace cuminslip
--- a/src/peers/internal/joining.cpp
+++ b/src/peers/internal/joining.cpp
@@ -1,8 +1,8 @@
 #include "peers/internal/joining.h"
 
 #include "control/types/controlevents.h"
+#include "peers/internal/founding.h"
 
-#include <algorithm>
 #include <random>
 
 namespace cuminslip {
@@ -17,13 +17,6 @@
 constexpr auto kDescribeRetries = 3;
 constexpr auto kChangeLimit = Millis(6000);
 
-/// What the other control instances say of themselves.
-struct JoinSurvey
-{
-  std::size_t mAnswers = 0;
-  std::vector<std::string> mWithLog;
-};
-
 using DescribeResponse = capnp::Response<schema::Session::DescribeResults>;
 using JoinResponse = capnp::Response<schema::Session::JoinResults>;
 
@@ -38,46 +31,90 @@
            0 };
 }
 
+/// Sets the answer of the instance at aAddress in aSurvey.
 auto
-AskControls(PeerContext& aContext, const std::shared_ptr<JoinSurvey>& aSurvey)
-  -> kj::Promise<void>
+TakeAnswer(const PeerContext& aContext,
+           FoundingSurvey& aSurvey,
+           TimePoint aSentAt,
+           SurveyAnswer aAnswer) -> void
 {
-  auto calls = kj::Vector<kj::Promise<void>>();
-  for (const auto& address : OtherControls(aContext)) {
-    kj::Promise<DescribeResponse> sent =
-      aContext.mLinks.SessionAt(address).describeRequest().send();
-    calls.add(aContext.mLinks.WithLimit(address, kAskLimit, kj::mv(sent))
-                .then(
-                  [aSurvey, address](DescribeResponse aResponse) {
-                    aSurvey->mAnswers += aResponse.getIsControl() ? 1 : 0;
-                    if (aResponse.getCluster() != 0) {
-                      aSurvey->mWithLog.push_back(address);
-                    }
-                  },
-                  [](kj::Exception&&) {}));
+  aAnswer.mTime = MillisBetween(aSentAt, aContext.mNow());
+  for (auto& it : aSurvey.mAnswers) {
+    if (it.mAddress == aAnswer.mAddress) {
+      it = aAnswer;
+    }
   }
-  return kj::joinPromises(calls.releaseAsArray());
 }
 
 auto
-IsFirstByName(const PeerContext& aContext) -> bool
+OutcomeOf(const DescribeResponse& aResponse) -> SurveyOutcome
+{
+  if (aResponse.getCluster() != 0) {
+    return SurveyOutcome::HasLog;
+  }
+  return aResponse.getIsControl() ? SurveyOutcome::NoLog
+                                  : SurveyOutcome::NotControl;
+}
+
+auto
+OutcomeOf(const kj::Exception& aException) -> SurveyOutcome
 {
-  const auto& controls = aContext.mSettings.mControlInstances;
-  return std::all_of(
-    controls.begin(), controls.end(), [&](const PeerInstance& aItem) {
-      return aContext.mSettings.mInstance <= aItem.mInstance;
-    });
+  switch (aException.getType()) {
+    case kj::Exception::Type::OVERLOADED:
+      return SurveyOutcome::TimedOut;
+    case kj::Exception::Type::DISCONNECTED:
+      return SurveyOutcome::Disconnected;
+    default:
+      return SurveyOutcome::Refused;
+  }
+}
+
+auto
+MakeSurvey(const PeerContext& aContext) -> FoundingSurvey
+{
+  auto survey = FoundingSurvey{
+    aContext.mSettings.mInstance, aContext.mSettings.mMayFound, {}, {}
+  };
+  for (const auto& it : aContext.mSettings.mControlInstances) {
+    survey.mNamed.push_back(it.mInstance);
+  }
+  for (auto& it : OtherControls(aContext)) {
+    survey.mAnswers.push_back({ std::move(it) });
+  }
+  return survey;
 }
 
-/// True when the settings name this instance among the control instances.
 auto
-IsNamedControl(const PeerContext& aContext) -> bool
+AskControls(PeerContext& aContext,
+            const std::shared_ptr<FoundingSurvey>& aSurvey) -> kj::Promise<void>
 {
-  const auto& controls = aContext.mSettings.mControlInstances;
-  return std::any_of(
-    controls.begin(), controls.end(), [&](const PeerInstance& aItem) {
-      return aContext.mSettings.mInstance == aItem.mInstance;
-    });
+  auto calls = kj::Vector<kj::Promise<void>>();
+  const auto sentAt = aContext.mNow();
+  for (const auto& it : aSurvey->mAnswers) {
+    const auto address = it.mAddress;
+    kj::Promise<DescribeResponse> sent =
+      aContext.mLinks.SessionAt(address).describeRequest().send();
+    calls.add(aContext.mLinks.WithLimit(address, kAskLimit, kj::mv(sent))
+                .then(
+                  [&aContext, aSurvey, address, sentAt](
+                    const DescribeResponse& aResponse) {
+                    TakeAnswer(aContext,
+                               *aSurvey,
+                               sentAt,
+                               { address, OutcomeOf(aResponse), {}, "" });
+                  },
+                  [&aContext, aSurvey, address, sentAt](
+                    const kj::Exception& aException) {
+                    TakeAnswer(aContext,
+                               *aSurvey,
+                               sentAt,
+                               { address,
+                                 OutcomeOf(aException),
+                                 {},
+                                 aException.getDescription().cStr() });
+                  }));
+  }
+  return kj::joinPromises(calls.releaseAsArray());
 }
 
 auto
@@ -124,16 +161,14 @@
 }
 
 auto
-TakeSurvey(PeerContext& aContext, const JoinSurvey& aSurvey)
+TakeSurvey(PeerContext& aContext, const FoundingSurvey& aSurvey)
   -> kj::Promise<void>
 {
-  if (!aSurvey.mWithLog.empty()) {
-    return AskToJoin(aContext, aSurvey.mWithLog);
+  const auto decision = DecideFounding(aSurvey);
+  if (decision.mStep == FoundingStep::Join) {
+    return AskToJoin(aContext, decision.mWithLog);
   }
-  const auto others = OtherControls(aContext).size();
-  const auto mayFound =
-    aContext.mSettings.mMayFound && IsNamedControl(aContext);
-  if (mayFound && aSurvey.mAnswers == others && IsFirstByName(aContext)) {
+  if (decision.mStep == FoundingStep::Found) {
     FoundLog(aContext);
   }
   return kj::READY_NOW;
@@ -219,7 +254,7 @@
              ? RejoinWhenForgotten(aContext)
              : kj::Promise<void>(kj::READY_NOW);
   }
-  auto survey = std::make_shared<JoinSurvey>();
+  auto survey = std::make_shared<FoundingSurvey>(MakeSurvey(aContext));
   return AskControls(aContext, survey)
     .then([&aContext, survey] { return TakeSurvey(aContext, *survey); })
     .then([&aContext] {
--- /dev/null
+++ b/src/peers/tests/founding_tests.cpp
@@ -0,0 +1,74 @@
+#include "peers/internal/founding.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cuminslip;
+
+namespace {
+
+/// The survey of the first of three seeds whose others answered aOutcomes.
+auto
+SurveyOf(std::vector<SurveyOutcome> aOutcomes) -> FoundingSurvey
+{
+  auto survey =
+    FoundingSurvey{ { "a" }, true, { { "b" }, { "a" }, { "c" } }, {} };
+  for (const auto it : aOutcomes) {
+    const auto address = std::string(1, 'b' + survey.mAnswers.size());
+    survey.mAnswers.push_back({ address, it, Millis(3), "" });
+  }
+  return survey;
+}
+
+auto
+StepOf(const FoundingSurvey& aSurvey) -> FoundingStep
+{
+  return DecideFounding(aSurvey).mStep;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FoundingTests)
+
+/// Guards against two logs: a silent instance may have one.
+BOOST_AUTO_TEST_CASE(FoundsOnlyOnceAllOthersAnswerThatTheyHaveNone)
+{
+  using enum SurveyOutcome;
+  BOOST_TEST((StepOf(SurveyOf({ NoLog, NoLog })) == FoundingStep::Found));
+  for (const auto it : { NotControl, TimedOut, Disconnected, Refused }) {
+    BOOST_TEST((StepOf(SurveyOf({ NoLog, it })) == FoundingStep::Wait));
+    BOOST_TEST((StepOf(SurveyOf({ it, HasLog })) == FoundingStep::Join));
+  }
+}
+
+/// Guards against two founders.
+BOOST_AUTO_TEST_CASE(OnlyTheFirstNamedInstanceThatMayFoundFounds)
+{
+  const auto survey = SurveyOf({ SurveyOutcome::NoLog, SurveyOutcome::NoLog });
+  for (const auto* name : { "b", "c", "0" }) {
+    auto other = survey;
+    other.mInstance = { name };
+    BOOST_TEST((StepOf(other) == FoundingStep::Wait));
+  }
+  auto forbidden = survey;
+  forbidden.mMayFound = false;
+  BOOST_TEST((StepOf(forbidden) == FoundingStep::Wait));
+}
+
+BOOST_AUTO_TEST_CASE(JoinsAllThatHaveALog)
+{
+  const auto decision = DecideFounding(
+    SurveyOf({ SurveyOutcome::TimedOut, SurveyOutcome::HasLog }));
+
+  BOOST_TEST((decision.mWithLog == std::vector<std::string>{ "c" }));
+}
+
+BOOST_AUTO_TEST_CASE(FormatsWhoAnsweredWhatAndWhy)
+{
+  auto survey = SurveyOf({ SurveyOutcome::NoLog, SurveyOutcome::Refused });
+  survey.mAnswers.back().mDetail = "wrong peer key";
+
+  BOOST_TEST(FormatAnswers(survey.mAnswers) ==
+             "b has no log in 3 ms; c refused in 3 ms (wrong peer key)");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
