Log each founding or joining round without a result, and gauge what is missing

A fleet that started without a control log left nothing in its logs that said which instance had not answered, or why. control_log_missing now names for each round what each control instance answered, after how long, and what the leader replied to a join request; control_leader_missing does so for a member that hears from no leader. At most one line a second for an instance.

--- a/src/gateway/internal/metricfamily.cpp
+++ b/src/gateway/internal/metricfamily.cpp
@@ -49,4 +49,24 @@
   return family;
 }
 
+auto
+MissingFamilies(const PeerStatus& aStatus)
+  -> std::vector<prometheus::MetricFamily>
+{
+  constexpr auto kMillisPerSecond = 1e3;
+  const auto seconds = [](Millis aTime) {
+    return static_cast<double>(aTime.count()) / kMillisPerSecond;
+  };
+  return { Gauge("cuminslip_without_document_seconds",
+                 "Time for which no template has been in force here.",
+                 seconds(aStatus.mWithoutDocument)),
+           Gauge("cuminslip_without_leader_seconds",
+                 "Time for which this control instance has known no leader.",
+                 seconds(aStatus.mWithoutLeader)),
+           Gauge("cuminslip_without_log_seconds",
+                 "Time for which this control instance has belonged to no "
+                 "control log.",
+                 seconds(aStatus.mWithoutLog)) };
+}
+
 } // namespace cuminslip::gateway
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -195,6 +195,9 @@
     families.push_back(FirstEventTimes(times));
     families.push_back(FailureReasons(times));
   }
+  for (auto& it : MissingFamilies(aGateway.mPeers->Status())) {
+    families.push_back(std::move(it));
+  }
   auto text = std::ostringstream{};
   prometheus::TextSerializer{}.Serialize(text, families);
   return text.str();
--- a/src/gateway/metricfamily.h
+++ b/src/gateway/metricfamily.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "peers/types/peerreports.h"
+
 #include <prometheus/metric_family.h>
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 /// Builds the metric families of one answer to `GET /metrics`. Thread safe.
 namespace cuminslip::gateway {
@@ -29,4 +32,9 @@
 Counter(std::string aName, std::string aHelp, std::uint64_t aValue)
   -> prometheus::MetricFamily;
 
+/// Returns the gauges of what this instance has been without, and for how long.
+auto
+MissingFamilies(const PeerStatus& aStatus)
+  -> std::vector<prometheus::MetricFamily>;
+
 } // namespace cuminslip::gateway
--- a/src/peers/internal/founding.cpp
+++ b/src/peers/internal/founding.cpp
@@ -15,6 +15,8 @@
       return "has no log";
     case SurveyOutcome::HasLog:
       return "has a log";
+    case SurveyOutcome::Answered:
+      return "answered";
     case SurveyOutcome::NotControl:
       return "is no control instance";
     case SurveyOutcome::TimedOut:
--- a/src/peers/internal/founding.h
+++ b/src/peers/internal/founding.h
@@ -17,6 +17,8 @@
 {
   NoLog,
   HasLog,
+  /// It answered a join request, without a question about its log before.
+  Answered,
   /// It answered, but has no data folder.
   NotControl,
   /// No answer within the time limit.
--- a/src/peers/internal/joining.cpp
+++ b/src/peers/internal/joining.cpp
@@ -2,6 +2,7 @@
 
 #include "control/types/controlevents.h"
 #include "peers/internal/founding.h"
+#include "peers/types/peersevents.h"
 
 #include <random>
 
@@ -14,6 +15,7 @@
 /// A member that heard from no leader for this long asks to join again. Longer
 /// than an election takes.
 constexpr auto kRejoinAfter = Millis(4000);
+constexpr auto kRoundLogPause = Millis(1000);
 constexpr auto kDescribeRetries = 3;
 constexpr auto kChangeLimit = Millis(6000);
 
@@ -145,9 +147,37 @@
              aContext.mSettings.mFailureDomain } };
 }
 
+/// Notes what the instance at aAddress answered to a join request.
 auto
-AskToJoin(PeerContext& aContext, const std::vector<std::string>& aAddresses)
-  -> kj::Promise<void>
+NoteJoinReply(FoundingSurvey& aSurvey,
+              const std::string& aAddress,
+              SurveyOutcome aOutcome,
+              const std::string& aDetail) -> void
+{
+  for (auto& it : aSurvey.mAnswers) {
+    if (it.mAddress == aAddress) {
+      it.mOutcome = aOutcome;
+      it.mDetail = "join: " + aDetail;
+    }
+  }
+}
+
+auto
+DetailOf(const JoinResponse& aResponse) -> std::string
+{
+  if (FromSchema(aResponse.getOutcome()) != LeaderOutcome::Done) {
+    const auto leader = FromText(aResponse.getLeader());
+    return leader.empty() ? "no leader is known there"
+                          : "the leader is " + leader;
+  }
+  const auto problem = FromText(aResponse.getProblem());
+  return problem.empty() ? "accepted" : problem;
+}
+
+auto
+AskToJoin(PeerContext& aContext,
+          const std::vector<std::string>& aAddresses,
+          const std::shared_ptr<FoundingSurvey>& aSurvey) -> kj::Promise<void>
 {
   auto calls = kj::Vector<kj::Promise<void>>();
   for (const auto& address : aAddresses) {
@@ -155,23 +185,62 @@
     WriteJoiner(request.initJoiner(), OwnJoiner(aContext));
     kj::Promise<JoinResponse> sent = request.send();
     calls.add(aContext.mLinks.WithLimit(address, kAskLimit, kj::mv(sent))
-                .then([](JoinResponse) {}, [](kj::Exception&&) {}));
+                .then(
+                  [aSurvey, address](const JoinResponse& aResponse) {
+                    NoteJoinReply(*aSurvey,
+                                  address,
+                                  SurveyOutcome::Answered,
+                                  DetailOf(aResponse));
+                  },
+                  [aSurvey, address](const kj::Exception& aException) {
+                    NoteJoinReply(*aSurvey,
+                                  address,
+                                  OutcomeOf(aException),
+                                  aException.getDescription().cStr());
+                  }));
   }
   return kj::joinPromises(calls.releaseAsArray());
 }
 
+/// Logs a round that ended without a result, at most one a second.
 auto
-TakeSurvey(PeerContext& aContext, const FoundingSurvey& aSurvey)
-  -> kj::Promise<void>
+LogRound(PeerContext& aContext,
+         const Event& aEvent,
+         const std::string& aReason,
+         const FoundingSurvey& aSurvey) -> void
 {
-  const auto decision = DecideFounding(aSurvey);
-  if (decision.mStep == FoundingStep::Join) {
-    return AskToJoin(aContext, decision.mWithLog);
+  const auto now = aContext.mNow();
+  const auto& last = aContext.mRoundLogged;
+  if (last && MillisBetween(*last, now) < kRoundLogPause) {
+    return;
   }
+  aContext.mRoundLogged = now;
+  LogEvent(aEvent,
+           { { "reason", aReason },
+             { "may_found", aSurvey.mMayFound },
+             { "answers", FormatAnswers(aSurvey.mAnswers) } });
+}
+
+auto
+TakeSurvey(PeerContext& aContext,
+           const std::shared_ptr<FoundingSurvey>& aSurvey) -> kj::Promise<void>
+{
+  const auto decision = DecideFounding(*aSurvey);
   if (decision.mStep == FoundingStep::Found) {
     FoundLog(aContext);
+    return kj::READY_NOW;
   }
-  return kj::READY_NOW;
+  auto asked = decision.mStep == FoundingStep::Join
+                 ? AskToJoin(aContext, decision.mWithLog, aSurvey)
+                 : kj::Promise<void>(kj::READY_NOW);
+  return asked.then([&aContext, aSurvey, reason = decision.mReason] {
+    if (aContext.mControl->Core().mVote.mCluster == 0) {
+      LogRound(aContext,
+               kControlLogMissingEvent,
+               reason.empty() ? "not added to the control log yet" : reason,
+               *aSurvey);
+    }
+  });
 }
 
 auto
@@ -231,8 +300,17 @@
   const auto isForgotten = core.mRole != CoreRole::Leader &&
                            core.mRole != CoreRole::Halted &&
                            silence > kRejoinAfter;
-  auto asked = isForgotten ? AskToJoin(aContext, OtherControls(aContext))
-                           : kj::Promise<void>(kj::READY_NOW);
+  auto asked = kj::Promise<void>(kj::READY_NOW);
+  if (isForgotten) {
+    const auto survey = std::make_shared<FoundingSurvey>(MakeSurvey(aContext));
+    asked = AskToJoin(aContext, OtherControls(aContext), survey)
+              .then([&aContext, survey] {
+                LogRound(aContext,
+                         kControlLeaderMissingEvent,
+                         "no leader was heard from lately",
+                         *survey);
+              });
+  }
   return asked
     .then([&aContext] {
       return aContext.mTimer.afterDelay(kRejoinAfter.count() *
@@ -256,7 +334,7 @@
   }
   auto survey = std::make_shared<FoundingSurvey>(MakeSurvey(aContext));
   return AskControls(aContext, survey)
-    .then([&aContext, survey] { return TakeSurvey(aContext, *survey); })
+    .then([&aContext, survey] { return TakeSurvey(aContext, survey); })
     .then([&aContext] {
       return aContext.mTimer.afterDelay(kJoinPause.count() * kj::MILLISECONDS);
     })
--- a/src/peers/internal/peerthread.cpp
+++ b/src/peers/internal/peerthread.cpp
@@ -55,6 +55,20 @@
   return (std::uint64_t{ device() } << kHalf) | device() | 1U;
 }
 
+/// Sets since when something is missing; keeps the time while it still is.
+auto
+UpdateSince(std::optional<TimePoint>& aSince, bool aIsMissing, TimePoint aNow)
+  -> void
+{
+  aSince = aIsMissing ? std::optional(aSince.value_or(aNow)) : std::nullopt;
+}
+
+auto
+TimeSince(const std::optional<TimePoint>& aSince, TimePoint aNow) -> Millis
+{
+  return aSince ? MillisBetween(*aSince, aNow) : Millis(0);
+}
+
 /// Accepts connections until it fails.
 auto
 AcceptForever(kj::ConnectionReceiver& aListener, capnp::TwoPartyServer& aServer)
@@ -134,6 +148,10 @@
   status.mIsolatedFor =
     status.mIsIsolated ? MillisBetween(mStanding.mQuorumContact, MonotonicNow())
                        : Millis(0);
+  const auto now = MonotonicNow();
+  status.mWithoutDocument = TimeSince(mStanding.mNoDocumentSince, now);
+  status.mWithoutLeader = TimeSince(mStanding.mNoLeaderSince, now);
+  status.mWithoutLog = TimeSince(mStanding.mNoLogSince, now);
   return status;
 }
 
@@ -161,7 +179,14 @@
       status.mStorageFailure = "the disk can't be trusted; replace it";
     }
   }
+  const auto now = aContext.mNow();
+  const auto hasNoLeader = status.mIsControl && status.mLeader.mValue.empty();
+  const auto hasNoLog =
+    status.mIsControl && aContext.mControl->Core().mVote.mCluster == 0;
   const auto lock = std::lock_guard(mStandingMutex);
+  UpdateSince(mStanding.mNoDocumentSince, status.mRevision == 0, now);
+  UpdateSince(mStanding.mNoLeaderSince, hasNoLeader, now);
+  UpdateSince(mStanding.mNoLogSince, hasNoLog, now);
   mStanding.mStatus = std::move(status);
   mStanding.mQuorumContact = age ? aContext.mNow() - *age : aContext.mStarted;
 }
--- a/src/peers/internal/peerthread.h
+++ b/src/peers/internal/peerthread.h
@@ -36,6 +36,10 @@
   {
     PeerStatus mStatus;
     TimePoint mQuorumContact{};
+    /// Since when there has been none; no value while there is one.
+    std::optional<TimePoint> mNoDocumentSince;
+    std::optional<TimePoint> mNoLeaderSince;
+    std::optional<TimePoint> mNoLogSince;
   };
 
   auto Run(std::function<void(Findings)> aOnStarted) -> void;
--- a/src/peers/tests/founding_tests.cpp
+++ b/src/peers/tests/founding_tests.cpp
@@ -8,12 +8,12 @@
 
 /// The survey of the first of three seeds whose others answered aOutcomes.
 auto
-SurveyOf(std::vector<SurveyOutcome> aOutcomes) -> FoundingSurvey
+SurveyOf(std::initializer_list<SurveyOutcome> aOutcomes) -> FoundingSurvey
 {
   auto survey =
     FoundingSurvey{ { "a" }, true, { { "b" }, { "a" }, { "c" } }, {} };
   for (const auto it : aOutcomes) {
-    const auto address = std::string(1, 'b' + survey.mAnswers.size());
+    const auto* address = survey.mAnswers.empty() ? "b" : "c";
     survey.mAnswers.push_back({ address, it, Millis(3), "" });
   }
   return survey;
--- a/src/peers/tests/peertask_tests.cpp
+++ b/src/peers/tests/peertask_tests.cpp
@@ -189,6 +189,30 @@
   BOOST_TEST(group.WaitForRevision(emptied, accepted.mRevision));
 }
 
+/// Guards against a start without a log that no gauge shows.
+BOOST_AUTO_TEST_CASE(StatusTellsForHowLongLogLeaderAndDocumentAreMissing)
+{
+  auto group = TestGroup(2);
+  group.Start(0);
+  const auto isMissing = TestGroup::WaitUntil([&] {
+    const auto status = group.mTasks[0]->Status();
+    return status.mWithoutLog > Millis(0) &&
+           status.mWithoutLeader > Millis(0) &&
+           status.mWithoutDocument > Millis(0);
+  });
+  group.Start(1);
+  group.Publish(0, "ana", 0, "r1", "one");
+  const auto isThere = TestGroup::WaitUntil([&] {
+    const auto status = group.mTasks[0]->Status();
+    return status.mWithoutLog == Millis(0) &&
+           status.mWithoutLeader == Millis(0) &&
+           status.mWithoutDocument == Millis(0);
+  });
+
+  BOOST_TEST(isMissing);
+  BOOST_TEST(isThere);
+}
+
 BOOST_AUTO_TEST_CASE(SendsBytesToAnotherInstance)
 {
   auto group = TestGroup(1, 1);
--- a/src/peers/types/peerreports.h
+++ b/src/peers/types/peerreports.h
@@ -28,6 +28,12 @@
   bool mIsLeader = false;
   /// The leader as known here; empty when unknown.
   InstanceId mLeader;
+  /// Time for which no template has been in force here; 0 once one is.
+  Millis mWithoutDocument{ 0 };
+  /// On a control instance, the time for which it has known no leader and the
+  /// time for which it has belonged to no control log; else 0.
+  Millis mWithoutLeader{ 0 };
+  Millis mWithoutLog{ 0 };
   /// Set when the control storage stopped; says why.
   std::string mStorageFailure;
 
--- a/src/peers/types/peersevents.h
+++ b/src/peers/types/peersevents.h
@@ -32,5 +32,9 @@
   Event{ 1411, "control_watched", Severity::Info };
 inline constexpr auto kControlLostEvent =
   Event{ 1412, "control_lost", Severity::Warning };
+inline constexpr auto kControlLogMissingEvent =
+  Event{ 1413, "control_log_missing", Severity::Warning };
+inline constexpr auto kControlLeaderMissingEvent =
+  Event{ 1414, "control_leader_missing", Severity::Warning };
 
 } // namespace cuminslip
--- a/src/program/internal/metrics.cpp
+++ b/src/program/internal/metrics.cpp
@@ -130,7 +130,11 @@
 MetricsResponse(const Instance& aInstance) -> wire::HttpResponse
 {
   auto text = std::ostringstream{};
-  prometheus::TextSerializer{}.Serialize(text, CollectFamilies(aInstance));
+  auto families = CollectFamilies(aInstance);
+  for (auto& it : gateway::MissingFamilies(aInstance.mPeers->Status())) {
+    families.push_back(std::move(it));
+  }
+  prometheus::TextSerializer{}.Serialize(text, families);
   return { 200,
            { { "content-type", "text/plain; version=0.0.4" } },
            text.str() };
