Keep the permission to found on the disk of a control instance

Cause: the platform sets may_found only at the first start of an instance. A first seed that restarted before it had founded waited for ever, and so did all others: no log, no document, no request served.

The permission is now kept in the data folder, with the names of the control instances of that start. It counts only for the same names and is lost with the disk, so an emptied founder or changed seeds can't make a second log. Only the first seed by name founds, as before, once all others answer without a log.

--- a/src/peers/internal/founding.cpp
+++ b/src/peers/internal/founding.cpp
@@ -40,7 +40,9 @@
   if (aSurvey.mInstance != *std::min_element(named.begin(), named.end())) {
     return "another control instance is the first by name";
   }
-  return aSurvey.mMayFound ? "" : "the settings don't permit founding";
+  return aSurvey.mMayFound
+           ? ""
+           : "neither the settings nor the data folder permit founding";
 }
 
 } // namespace
--- a/src/peers/internal/joining.cpp
+++ b/src/peers/internal/joining.cpp
@@ -74,9 +74,8 @@
 auto
 MakeSurvey(const PeerContext& aContext) -> FoundingSurvey
 {
-  auto survey = FoundingSurvey{
-    aContext.mSettings.mInstance, aContext.mSettings.mMayFound, {}, {}
-  };
+  auto survey =
+    FoundingSurvey{ aContext.mSettings.mInstance, aContext.mMayFound, {}, {} };
   for (const auto& it : aContext.mSettings.mControlInstances) {
     survey.mNamed.push_back(it.mInstance);
   }
--- a/src/peers/internal/peercontext.h
+++ b/src/peers/internal/peercontext.h
@@ -57,6 +57,8 @@
   bool mIsReady = false;
   bool mWasIsolated = true;
   std::string mLeaderHint;
+  /// This instance may found a control log; see KeepFoundingPermit.
+  bool mMayFound = false;
   /// When a founding or joining round without a result was last logged.
   std::optional<TimePoint> mRoundLogged;
   /// No new tasks may begin.
--- a/src/peers/internal/peerthread.cpp
+++ b/src/peers/internal/peerthread.cpp
@@ -3,6 +3,7 @@
 #include "control/controlcodec.h"
 #include "peers/internal/controlwatcher.h"
 #include "peers/internal/endpointdirectory.h"
+#include "peers/internal/foundingpermit.h"
 #include "peers/internal/joining.h"
 #include "peers/internal/rpcparts.h"
 #include "peers/internal/sessionserver.h"
@@ -249,6 +250,14 @@
     return outcome.mFindings;
   }
   aContext.mControl = std::move(*outcome.mValue);
+  if (aContext.mControl->Core().mVote.mCluster == 0) {
+    auto named = std::vector<InstanceId>{};
+    for (const auto& it : mSettings.mControlInstances) {
+      named.push_back(it.mInstance);
+    }
+    aContext.mMayFound = KeepFoundingPermit(
+      LocalFileSystem(), *mSettings.mDataFolder, named, mSettings.mMayFound);
+  }
   aContext.mLinks.mOnControlReply = [&aContext](const std::string& aReply) {
     aContext.mControl->ReceiveReply(aReply);
   };
--- a/src/peers/tests/founding_tests.cpp
+++ b/src/peers/tests/founding_tests.cpp
@@ -1,5 +1,8 @@
 #include "peers/internal/founding.h"
 
+#include "control/tests/fakedisk.h"
+#include "peers/internal/foundingpermit.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace cuminslip;
@@ -71,4 +74,19 @@
              "b has no log in 3 ms; c refused in 3 ms (wrong peer key)");
 }
 
+/// Guards against a fleet without a log after its first seed restarted before
+/// it founded, and against two logs after a disk was emptied or seeds changed.
+BOOST_AUTO_TEST_CASE(APermitToFoundLastsAsLongAsTheDiskAndTheNamedInstances)
+{
+  auto disk = FakeDisk{};
+  const auto files = disk.Files();
+  const auto named = std::vector<InstanceId>{ { "a" }, { "b" } };
+
+  BOOST_TEST(!KeepFoundingPermit(files, "d", named, false));
+  BOOST_TEST(KeepFoundingPermit(files, "d", named, true));
+  BOOST_TEST(KeepFoundingPermit(files, "d", { { "b" }, { "a" } }, false));
+  BOOST_TEST(!KeepFoundingPermit(files, "d", { { "a" }, { "c" } }, false));
+  BOOST_TEST(!KeepFoundingPermit(files, "emptied", named, false));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/peers/tests/peertask_tests.cpp
+++ b/src/peers/tests/peertask_tests.cpp
@@ -189,6 +189,23 @@
   BOOST_TEST(group.WaitForRevision(emptied, accepted.mRevision));
 }
 
+/// Guards against a fleet without a log after its first seed restarted before
+/// it founded: the platform permits founding at the first start only.
+BOOST_AUTO_TEST_CASE(ASeedThatRestartsBeforeItFoundedStillFounds)
+{
+  auto group = TestGroup(2);
+  group.Start(0);
+  group.Stop(0);
+  group.mSettings[0].mMayFound = false;
+  group.mSettings[1].mMayFound = false;
+  group.Start(0);
+  group.Start(1);
+
+  const auto result = group.Publish(1, "ana", 0, "r1", "one");
+
+  BOOST_TEST((result.mStatus == CommandStatus::Accepted));
+}
+
 /// Guards against a start without a log that no gauge shows.
 BOOST_AUTO_TEST_CASE(StatusTellsForHowLongLogLeaderAndDocumentAreMissing)
 {
--- a/src/peers/types/peersettings.h
+++ b/src/peers/types/peersettings.h
@@ -38,7 +38,8 @@
   /// The control instances above are only where to begin: more are learnt from
   /// them, and this instance follows all that it knows.
   bool mFollowsAllControls = false;
-  /// A control log may be founded when no control instance has one.
+  /// A control log may be founded when no control instance has one. Permitted
+  /// once, it stays so for this data folder and these control instances.
   bool mMayFound = true;
   /// Who may join the control log without an operator.
   JoinRule mJoinRule = JoinRule::Expected;
