Ask the leader to join, also when it is not among the seeds

Cause: an instance without a log asked only the control instances of its settings to be added. When another instance led, as after the founder had been paused, all of them refused and it never joined. If it was a seed that the log expects, no document was ever accepted.

A refusal names the leader; a round now asks that one as well, once.

--- a/src/peers/internal/founding.cpp
+++ b/src/peers/internal/founding.cpp
@@ -1,6 +1,7 @@
 #include "peers/internal/founding.h"
 
 #include <algorithm>
+#include <set>
 #include <string_view>
 
 namespace cuminslip {
@@ -76,6 +77,22 @@
   return decision;
 }
 
+auto
+LeadersNotAsked(const FoundingSurvey& aSurvey) -> std::vector<std::string>
+{
+  auto known = std::set<std::string>{};
+  for (const auto& it : aSurvey.mAnswers) {
+    known.insert(it.mAddress);
+  }
+  auto leaders = std::vector<std::string>{};
+  for (const auto& it : aSurvey.mAnswers) {
+    if (!it.mLeader.empty() && known.insert(it.mLeader).second) {
+      leaders.push_back(it.mLeader);
+    }
+  }
+  return leaders;
+}
+
 auto
 FormatAnswers(const std::vector<SurveyAnswer>& aAnswers) -> std::string
 {
--- a/src/peers/internal/founding.h
+++ b/src/peers/internal/founding.h
@@ -37,6 +37,8 @@
   Millis mTime{ 0 };
   /// Why there is no answer, or what a join request was answered.
   std::string mDetail;
+  /// Address of the leader that the answer to a join request named.
+  std::string mLeader;
 
   auto operator==(const SurveyAnswer&) const -> bool = default;
 };
@@ -79,6 +81,11 @@
 auto
 DecideFounding(const FoundingSurvey& aSurvey) -> FoundingDecision;
 
+/// Addresses of leaders that answers named and that were not asked themselves:
+/// the leader need not be among the control instances of the settings.
+auto
+LeadersNotAsked(const FoundingSurvey& aSurvey) -> std::vector<std::string>;
+
 /// The answers as text for a log line, "ADDRESS OUTCOME in N ms" each.
 auto
 FormatAnswers(const std::vector<SurveyAnswer>& aAnswers) -> std::string;
--- a/src/peers/internal/joining.cpp
+++ b/src/peers/internal/joining.cpp
@@ -151,12 +151,14 @@
 NoteJoinReply(FoundingSurvey& aSurvey,
               const std::string& aAddress,
               SurveyOutcome aOutcome,
-              const std::string& aDetail) -> void
+              const std::string& aDetail,
+              const std::string& aLeader) -> void
 {
   for (auto& it : aSurvey.mAnswers) {
     if (it.mAddress == aAddress) {
       it.mOutcome = aOutcome;
       it.mDetail = "join: " + aDetail;
+      it.mLeader = aLeader;
     }
   }
 }
@@ -189,18 +191,36 @@
                     NoteJoinReply(*aSurvey,
                                   address,
                                   SurveyOutcome::Answered,
-                                  DetailOf(aResponse));
+                                  DetailOf(aResponse),
+                                  FromText(aResponse.getLeader()));
                   },
                   [aSurvey, address](const kj::Exception& aException) {
                     NoteJoinReply(*aSurvey,
                                   address,
                                   OutcomeOf(aException),
-                                  aException.getDescription().cStr());
+                                  aException.getDescription().cStr(),
+                                  "");
                   }));
   }
   return kj::joinPromises(calls.releaseAsArray());
 }
 
+/// Asks the instances at aAddresses and then the leaders that they name.
+auto
+AskLeaderToJoin(PeerContext& aContext,
+                const std::vector<std::string>& aAddresses,
+                const std::shared_ptr<FoundingSurvey>& aSurvey)
+  -> kj::Promise<void>
+{
+  return AskToJoin(aContext, aAddresses, aSurvey).then([&aContext, aSurvey] {
+    const auto leaders = LeadersNotAsked(*aSurvey);
+    for (const auto& it : leaders) {
+      aSurvey->mAnswers.push_back({ it });
+    }
+    return AskToJoin(aContext, leaders, aSurvey);
+  });
+}
+
 /// Logs a round that ended without a result, at most one a second.
 auto
 LogRound(PeerContext& aContext,
@@ -230,7 +250,7 @@
     return kj::READY_NOW;
   }
   auto asked = decision.mStep == FoundingStep::Join
-                 ? AskToJoin(aContext, decision.mWithLog, aSurvey)
+                 ? AskLeaderToJoin(aContext, decision.mWithLog, aSurvey)
                  : kj::Promise<void>(kj::READY_NOW);
   return asked.then([&aContext, aSurvey, reason = decision.mReason] {
     if (aContext.mControl->Core().mVote.mCluster == 0) {
@@ -302,7 +322,7 @@
   auto asked = kj::Promise<void>(kj::READY_NOW);
   if (isForgotten) {
     const auto survey = std::make_shared<FoundingSurvey>(MakeSurvey(aContext));
-    asked = AskToJoin(aContext, OtherControls(aContext), survey)
+    asked = AskLeaderToJoin(aContext, OtherControls(aContext), survey)
               .then([&aContext, survey] {
                 LogRound(aContext,
                          kControlLeaderMissingEvent,
--- a/src/peers/tests/founding_tests.cpp
+++ b/src/peers/tests/founding_tests.cpp
@@ -65,6 +65,20 @@
   BOOST_TEST((decision.mWithLog == std::vector<std::string>{ "c" }));
 }
 
+/// Guards against an instance that never joins since no seed leads.
+BOOST_AUTO_TEST_CASE(AsksALeaderThatIsNotNamedOnce)
+{
+  auto survey = SurveyOf({ SurveyOutcome::HasLog, SurveyOutcome::HasLog });
+  survey.mAnswers.front().mLeader = "d";
+  survey.mAnswers.back().mLeader = "d";
+  const auto leaders = LeadersNotAsked(survey);
+  survey.mAnswers.front().mLeader = "c";
+  survey.mAnswers.back().mLeader = "c";
+
+  BOOST_TEST((leaders == std::vector<std::string>{ "d" }));
+  BOOST_TEST(LeadersNotAsked(survey).empty());
+}
+
 BOOST_AUTO_TEST_CASE(FormatsWhoAnsweredWhatAndWhy)
 {
   auto survey = SurveyOf({ SurveyOutcome::NoLog, SurveyOutcome::Refused });
--- a/src/peers/tests/startingfleet.h
+++ b/src/peers/tests/startingfleet.h
@@ -43,6 +43,7 @@
     TimePoint mNextAt{};
     TimePoint mLimit{};
     SurveyOutcome mOutcome = SurveyOutcome::TimedOut;
+    std::string mLeader;
   };
 
   TestCluster mCluster{ 1 };
@@ -213,6 +214,8 @@
     aCall.mOutcome =
       ClusterOf(aCall.mTo) != 0 ? SurveyOutcome::HasLog : SurveyOutcome::NoLog;
     const auto& core = mCluster.mMembers[aCall.mTo].mCore;
+    const auto* leader = FindMember(CurrentMembership(core), core.mLeader);
+    aCall.mLeader = aCall.mIsJoin && leader ? leader->mAddress : std::string{};
     if (aCall.mIsJoin && core.mRole == CoreRole::Leader) {
       auto member = mCluster.MemberOf(aCall.mFrom);
       mCluster.Feed(aCall.mTo, AddMemberInput{ member, JoinRule::Automatic });
@@ -232,8 +235,9 @@
       return;
     }
     for (auto& it : node.mSurvey.mAnswers) {
-      if (!aCall.mIsJoin && it.mAddress == std::to_string(aCall.mTo)) {
-        it.mOutcome = aCall.mOutcome;
+      if (it.mAddress == std::to_string(aCall.mTo)) {
+        it.mOutcome = aCall.mIsJoin ? it.mOutcome : aCall.mOutcome;
+        it.mLeader = aCall.mLeader;
       }
     }
     const auto asked =
@@ -244,12 +248,16 @@
     if (!IsUp(aCall.mFrom) || !node.mAsked.empty()) {
       return;
     }
-    if (aCall.mIsJoin) {
-      const auto hasLog = ClusterOf(aCall.mFrom) != 0;
-      node.mNextRound = Now() + (hasLog ? kRejoinAfter : kJoinPause);
-    } else {
+    if (!aCall.mIsJoin) {
       EndRoundIfAnswered(aCall.mFrom);
+      return;
     }
+    for (const auto& leader : LeadersNotAsked(node.mSurvey)) {
+      node.mSurvey.mAnswers.push_back({ leader });
+      Send(aCall.mFrom, std::stoul(leader), true);
+    }
+    const auto hasLog = ClusterOf(aCall.mFrom) != 0;
+    node.mNextRound = Now() + (hasLog ? kRejoinAfter : kJoinPause);
   }
 
   /// Moves a call on. True when it has ended.
