--- a/src/control/tests/automaticmembers_tests.cpp
+++ b/src/control/tests/automaticmembers_tests.cpp
@@ -62,6 +62,25 @@
   BOOST_TEST(PublishSucceeds(cluster, 1));
 }
 
+/// Guards against a log that never accepts a command, since spares took all
+/// places before an expected instance came.
+BOOST_AUTO_TEST_CASE(SparesLeaveRoomForTheExpectedInstances)
+{
+  auto cluster = TestCluster(14, 9, 1, 3);
+  for (auto n = std::size_t{ 3 }; n < 14; ++n) {
+    AskToJoin(cluster, n);
+    cluster.Run(Seconds(2));
+  }
+  for (auto n = std::size_t{ 1 }; n < 3; ++n) {
+    AskToJoin(cluster, n);
+    cluster.Run(Seconds(2));
+  }
+
+  BOOST_TEST((RoleOf(cluster, 1) == MemberRole::Voter));
+  BOOST_TEST((RoleOf(cluster, 2) == MemberRole::Voter));
+  BOOST_TEST(PublishSucceeds(cluster, 1));
+}
+
 BOOST_AUTO_TEST_CASE(ASpareReplacesALostVoter)
 {
   auto cluster = TestCluster(4, 2, 3, 3);
