Keep places for the expected members of a new control log

Cause: until the instances named at the founding vote, no command is accepted. Spares that came before them became voters and took the seven places that they may get; they were then refused with "the maximum number of members is reached", and no document was ever accepted. Needs eight control instances.

Spares now become voters only once no instance is expected any more, except in place of a lost voter, and leave room for those that are expected, which may join up to the limit of all members. Only the leader decides this; the log and its entries are unchanged.

--- a/src/control/internal/memberchange.cpp
+++ b/src/control/internal/memberchange.cpp
@@ -197,6 +197,18 @@
     [](const auto& aItem) { return aItem.mRole == MemberRole::Voter; }));
 }
 
+/// Number of expected instances that are no members yet, at most kMaxMembers.
+auto
+CountAwaited(const Membership& aMembership) -> std::size_t
+{
+  const auto& expected = aMembership.mExpected;
+  const auto awaited =
+    std::count_if(expected.begin(), expected.end(), [&](const auto& aItem) {
+      return FindMemberOf(aMembership, aItem) == nullptr;
+    });
+  return std::min(static_cast<std::size_t>(awaited), kMaxMembers);
+}
+
 /// Makes a spare a learner that will become a voter, or removes a silent spare.
 /// True when a membership change was proposed.
 auto
@@ -211,7 +223,10 @@
     return true;
   }
   const auto* lost = FindLostVoter(aContext);
-  const auto isWanted = CountVoters(membership) < WantedVoters(aContext);
+  // NOTE: no command is accepted before the expected instances vote; spares
+  // must not take their places.
+  const auto isWanted = membership.mExpected.empty() &&
+                        CountVoters(membership) < WantedVoters(aContext);
   const auto mayReplace =
     lost != nullptr &&
     HasLiveQuorum(aContext, WithoutMember(membership, lost->mId));
@@ -291,7 +306,10 @@
     return;
   }
   const auto mayBeSpare = isAutomatic && !isExpected;
-  if (membership.mMembers.size() >= (mayBeSpare ? kMaxMembers : kMaxVoters)) {
+  const auto limit = mayBeSpare   ? kMaxMembers - CountAwaited(membership)
+                     : isExpected ? kMaxMembers
+                                  : kMaxVoters;
+  if (membership.mMembers.size() >= limit) {
     RejectMembershipChange(aContext,
                            "the maximum number of members is reached");
     return;
