Add the second voter of a new log only when the third can follow

Cause: instances became voters one after another as they joined. While there were two voters, for as long as the third seed was away, the loss of the second one's disk left the founder without a quorum for ever: no leader, no document.

With one voter and more than one instance expected, a learner now waits until another one has caught up too; then both become voters, one right after the other. No command is accepted in that state in any case.

--- a/src/control/internal/memberchange.cpp
+++ b/src/control/internal/memberchange.cpp
@@ -122,6 +122,32 @@
          it->second.mMatch + kCaughtUpEntries >= LastIndex(state.mLog);
 }
 
+auto
+CountVoters(const Membership& aMembership) -> std::size_t
+{
+  return static_cast<std::size_t>(std::count_if(
+    aMembership.mMembers.begin(),
+    aMembership.mMembers.end(),
+    [](const auto& aItem) { return aItem.mRole == MemberRole::Voter; }));
+}
+
+/// True while the founder is the only voter, and more than one instance is
+/// expected, but fewer than two learners could follow each other as voters.
+/// With two voters the loss of either disk ends the log; the second is
+/// therefore added only when the third can be added right after it.
+auto
+MustAwaitSecondLearner(const StepContext& aContext) -> bool
+{
+  const auto& membership = CurrentMembership(aContext.mState);
+  const auto& members = membership.mMembers;
+  const auto caughtUp =
+    std::count_if(members.begin(), members.end(), [&](const auto& aItem) {
+      return aItem.mRole == MemberRole::Learner && IsCaughtUp(aContext, aItem);
+    });
+  return CountVoters(membership) == 1 && membership.mExpected.size() > 1 &&
+         caughtUp < 2;
+}
+
 auto
 AdvanceLearner(StepContext& aContext, MemberId aLearner) -> void
 {
@@ -134,6 +160,9 @@
     }
     return;
   }
+  if (MustAwaitSecondLearner(aContext)) {
+    return;
+  }
   const auto next = WithVoter(membership, aLearner);
   if (HasLiveQuorum(aContext, next)) {
     ProposeMembership(aContext, next, aLearner, "learner became voter");
@@ -188,15 +217,6 @@
   return std::min(odd, kMaxVoters);
 }
 
-auto
-CountVoters(const Membership& aMembership) -> std::size_t
-{
-  return static_cast<std::size_t>(std::count_if(
-    aMembership.mMembers.begin(),
-    aMembership.mMembers.end(),
-    [](const auto& aItem) { return aItem.mRole == MemberRole::Voter; }));
-}
-
 /// Number of expected instances that are no members yet, at most kMaxMembers.
 auto
 CountAwaited(const Membership& aMembership) -> std::size_t
--- a/src/control/tests/automaticmembers_tests.cpp
+++ b/src/control/tests/automaticmembers_tests.cpp
@@ -81,6 +81,24 @@
   BOOST_TEST(PublishSucceeds(cluster, 1));
 }
 
+/// Guards against a new log of two voters that ends with the loss of one disk.
+BOOST_AUTO_TEST_CASE(TheSecondVoterOfANewLogWaitsForTheThird)
+{
+  auto cluster = TestCluster(3, 10, 1, 3);
+  AskToJoin(cluster, 1);
+  cluster.Run(Seconds(3));
+  BOOST_TEST((RoleOf(cluster, 1) == MemberRole::Learner));
+  cluster.Wipe(1);
+  cluster.Start(1);
+  AskToJoin(cluster, 1);
+  cluster.Run(Seconds(1));
+  AskToJoin(cluster, 2);
+  cluster.Run(Seconds(3));
+
+  BOOST_TEST(cluster.Voters(0) == 3U);
+  BOOST_TEST(PublishSucceeds(cluster, 1));
+}
+
 BOOST_AUTO_TEST_CASE(ASpareReplacesALostVoter)
 {
   auto cluster = TestCluster(4, 2, 3, 3);
--- a/src/peers/tests/startingfleet.h
+++ b/src/peers/tests/startingfleet.h
@@ -191,7 +191,6 @@
       for (const auto& address : decision.mWithLog) {
         Send(aNumber, std::stoul(address), true);
       }
-      node.mNextRound = TimePoint::max();
     }
   }
 
