--- a/src/control/tests/controlstore_tests.cpp
+++ b/src/control/tests/controlstore_tests.cpp
@@ -1,4 +1,5 @@
 #include "control/controlcodec.h"
+#include "control/controlcore.h"
 #include "control/controlstore.h"
 #include "control/tests/fakedisk.h"
 
@@ -327,4 +328,36 @@
   }
 }
 
+/// Guards against a founder that lost power while it founded and then neither
+/// has a log nor can found one: its vote record is durable before the log.
+BOOST_DATA_TEST_CASE(APowerLossWhileFoundingLeavesAWholeLogOrNone,
+                     data::xrange(30),
+                     operations)
+{
+  auto random = std::mt19937_64(static_cast<std::uint64_t>(operations));
+  auto disk = FakeDisk{};
+  const auto start = [&](OpenedStore& aOpened) {
+    return StartCore({}, { "a" }, "a", aOpened.mDisk, 1, TimePoint(Seconds(1)));
+  };
+  auto opened = Open(disk);
+  auto founded = Step(start(*opened.mValue),
+                      BootstrapInput{ 7, { "d" }, {} },
+                      TimePoint(Seconds(1)));
+  auto writes = std::move(founded.mOutput.mWrites);
+  auto elected =
+    Step(std::move(founded.mState), TickInput{}, TimePoint(Seconds(2)));
+  writes.insert(writes.end(),
+                elected.mOutput.mWrites.begin(),
+                elected.mOutput.mWrites.end());
+  disk.mOperationsLeft = operations;
+  WriteToStore(opened.mValue->mStore, writes, 0);
+  disk.LosePower(random);
+  auto again = Open(disk);
+
+  BOOST_REQUIRE(again.mValue.has_value());
+  const auto core = start(*again.mValue);
+  BOOST_TEST((core.mVote.mCluster == 0) ==
+             CurrentMembership(core).mMembers.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
