Let a founder that lost power while it founded found again

Cause: the vote record with the new log's id is durable before the log's first entry. A founder that stopped in between belonged to a log that no disk held: it neither joined nor founded one, and the others, told that it has a log, asked it in vain to be added.

A vote for itself without any entry shows this state. The founder can't have been elected before its entry was durable, so no other member belongs to that log; at the next start the disk counts as one without a log. Term and vote stay.

--- a/src/control/internal/corestep.cpp
+++ b/src/control/internal/corestep.cpp
@@ -149,6 +149,16 @@
   }
 }
 
+/// True when this member founded a control log whose first entry was not
+/// durable yet. Only a founder votes for itself without an entry, and it can't
+/// have been elected, so that no other member belongs to that log.
+auto
+IsHalfFounded(const CoreState& aState) -> bool
+{
+  return aState.mVote.mVote == aState.mVote.mMember &&
+         LastIndex(aState.mLog) == 0 && aState.mSnapshot.mIndex == 0;
+}
+
 auto
 EmitCommitted(StepContext& aContext) -> void
 {
@@ -226,6 +236,9 @@
            aItem.mIndex <= state.mSnapshot.mIndex;
   });
   state.mDurable = LastIndex(state.mLog);
+  if (IsHalfFounded(state)) {
+    state.mVote.mCluster = 0;
+  }
   state.mApplied = state.mSnapshot.mIndex;
   state.mCommit = std::max(state.mSnapshot.mIndex,
                            std::min(aDisk.mCommitFloor, state.mDurable));
