--- a/src/peers/tests/startingfleet_tests.cpp
+++ b/src/peers/tests/startingfleet_tests.cpp
@@ -123,4 +123,23 @@
   BOOST_TEST((took < Millis(4000)), fleet.Describe());
 }
 
+/// Guards against an answer that never counts: a new session takes three round
+/// trips, and one that is given up each time before them is never opened.
+BOOST_DATA_TEST_CASE(AFleetStartsOverLinksThatStayLate,
+                     data::make({ 100, 160, 200, 300 }),
+                     delay)
+{
+  auto fleet = StartingFleet(5, 3, static_cast<std::uint64_t>(delay));
+  for (auto n = std::size_t{ 0 }; n < fleet.mNodes.size(); ++n) {
+    for (auto to = std::size_t{ 0 }; to < fleet.mNodes.size(); ++to) {
+      fleet.mDelays[{ n, to }] = Millis(delay);
+    }
+    fleet.Start(n, true);
+  }
+  fleet.Run(Seconds(16));
+  const auto took = fleet.Publish("first", Millis(4000));
+
+  BOOST_TEST((took < Millis(4000)), fleet.Describe());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
