Lengthen the time limit of founding rounds that time out

Cause: a round gave each instance 1 s and dropped the session of one that was late. A new session takes three round trips, so that over links of 200 ms in each direction, or to an instance as busy, it was dropped before it was open in each round, and no log was founded.

The limit grows by 1 s after each three late rounds, to 3 s, that of the messages of the control log; it is short again after a round in time.

--- a/src/peers/internal/founding.cpp
+++ b/src/peers/internal/founding.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+constexpr auto kFirstLimit = Millis(1000);
+constexpr auto kRoundsPerLimit = 3;
+/// As for the messages of the control log: a slower link can't carry it.
+constexpr auto kMaxLimit = Millis(3000);
+
 auto
 ToText(SurveyOutcome aOutcome) -> std::string_view
 {
@@ -77,6 +82,21 @@
   return decision;
 }
 
+auto
+SurveyLimit(int aRounds) -> Millis
+{
+  return std::min(kFirstLimit * (1 + aRounds / kRoundsPerLimit), kMaxLimit);
+}
+
+auto
+HasTimedOut(const FoundingSurvey& aSurvey) -> bool
+{
+  return std::any_of(
+    aSurvey.mAnswers.begin(), aSurvey.mAnswers.end(), [](const auto& aItem) {
+      return aItem.mOutcome == SurveyOutcome::TimedOut;
+    });
+}
+
 auto
 LeadersNotAsked(const FoundingSurvey& aSurvey) -> std::vector<std::string>
 {
--- a/src/peers/internal/founding.h
+++ b/src/peers/internal/founding.h
@@ -81,11 +81,22 @@
 auto
 DecideFounding(const FoundingSurvey& aSurvey) -> FoundingDecision;
 
+/// Returns the time limit of the calls of a round after aRounds rounds in a row
+/// with an answer that timed out. Short at first, as a machine without power
+/// drops the attempt to connect; longer later, as a new session over late links
+/// or to a busy instance takes three round trips, and a call that times out
+/// drops it.
+auto
+SurveyLimit(int aRounds) -> Millis;
+
 /// Addresses of leaders that answers named and that were not asked themselves:
 /// the leader need not be among the control instances of the settings.
 auto
 LeadersNotAsked(const FoundingSurvey& aSurvey) -> std::vector<std::string>;
 
+auto
+HasTimedOut(const FoundingSurvey& aSurvey) -> bool;
+
 /// The answers as text for a log line, "ADDRESS OUTCOME in N ms" each.
 auto
 FormatAnswers(const std::vector<SurveyAnswer>& aAnswers) -> std::string;
--- a/src/peers/internal/joining.cpp
+++ b/src/peers/internal/joining.cpp
@@ -91,11 +91,12 @@
 {
   auto calls = kj::Vector<kj::Promise<void>>();
   const auto sentAt = aContext.mNow();
+  const auto limit = SurveyLimit(aContext.mLateRounds);
   for (const auto& it : aSurvey->mAnswers) {
     const auto address = it.mAddress;
     kj::Promise<DescribeResponse> sent =
       aContext.mLinks.SessionAt(address).describeRequest().send();
-    calls.add(aContext.mLinks.WithLimit(address, kAskLimit, kj::mv(sent))
+    calls.add(aContext.mLinks.WithLimit(address, limit, kj::mv(sent))
                 .then(
                   [&aContext, aSurvey, address, sentAt](
                     const DescribeResponse& aResponse) {
@@ -181,11 +182,12 @@
           const std::shared_ptr<FoundingSurvey>& aSurvey) -> kj::Promise<void>
 {
   auto calls = kj::Vector<kj::Promise<void>>();
+  const auto limit = SurveyLimit(aContext.mLateRounds);
   for (const auto& address : aAddresses) {
     auto request = aContext.mLinks.SessionAt(address).joinRequest();
     WriteJoiner(request.initJoiner(), OwnJoiner(aContext));
     kj::Promise<JoinResponse> sent = request.send();
-    calls.add(aContext.mLinks.WithLimit(address, kAskLimit, kj::mv(sent))
+    calls.add(aContext.mLinks.WithLimit(address, limit, kj::mv(sent))
                 .then(
                   [aSurvey, address](const JoinResponse& aResponse) {
                     NoteJoinReply(*aSurvey,
@@ -245,6 +247,7 @@
            const std::shared_ptr<FoundingSurvey>& aSurvey) -> kj::Promise<void>
 {
   const auto decision = DecideFounding(*aSurvey);
+  aContext.mLateRounds = HasTimedOut(*aSurvey) ? aContext.mLateRounds + 1 : 0;
   if (decision.mStep == FoundingStep::Found) {
     FoundLog(aContext);
     return kj::READY_NOW;
--- a/src/peers/internal/peercontext.h
+++ b/src/peers/internal/peercontext.h
@@ -59,6 +59,8 @@
   std::string mLeaderHint;
   /// This instance may found a control log; see KeepFoundingPermit.
   bool mMayFound = false;
+  /// Rounds in a row in which an answer timed out.
+  int mLateRounds = 0;
   /// When a founding or joining round without a result was last logged.
   std::optional<TimePoint> mRoundLogged;
   /// No new tasks may begin.
--- a/src/peers/tests/startingfleet.h
+++ b/src/peers/tests/startingfleet.h
@@ -15,7 +15,6 @@
 {
   static constexpr auto kStep = Millis(10);
   /// As in joining.cpp.
-  static constexpr auto kAskLimit = Millis(1000);
   static constexpr auto kJoinPause = Millis(300);
   static constexpr auto kRejoinAfter = Millis(4000);
 
@@ -27,6 +26,7 @@
     int mStart = 0;
     TimePoint mNextRound{};
     bool mIsRejoin = false;
+    int mLateRounds = 0;
     std::vector<std::size_t> mAsked;
     FoundingSurvey mSurvey;
   };
@@ -109,6 +109,7 @@
     ++node.mStart;
     node.mAsked.clear();
     node.mIsRejoin = false;
+    node.mLateRounds = 0;
     node.mNextRound = Now();
   }
 
@@ -144,7 +145,7 @@
                        mNodes[aFrom].mStart,
                        legs,
                        Now() + DelayOf(aFrom, aTo),
-                       Now() + kAskLimit,
+                       Now() + SurveyLimit(mNodes[aFrom].mLateRounds),
                        SurveyOutcome::TimedOut });
     mNodes[aFrom].mAsked.push_back(aTo);
   }
@@ -184,6 +185,7 @@
       return;
     }
     const auto decision = DecideFounding(node.mSurvey);
+    node.mLateRounds = HasTimedOut(node.mSurvey) ? node.mLateRounds + 1 : 0;
     if (decision.mStep == FoundingStep::Found) {
       Found(aNumber);
     } else if (decision.mStep == FoundingStep::Join) {
