Divide long prompts into smaller parts where streams allow short pauses only

Parts of 150 ms and a pass of 55 to 60 ms pause a stream for 205 to 215 ms, and fbef allows 200: nearly each part beside a short prompt made it late (12 in 100 in quiet seconds). The least part is now the strictest pause less 100 ms where that is below 150 ms, half of it at least; with pauses of 250 ms and more, as on all earlier deployments, nothing changes.

Test: policy.

--- a/src/policy/enginelanes.h
+++ b/src/policy/enginelanes.h
@@ -97,6 +97,9 @@
   /// Minimum prefill time of a part of a prompt, since each part costs its
   /// engine a pass.
   Millis mMinPartTime{ 150 };
+  /// Time of a pass that decodes, allowed for beside a part where the strictest
+  /// pause leaves less than mMinPartTime.
+  Millis mPassAllowance{ 100 };
   /// Fraction of the answer target for which a prompt waits for a cheaper
   /// placement.
   double mCheapPlacementShare = 0.4;
--- a/src/policy/internal/enginelanes.cpp
+++ b/src/policy/internal/enginelanes.cpp
@@ -292,6 +292,17 @@
   return readers;
 }
 
+/// Returns the prefill time below which a prompt is not divided further.
+auto
+MinPartMillis(const PromptWork& aPrompt, const LaneRules& aRules) -> double
+{
+  // NOTE: a pause is a part and a pass. Where streams allow short pauses only,
+  // parts of mMinPartTime would be too long beside any of them.
+  const auto pause = ToMillis(aPrompt.mStrictestPause - aRules.mPassAllowance);
+  const auto least = ToMillis(aRules.mMinPartTime);
+  return std::max(std::min(least, std::max(pause, least / 2)), 1.0);
+}
+
 auto
 FindReaderGroup(const EngineTiming& aTiming,
                 const PromptWork& aPrompt,
@@ -299,8 +310,8 @@
                 const LaneRules& aRules) -> ReaderGroup
 {
   const auto read = PrefillMillis(aTiming, aPrompt.mPromptTokens);
-  const auto parts = std::max(
-    1.0, std::ceil(read / std::max(ToMillis(aRules.mMinPartTime), 1.0)));
+  const auto parts =
+    std::max(1.0, std::ceil(read / MinPartMillis(aPrompt, aRules)));
   const auto most = std::min(
     { aEngines.size(), aRules.mMaxReaders, static_cast<std::size_t>(parts) });
   auto best = ReaderGroup{};
--- a/src/policy/tests/enginelanes_tests.cpp
+++ b/src/policy/tests/enginelanes_tests.cpp
@@ -301,4 +301,24 @@
   BOOST_TEST(timeFor(17) * 3 < timeFor(1));
 }
 
+// Load: files of 45,000 tokens beside short prompts on all engines, which allow
+// pauses of 200 ms. A part of 150 ms and a pass pause them for too long.
+BOOST_AUTO_TEST_CASE(PartsAreSmallerWhereStreamsAllowShortPausesOnly)
+{
+  auto engines = Engines(14);
+  for (auto& it : engines) {
+    AddShorts(it, 6);
+  }
+  auto strict = Prompt(45000, Millis(1500));
+  strict.mStrictestPause = Millis(200);
+  const auto choice = Choose(strict, engines);
+  BOOST_REQUIRE(choice.mEngine.has_value());
+  BOOST_TEST(choice.mHelpers.size() == 4U);
+
+  strict.mStrictestPause = Millis(250);
+  const auto wider = Choose(strict, engines);
+  BOOST_REQUIRE(wider.mEngine.has_value());
+  BOOST_TEST(wider.mHelpers.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
