Refuse late short prompts also while others that are in time wait

After one deferred prompt had found no slot, all later ones of its service were skipped in that round. Prompts in time come first, so late ones were not looked at while any of those waited, and their callers left before they were refused. Rounds now try one prompt in time and one late one of each route. The new case failed before.

--- a/src/forwarding/internal/waiting.cpp
+++ b/src/forwarding/internal/waiting.cpp
@@ -29,21 +29,22 @@
     }
   }
   std::sort(waiting.begin(), waiting.end());
-  // NOTE: where no slot is free for one deferred prompt, the later ones need
-  // not be tried. A burst leaves many of them.
-  auto full = std::set<const routing::Service*>{};
+  // NOTE: where no slot is free for one deferred prompt, the later ones of its
+  // route need not be tried: a burst leaves many of them. Late ones are looked
+  // at apart, since they are refused before their callers leave.
+  auto full = std::set<std::pair<const routing::Route*, bool>>{};
   for (const auto& [isLate, arrived, id] : waiting) {
     auto* flight = FindFlight(aForwarder, id);
-    const auto isHopeless =
-      flight == nullptr ||
-      (flight->mIsDeferred && full.contains(flight->mService));
-    if (isHopeless) {
+    const auto isTried =
+      flight != nullptr &&
+      !(flight->mIsDeferred && full.contains({ flight->mRoute, isLate }));
+    if (!isTried) {
       continue;
     }
     PlaceFlight(aForwarder, *flight);
     flight = FindFlight(aForwarder, id);
     if (flight != nullptr && flight->mIsWaiting && flight->mIsDeferred) {
-      full.insert(flight->mService);
+      full.insert({ flight->mRoute, isLate });
     }
   }
 }
--- a/src/forwarding/tests/deferral_tests.cpp
+++ b/src/forwarding/tests/deferral_tests.cpp
@@ -152,6 +152,18 @@
   BOOST_TEST(mSends.size() == kSlots, "the refusal is true");
 }
 
+BOOST_FIXTURE_TEST_CASE(ItIsRefusedAlsoWhileOthersInTimeWait, SlotWorld)
+{
+  FillSlots();
+  const auto caller = AskShort();
+  for (auto i = 0; i < 10; ++i) {
+    Run(Millis(200));
+    AskShort();
+  }
+  BOOST_TEST(caller->mResponse.has_value());
+  BOOST_TEST(mSends.size() == kSlots);
+}
+
 BOOST_FIXTURE_TEST_CASE(OneOfTwoInstancesTakesTheLastSlot, SlotWorld)
 {
   FillSlots();
