Check routing documents with cuminslip check

An operator learned of a wrong routing document only from the answer to its publication, and of its effects not at all.

The platform's adapter provides the format: it recognizes and reads the file and names the fields of findings as they are in the file. Exit codes 0, 1 (warnings or differences) and 2 (errors) for routing documents; settings and templates keep 0 and 3.

--- a/src/client/client.h
+++ b/src/client/client.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "routingcheck/types/routingformat.h"
+
 #include <cstdint>
 #include <ostream>
 #include <string>
@@ -27,7 +29,11 @@
   /// No instance could be reached, or none has a quorum: nothing was done.
   Unavailable = 7,
   /// The change was sent but no answer came: it may be in force.
-  Unknown = 8
+  Unknown = 8,
+  /// Check of a routing document: warnings or differences, no errors.
+  Warnings = 1,
+  /// Check of a routing document: at least one error.
+  Errors = 2
 };
 
 /// True when aCommand, the first word of a command line, is one of the client.
@@ -35,12 +41,14 @@
 IsClientCommand(std::string_view aCommand) -> bool;
 
 /// Runs one command and blocks until it has ended. aArguments are the words
-/// after the program's name. Results go to aOut, problems to aErr. Thread safe
-/// for streams of their own.
+/// after the program's name. Results go to aOut, problems to aErr. Routing
+/// documents are checked only if aFormat has functions. Thread safe for streams
+/// of their own.
 auto
 RunClientCommand(const std::vector<std::string>& aArguments,
                  std::ostream& aOut,
-                 std::ostream& aErr) -> ExitCode;
+                 std::ostream& aErr,
+                 const routingcheck::RoutingFormat& aFormat = {}) -> ExitCode;
 
 /// The commands and options, for --help.
 auto
--- a/src/client/internal/client.cpp
+++ b/src/client/internal/client.cpp
@@ -96,7 +96,7 @@
 constexpr auto kCommands = std::array{
   Command{ "check",
            "FILE",
-           "checks a settings or template file",
+           "checks settings, a template or a routing document",
            false,
            client::RunCheck },
   Command{ "key-hash",
@@ -177,6 +177,7 @@
   -c, --trust FILE               TLS: authorities of the instances' certificates
                                  (else CUMINSLIP_TRUST)
   -j, --json                     output for scripts
+  -a, --against FILE             check: the routing document in force, to compare
   -l, --log FILE                 explain: a log to read, may be repeated
                                  (else standard input)
   -t, --timeout-ms N             longest time for one attempt
@@ -187,6 +188,8 @@
 
 Exit status: 0 ok, 1 failed, 2 wrong command line, 3 findings, 4 conflict,
 5 refused, 6 not found, 7 unavailable and not done, 8 sent but not answered.
+Check of a routing document: 0 nothing found, 1 warnings or differences only,
+2 errors.
 )";
 
 auto
@@ -285,14 +288,16 @@
 auto
 RunClientCommand(const std::vector<std::string>& aArguments,
                  std::ostream& aOut,
-                 std::ostream& aErr) -> ExitCode
+                 std::ostream& aErr,
+                 const routingcheck::RoutingFormat& aFormat) -> ExitCode
 {
-  const auto options =
+  auto options =
     CollectOutcome<Options>([&] { return client::ParseOptions(aArguments); });
   if (!options.mValue) {
     aErr << FormatFindings(options.mFindings);
     return ExitCode::Usage;
   }
+  options.mValue->mRoutingFormat = &aFormat;
   if (options.mValue->mWantsHelp) {
     aOut << ClientUsage();
     return ExitCode::Ok;
--- a/src/client/internal/commands.h
+++ b/src/client/internal/commands.h
@@ -14,7 +14,8 @@
   std::ostream* mErr = nullptr;
 };
 
-/// Checks a settings file or a template file; needs no instance.
+/// Checks a settings file, a template file or a routing document; needs no
+/// instance.
 auto
 RunCheck(const Options& aOptions, const Output& aOutput) -> ExitCode;
 
--- a/src/client/internal/options.cpp
+++ b/src/client/internal/options.cpp
@@ -22,6 +22,7 @@
   InstanceOption = 1,
   KeyFileOption,
   TrustOption,
+  AgainstOption,
   LogOption,
   JsonOption,
   DryRunOption,
@@ -48,6 +49,7 @@
   TextOption("instance", 'i', InstanceOption),
   TextOption("key-file", 'k', KeyFileOption),
   TextOption("trust", 'c', TrustOption),
+  TextOption("against", 'a', AgainstOption),
   TextOption("log", 'l', LogOption),
   Flag("json", 'j', JsonOption),
   Flag("dry-run", 'n', DryRunOption),
@@ -125,6 +127,9 @@
     case TrustOption:
       aOptions.mTrustFile = aText;
       return;
+    case AgainstOption:
+      aOptions.mAgainstFile = aText;
+      return;
     case LogOption:
       aOptions.mLogFiles.push_back(aText);
       return;
--- a/src/client/types/options.h
+++ b/src/client/types/options.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/types/ids.h"
+#include "routingcheck/types/routingformat.h"
 #include "wire/tls.h"
 #include "wire/types/httpmessage.h"
 
@@ -36,6 +37,11 @@
   std::string mTrustFile;
   /// Read from mTrustFile; null for plain connections.
   wire::TlsContextPtr mTls;
+  /// check: file with the routing document in force; empty: none.
+  std::string mAgainstFile;
+  /// Not parsed: set by RunClientCommand, for which it must outlive the
+  /// options.
+  const routingcheck::RoutingFormat* mRoutingFormat = nullptr;
   /// Logs to be read; empty for standard input.
   std::vector<std::string> mLogFiles;
   bool mIsJson = false;
--- a/src/program/main/main.cpp
+++ b/src/program/main/main.cpp
@@ -1,4 +1,5 @@
 #include "client/client.h"
+#include "platform/platform.h"
 #include "program/ask.h"
 #include "program/serve.h"
 
@@ -72,7 +73,10 @@
   }
   if (cuminslip::IsClientCommand(command)) {
     return static_cast<int>(
-      cuminslip::RunClientCommand(aArguments, std::cout, std::cerr));
+      cuminslip::RunClientCommand(aArguments,
+                                  std::cout,
+                                  std::cerr,
+                                  cuminslip::platform::MakeRoutingFormat()));
   }
   std::cerr << (command.empty() ? "no command given\n"
                                 : "unknown command " + command + "\n")
