Share what a cold endpoint accepts among a few holders

A service may state how many requests per second a cold endpoint takes; above a bound derived from that it crashes. ShareAmongHolders is taken out of ShareOfLimit, whose results stay.

--- a/src/policy/internal/requestlimits.cpp
+++ b/src/policy/internal/requestlimits.cpp
@@ -81,8 +81,26 @@
              std::span<const directory::EntryInstance> aInstances,
              const LimitRules& aRules) -> double
 {
-  const auto rate = std::max(aEndpoint.mRate, aRules.mMinRate);
-  const auto holders = CountHolders(rate, aInstances.size(), aRules);
+  auto endpoint = aEndpoint;
+  endpoint.mRate = std::max(aEndpoint.mRate, aRules.mMinRate);
+  return ShareAmongHolders(
+    endpoint,
+    CountHolders(endpoint.mRate, aInstances.size(), aRules),
+    aSelf,
+    aInstances);
+}
+
+auto
+ShareAmongHolders(const LimitedEndpoint& aEndpoint,
+                  std::size_t aHolders,
+                  const std::string& aSelf,
+                  std::span<const directory::EntryInstance> aInstances)
+  -> double
+{
+  const auto holders = std::min(aHolders, aInstances.size());
+  if (holders == 0) {
+    return 0;
+  }
   auto order = RankHolders(aEndpoint, aInstances);
   const auto isFar = [&](std::size_t aInstance) {
     return aInstances[aInstance].mFailureDomain != aEndpoint.mFailureDomain;
@@ -99,7 +117,7 @@
                 [&](auto aInstance) {
                   return aInstances[aInstance].mPeerAddress == aSelf;
                 });
-  return isHolder ? rate / static_cast<double>(holders) : 0.0;
+  return isHolder ? aEndpoint.mRate / static_cast<double>(holders) : 0.0;
 }
 
 auto
--- a/src/policy/requestlimits.h
+++ b/src/policy/requestlimits.h
@@ -86,6 +86,17 @@
              std::span<const directory::EntryInstance> aInstances,
              const LimitRules& aRules) -> double;
 
+/// Returns the requests per second that aSelf may send where aHolders instances
+/// share the endpoint's whole rate equally, 0 if it is no holder. Chooses the
+/// holders like ShareOfLimit; all instances hold a share when they are fewer
+/// than aHolders.
+auto
+ShareAmongHolders(const LimitedEndpoint& aEndpoint,
+                  std::size_t aHolders,
+                  const std::string& aSelf,
+                  std::span<const directory::EntryInstance> aInstances)
+  -> double;
+
 /// Requests that a holder may send now, as a fraction; a new one is empty.
 struct SendAllowance
 {
