Tell followers when an endpoint stays cold for longer

The remaining warm-up time was left out of what followers are told, since it falls with every heartbeat. An endpoint that becomes cold again without a new incarnation was therefore never known as such. A notice is now news if its endpoint becomes warm later than the one before said.

Tests: directory (12 cases, 1 new).

--- a/src/directory/internal/endpointtable.cpp
+++ b/src/directory/internal/endpointtable.cpp
@@ -30,6 +30,20 @@
   return aLeft == aRight;
 }
 
+/// Returns true if a notice received at aHeard lets its endpoint become warm
+/// later than the known one. Followers count down what they were told.
+auto
+IsColdForLonger(const EndpointNotice& aNotice,
+                TimePoint aHeard,
+                const TableEntry& aKnown) -> bool
+{
+  const auto& known = aKnown.mNotice;
+  return aNotice.mRemainingWarmUpTime > known.mRemainingWarmUpTime ||
+         (aNotice.mRemainingWarmUpTime > Millis(0) &&
+          aHeard + aNotice.mRemainingWarmUpTime >
+            aKnown.mHeard + known.mRemainingWarmUpTime);
+}
+
 auto
 MarkGone(EndpointTable& aTable, TableEntry& aEntry) -> void
 {
@@ -106,8 +120,9 @@
   if (!ClaimAddress(aTable, aNotice)) {
     return NoticeResult::Stale;
   }
-  const auto isNews =
-    entry.mIsSilent || !IsSameForFollowers(aNotice, entry.mNotice);
+  const auto isNews = entry.mIsSilent ||
+                      !IsSameForFollowers(aNotice, entry.mNotice) ||
+                      IsColdForLonger(aNotice, aHeard, entry);
   entry.mNotice = aNotice;
   entry.mHeard = std::max(entry.mHeard, aHeard);
   entry.mIsSilent = false;
--- a/src/directory/tests/directory_tests.cpp
+++ b/src/directory/tests/directory_tests.cpp
@@ -52,6 +52,30 @@
   BOOST_TEST(RowsChangedAfter(table, 0).size() == 1U);
 }
 
+// Instances that are not told of an endpoint that became cold again send it
+// more than it can take. That it became warmer is no news, as each of its
+// heartbeats would be.
+BOOST_AUTO_TEST_CASE(OnlyALongerWarmUpTimeIsSentToFollowers)
+{
+  const auto cold = [](std::uint64_t aSequence, int aMillis) {
+    auto notice = MakeNotice("e", aSequence);
+    notice.mRemainingWarmUpTime = Millis(aMillis);
+    return notice;
+  };
+  auto table = EndpointTable{};
+  TakeNotice(table, cold(1, 3000), kStart);
+  const auto second = kStart + Millis(1200);
+  BOOST_TEST(
+    (TakeNotice(table, cold(2, 1800), second) == NoticeResult::Refreshed));
+  const auto third = kStart + Millis(2400);
+  BOOST_TEST((TakeNotice(table, cold(3, 1800), third) == NoticeResult::News),
+             "became cold again in between");
+  BOOST_TEST((TakeNotice(table, cold(4, 0), third + Millis(2000)) ==
+              NoticeResult::Refreshed));
+  BOOST_TEST((TakeNotice(table, cold(5, 10), third + Millis(3200)) ==
+              NoticeResult::News));
+}
+
 BOOST_AUTO_TEST_CASE(ADelayedHeartbeatDoesNotUndoADrain)
 {
   auto table = EndpointTable{};
