Read the bound for cold endpoints and what answers state of it

cold_start_s and cold_per_s of a service, X-Cold-Ms of an answer, and the settings section warm_up with the tolerance. The template of the settings has the section only where the platform states one. Nothing uses them yet.

--- a/src/forwarding/types/endpointstatement.h
+++ b/src/forwarding/types/endpointstatement.h
@@ -18,6 +18,8 @@
   /// The endpoint turned the request away and wants no other one from this
   /// instance for this time.
   std::optional<Millis> mPause;
+  /// Time for which the endpoint stays cold, 0 if it is warm.
+  std::optional<Millis> mWarmUpTime;
   /// The answer has a statement that can't be read. It says nothing, not even
   /// that there is no limit. The other statements hold.
   bool mIsMalformed = false;
--- a/src/routing/types/routingdocument.h
+++ b/src/routing/types/routingdocument.h
@@ -101,6 +101,11 @@
   std::int64_t mMaxConnections = 0;
   /// Set for services of model engines only.
   std::optional<EngineTiming> mEngine;
+  /// Time for which an endpoint is cold after its start.
+  Millis mWarmUpTime{ 0 };
+  /// Requests per second that a cold endpoint may get from all instances
+  /// together; 0 for no bound.
+  double mWarmUpRate = 0;
 
   auto operator==(const Service&) const -> bool = default;
 };
--- a/src/settings/internal/settings.cpp
+++ b/src/settings/internal/settings.cpp
@@ -55,6 +55,7 @@
   settings.mDiscovery = settings::ReadDiscovery(aRoot);
   settings.mRetries = settings::ReadRetries(aRoot);
   settings.mOverload = settings::ReadOverload(aRoot);
+  settings.mWarmUp = settings::ReadWarmUp(aRoot);
   settings.mLog = settings::ReadLog(aRoot);
   documents::CloseSection(aRoot);
   return settings;
--- a/src/settings/internal/settingssections.cpp
+++ b/src/settings/internal/settingssections.cpp
@@ -342,6 +342,27 @@
   return overload;
 }
 
+auto
+ReadWarmUp(Section& aRoot) -> std::optional<WarmUpSettings>
+{
+  if (!documents::HasKey(aRoot, "warm_up")) {
+    return std::nullopt;
+  }
+  auto section = OpenSection(aRoot, "warm_up");
+  auto warmUp = WarmUpSettings{};
+  for (const auto* key : { "overshoot", "slack" }) {
+    if (!documents::HasKey(section, key)) {
+      AddProblem(section, key, "missing", "a number, 0 or more");
+    }
+  }
+  warmUp.mOvershoot = documents::ReadNumber(
+    section, "overshoot", warmUp.mOvershoot, { 0, kHighestCount });
+  warmUp.mSlack = documents::ReadNumber(
+    section, "slack", warmUp.mSlack, { 0, kHighestCount });
+  CloseSection(section);
+  return warmUp;
+}
+
 auto
 ReadLog(Section& aRoot) -> LogSettings
 {
--- a/src/settings/internal/settingssections.h
+++ b/src/settings/internal/settingssections.h
@@ -46,6 +46,10 @@
 auto
 ReadOverload(documents::Section& aRoot) -> OverloadOptions;
 
+/// No value when the section is absent.
+auto
+ReadWarmUp(documents::Section& aRoot) -> std::optional<WarmUpSettings>;
+
 auto
 ReadLog(documents::Section& aRoot) -> LogSettings;
 
--- a/src/settings/tests/settings_tests.cpp
+++ b/src/settings/tests/settings_tests.cpp
@@ -231,6 +231,9 @@
   window: 10 s
 overload:
   defer: true
+warm_up:
+  overshoot: 1.5
+  slack: 5
 keys:
   peer_file: deploy/peer.key
 )";
@@ -248,6 +251,7 @@
   BOOST_TEST(settings.mValue->mDiscovery.mMayFound);
   BOOST_TEST(settings.mValue->mRetries.mSlack == 104);
   BOOST_TEST(settings.mValue->mOverload.mDefersLate);
+  BOOST_TEST((settings.mValue->mWarmUp == WarmUpSettings{ 1.5, 5 }));
 }
 
 /// A platform scales its bounds with the size of a deployment.
@@ -264,6 +268,18 @@
   BOOST_TEST((settings.mValue->mRetries.mWindow == Millis(9500)));
 }
 
+/// A platform without the bound leaves the section out.
+BOOST_AUTO_TEST_CASE(WithoutItsSectionThereIsNoWarmUpBound)
+{
+  const auto text =
+    Replace(kDiscovered, "warm_up:\n  overshoot: 1.5\n  slack: 5\n", "");
+  const auto settings =
+    CollectOutcome<Settings>([&] { return ParseSettings(text, "s.yaml"); });
+  BOOST_REQUIRE_MESSAGE(settings.mValue.has_value(),
+                        FormatFindings(settings.mFindings));
+  BOOST_TEST(!settings.mValue->mWarmUp.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(ContradictionsOfDiscoveryAreFound)
 {
   const auto cases = std::array{
@@ -276,6 +292,9 @@
     WrongCase{ "peer: 10.1.0.40:7340", "", "listen.peer: missing" },
     WrongCase{ "ratio: 0.2", "ratio: 7", "retries.ratio" },
     WrongCase{ "defer: true", "defer: 3", "overload.defer" },
+    WrongCase{ "overshoot: 1.5", "overshoot: -1", "warm_up.overshoot" },
+    WrongCase{ "  overshoot: 1.5\n", "", "warm_up.overshoot: missing" },
+    WrongCase{ "slack: 5\n", "slack: much\n", "warm_up.slack" },
     WrongCase{ "adapter: platform", "adapter: other", "adapter: " },
   };
   for (const auto& it : cases) {
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -196,6 +196,17 @@
   auto operator==(const OverloadOptions&) const -> bool = default;
 };
 
+/// Tolerance of the rate that a service states for its cold endpoints: in any
+/// one second one may get the rate x mOvershoot + mSlack requests; see
+/// policy/warmup.h.
+struct WarmUpSettings
+{
+  double mOvershoot = 1;
+  double mSlack = 0;
+
+  auto operator==(const WarmUpSettings&) const -> bool = default;
+};
+
 struct LogSettings
 {
   /// Empty for standard output.
@@ -227,6 +238,8 @@
   DiscoverySettings mDiscovery;
   RetryBudgetSettings mRetries;
   OverloadOptions mOverload;
+  /// Empty: cold endpoints get requests like others.
+  std::optional<WarmUpSettings> mWarmUp;
   LogSettings mLog;
 
   auto operator==(const Settings&) const -> bool = default;
