Keep the bound for cold endpoints

When the engines of a domain came back at once, all instances sent to them, as the idle ones, and above the bound they crash. Each instance now decides by signs which endpoints are cold (notices, answers, reports of other instances, failed connections, the end of an evacuation) and sends them no more than its share; CheckSend is the one place where that is decided. A new share starts empty. Without a rate in the routing document or without the settings section warm_up no decision changes.

SendFlight repeats the check: the last of several claims of a slot was sent whatever had happened since, also to an evacuated domain.

An endpoint that was not reached is cold until the next contact; since an instance without a share never has one, this ends where it hears of the endpoint's heartbeats and a restart would have been announced.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -44,6 +44,11 @@
   std::uint64_t mMalformedStatements = 0;
   /// Requests refused because of what endpoints had stated.
   std::uint64_t mLimitRefusals = 0;
+  /// Requests sent to cold endpoints.
+  std::uint64_t mColdSends = 0;
+  /// Requests refused for lack of capacity while cold endpoints of their
+  /// service accepted none from this instance.
+  std::uint64_t mWarmUpRefusals = 0;
   /// Answers by which endpoints asked this instance for time.
   std::uint64_t mPausesAsked = 0;
   /// Requests sent through other instances.
@@ -149,6 +154,11 @@
 auto
 CountLimitedEndpoints(const Forwarder& aForwarder) -> std::size_t;
 
+/// Returns the number of endpoints that are cold as far as this instance knows
+/// and whose service has a bound for that.
+auto
+CountColdEndpoints(const Forwarder& aForwarder) -> std::size_t;
+
 /// Returns the number of requests and parts of prompts with a crash of an
 /// endpoint against them.
 auto
--- a/src/forwarding/internal/ending.cpp
+++ b/src/forwarding/internal/ending.cpp
@@ -2,6 +2,7 @@
 #include "forwarding/internal/harmfulrequests.h"
 #include "forwarding/internal/relaying.h"
 #include "forwarding/internal/statements.h"
+#include "forwarding/internal/warmup.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -121,6 +122,9 @@
                       : isRefusal         ? kForwardRefusedEvent
                                           : kForwardFailedEvent;
   const auto now = aForwarder.mPorts.mNow();
+  const auto withheld = isRefusal && failure.mKind == FailureKind::NoCapacity
+                          ? NoteWarmUpRefusal(aForwarder, aFlight)
+                          : std::size_t{ 0 };
   LogEvent(event,
            { { "request", aFlight.mRequest.mId.mValue },
              { "reason", ToText(failure.mKind) },
@@ -131,6 +135,7 @@
              { "events", aFlight.mEvents },
              { "suspect", aFlight.mHarmful.value_or(0) },
              { "relayed", aFlight.mIsRelayed },
+             { "cold", withheld },
              { "age_ms", MillisBetween(aFlight.mArrived, now).count() },
              { "retry_after_ms",
                failure.mRetryAfter ? failure.mRetryAfter->count() : -1 } });
@@ -183,6 +188,15 @@
     NoteUnreached(aForwarder, aFlight);
     --aFlight.mSends;
     ReturnSend(aForwarder, endpoint);
+    if (std::exchange(aFlight.mAttempt.mIsWarmUpDrawn, false)) {
+      ReturnWarmUp(aForwarder, endpoint);
+    }
+  }
+  const auto isUnreached =
+    aOutcome == SendOutcome::NotConnected ||
+    (aOutcome == SendOutcome::Unanswered && aFlight.mAttempt.mStatus == 0);
+  if (isUnreached) {
+    NoteUnreachedEndpoint(aForwarder, endpoint);
   }
   const auto mayRepeat =
     MayRepeatFlight(aForwarder, aFlight, aOutcome) &&
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "forwarding/internal/forwarderstate.h"
 #include "forwarding/internal/harmfulrequests.h"
 #include "forwarding/internal/statements.h"
+#include "forwarding/internal/warmup.h"
 #include "forwarding/requestdigest.h"
 #include "forwarding/types/forwardevents.h"
 
@@ -309,6 +310,7 @@
       aForwarder.mEndpointsByKey.erase(Checksum(id.mValue));
     } else {
       aForwarder.mEndpointsByKey[Checksum(id.mValue)] = id;
+      NoteWarmUpNotice(aForwarder, notice, aUpdate.mIsWhole);
     }
   }
   SchedulePlacement(aForwarder, true);
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -61,6 +61,8 @@
   std::vector<AssignedWork> mWork;
   /// mWork was announced to the other entry instances.
   bool mIsAnnounced = false;
+  /// Was counted against this instance's share of a cold endpoint.
+  bool mIsWarmUpDrawn = false;
 };
 
 /// A request in flight.
@@ -158,6 +160,42 @@
   std::uint64_t mShareVersion = 0;
 };
 
+/// How this instance learned that an endpoint is cold.
+enum class WarmUpSign : std::uint8_t
+{
+  Notice,
+  Answer,
+  /// Another instance had the answer.
+  Report,
+  Unreached,
+  /// Its failure domain is no longer evacuated.
+  Restored
+};
+
+/// What is known of the warm-up of one incarnation of an endpoint, and this
+/// instance's share of what it accepts until then.
+struct WarmUpState
+{
+  Incarnation mIncarnation = 0;
+  /// The last sign.
+  WarmUpSign mSign = WarmUpSign::Notice;
+  TimePoint mLearnedAt{};
+  TimePoint mColdUntil{};
+  /// It was not reached, and may have restarted or still restart until the next
+  /// contact.
+  bool mAwaitsContact = false;
+  /// When a restart would have been announced to an instance that is connected.
+  TimePoint mAnnouncedUntil{};
+  /// By answers to this instance; reported to the others.
+  TimePoint mStatedUntil{};
+  SendAllowance mAllowance;
+  /// This instance's share at these versions of the roster and the routing
+  /// document.
+  double mShare = 0;
+  std::uint64_t mRosterVersion = 0;
+  routing::Version mRoutingVersion = 0;
+};
+
 /// The load reported by another entry instance.
 struct RemoteLoad
 {
@@ -228,6 +266,8 @@
   /// By checksum of the endpoint's id.
   std::unordered_map<std::uint64_t, StatedEndpoint> mStated;
   std::size_t mNextReported = 0;
+  /// The endpoints that are cold, by checksum of their ids.
+  std::unordered_map<std::uint64_t, WarmUpState> mWarmUps;
   SuspectKnowledge mSuspects;
   Reach mReach;
   /// Instances that refused a relayed request or gave no answer, until when
--- a/src/forwarding/internal/health.cpp
+++ b/src/forwarding/internal/health.cpp
@@ -1,4 +1,5 @@
 #include "forwarding/internal/forwarderstate.h"
+#include "forwarding/internal/warmup.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -14,6 +15,7 @@
   auto& health = aForwarder.mHealth[aEndpoint];
   health.mFailuresInRow = 0;
   health.mEjectedUntil = {};
+  NoteContact(aForwarder, aEndpoint);
 }
 
 auto
--- a/src/forwarding/internal/loadnotice.cpp
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -26,6 +26,7 @@
     to.setRequestsPerSecond(it.mLimit.mRate.value_or(kNoRate));
     to.setVersion(it.mLimit.mVersion);
     to.setIsLeaving(it.mIsLeaving);
+    to.setColdMillis(static_cast<std::uint32_t>(it.mWarmUpTime.count()));
   }
 }
 
@@ -44,7 +45,8 @@
       { it.getEndpoint(),
         it.getIncarnation(),
         { rate < 0 ? std::nullopt : std::optional(rate), it.getVersion() },
-        it.getIsLeaving() });
+        it.getIsLeaving(),
+        Millis(it.getColdMillis()) });
   }
   return statements;
 }
--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/internal/forwarderstate.h"
 #include "forwarding/internal/harmfulrequests.h"
 #include "forwarding/internal/statements.h"
+#include "forwarding/internal/warmup.h"
 
 #include <algorithm>
 
@@ -65,12 +66,20 @@
     FailFlight(aForwarder, aFlight, *failure);
     return;
   }
+  // NOTE: the last claim of a slot ends in a send whatever happened since. A
+  // placement takes only endpoints that pass this check.
+  if (!MaySendNow(CheckSend(aForwarder, aAttempt))) {
+    ReleaseMemory(aForwarder, aAttempt);
+    PlaceAgain(aForwarder, aFlight);
+    return;
+  }
   if (aFlight.mSends++ > 0) {
     Draw(aForwarder.mBudgets[aFlight.mService->mName], now);
     ++aForwarder.mCounters.mRepeats;
   }
   ++aForwarder.mCounters.mSends;
   DrawSend(aForwarder, aAttempt.mEndpoint);
+  aAttempt.mIsWarmUpDrawn = DrawWarmUp(aForwarder, aAttempt.mEndpoint);
   aFlight.mTried.insert(aAttempt.mEndpoint);
   aAttempt.mSentAt = now;
   const auto endpoint = aForwarder.mView.mEntries.find(aAttempt.mEndpoint);
--- a/src/forwarding/internal/statements.cpp
+++ b/src/forwarding/internal/statements.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/internal/statements.h"
 
 #include "base/digest.h"
+#include "forwarding/internal/warmup.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -130,6 +131,27 @@
   return &state;
 }
 
+/// Applies what an answer states about the present incarnation of its endpoint,
+/// apart from its warm-up. Returns true if that is news.
+auto
+ApplyStatement(Forwarder& aForwarder,
+               const StatementSource& aSource,
+               const EndpointStatement& aStatement) -> bool
+{
+  const auto key = Checksum(aSource.mEndpoint.mValue);
+  auto hasNews = false;
+  if (aStatement.mIsLeaving) {
+    hasNews |= SetLeaving(aForwarder, key, "answer");
+  }
+  if (aStatement.mPause) {
+    SetPause(aForwarder, key, *aStatement.mPause);
+  }
+  if (aStatement.mRequestRate || !aStatement.mIsMalformed) {
+    hasNews |= NoteLimit(aForwarder, key, aSource, aStatement.mRequestRate);
+  }
+  return hasNews;
+}
+
 /// Returns what the present incarnation of an endpoint has stated, or null.
 auto
 FindStated(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
@@ -165,6 +187,36 @@
   return aState.mShare;
 }
 
+/// Checks what the endpoint stated, apart from its warm-up.
+auto
+CheckStated(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
+  -> SendCheck
+{
+  auto* state = FindStated(aForwarder, aEndpoint);
+  if (state == nullptr) {
+    return {};
+  }
+  if (state->mIsLeaving) {
+    return { false, std::nullopt, false };
+  }
+  const auto now = aForwarder.mPorts.mNow();
+  const auto pause =
+    now < state->mPausedUntil
+      ? std::max(MillisBetween(now, state->mPausedUntil), Millis(1))
+      : Millis(0);
+  if (!state->mLimit.mRate) {
+    return { false, pause, false };
+  }
+  const auto& rules = aForwarder.mSettings.mLimits;
+  const auto share = ShareOf(aForwarder, *state, aEndpoint);
+  state->mAllowance = Replenish(state->mAllowance, share, now, rules);
+  const auto untilSend = TimeUntilSend(state->mAllowance, share);
+  return { true,
+           untilSend ? std::optional(std::max(*untilSend, pause))
+                     : std::nullopt,
+           now >= state->mAnsweredAt + rules.mTrialInterval };
+}
+
 auto
 AddSends(Forwarder& aForwarder, const EndpointId& aEndpoint, double aRequests)
   -> bool
@@ -214,21 +266,18 @@
     entry != aForwarder.mView.mEntries.end() &&
     entry->second.mNotice.mIncarnation == aSource.mIncarnation;
   const auto key = Checksum(aSource.mEndpoint.mValue);
-  const auto hasStatement =
-    aStatement.mRequestRate || aStatement.mIsLeaving || aStatement.mPause;
-  if (!isPresent || (!hasStatement && !aForwarder.mStated.contains(key)) ||
-      OpenState(aForwarder, key, aSource.mIncarnation) == nullptr) {
+  if (!isPresent) {
     return;
   }
-  auto hasNews = false;
-  if (aStatement.mIsLeaving) {
-    hasNews |= SetLeaving(aForwarder, key, "answer");
-  }
-  if (aStatement.mPause) {
-    SetPause(aForwarder, key, *aStatement.mPause);
-  }
-  if (aStatement.mRequestRate || !aStatement.mIsMalformed) {
-    hasNews |= NoteLimit(aForwarder, key, aSource, aStatement.mRequestRate);
+  auto hasNews = aStatement.mWarmUpTime &&
+                 NoteStatedWarmUp(aForwarder, aSource, *aStatement.mWarmUpTime);
+  const auto hasStatement =
+    aStatement.mRequestRate || aStatement.mIsLeaving || aStatement.mPause;
+  const auto isApplied =
+    (hasStatement || aForwarder.mStated.contains(key)) &&
+    OpenState(aForwarder, key, aSource.mIncarnation) != nullptr;
+  if (isApplied) {
+    hasNews |= ApplyStatement(aForwarder, aSource, aStatement);
   }
   if (hasNews) {
     SendLoadNotice(aForwarder, true);
@@ -240,29 +289,15 @@
 CheckSend(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
   -> SendCheck
 {
-  auto* state = FindStated(aForwarder, aEndpoint);
-  if (state == nullptr) {
-    return {};
+  auto check = CheckStated(aForwarder, aEndpoint);
+  if (const auto warmUp = CheckWarmUp(aForwarder, aEndpoint)) {
+    check.mIsLimited = true;
+    check.mUntilSend =
+      check.mUntilSend && warmUp->mUntilSend
+        ? std::optional(std::max(*check.mUntilSend, *warmUp->mUntilSend))
+        : std::nullopt;
   }
-  if (state->mIsLeaving) {
-    return { false, std::nullopt, false };
-  }
-  const auto now = aForwarder.mPorts.mNow();
-  const auto pause =
-    now < state->mPausedUntil
-      ? std::max(MillisBetween(now, state->mPausedUntil), Millis(1))
-      : Millis(0);
-  if (!state->mLimit.mRate) {
-    return { false, pause, false };
-  }
-  const auto& rules = aForwarder.mSettings.mLimits;
-  const auto share = ShareOf(aForwarder, *state, aEndpoint);
-  state->mAllowance = Replenish(state->mAllowance, share, now, rules);
-  const auto untilSend = TimeUntilSend(state->mAllowance, share);
-  return { true,
-           untilSend ? std::optional(std::max(*untilSend, pause))
-                     : std::nullopt,
-           now >= state->mAnsweredAt + rules.mTrialInterval };
+  return check;
 }
 
 auto
@@ -301,6 +336,7 @@
 ForgetStatements(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void
 {
   aForwarder.mStated.erase(Checksum(aEndpoint.mValue));
+  aForwarder.mWarmUps.erase(Checksum(aEndpoint.mValue));
 }
 
 auto
@@ -311,9 +347,10 @@
   for (const auto& [key, state] : aForwarder.mStated) {
     if (IsReportable(state, now)) {
       all.push_back(
-        { key, state.mIncarnation, state.mLimit, state.mIsLeaving });
+        { key, state.mIncarnation, state.mLimit, state.mIsLeaving, Millis(0) });
     }
   }
+  AddReportedWarmUps(aForwarder, all);
   if (all.size() <= kMaxReported) {
     return all;
   }
@@ -337,6 +374,9 @@
     const auto isKnown = aForwarder.mEndpointsByKey.contains(it.mEndpoint);
     const auto hasNews = it.mLimit.mRate || it.mIsLeaving ||
                          aForwarder.mStated.contains(it.mEndpoint);
+    if (isKnown) {
+      ApplyReportedWarmUp(aForwarder, it);
+    }
     if (!isKnown || !hasNews) {
       continue;
     }
@@ -378,10 +418,11 @@
   const auto now = aForwarder.mPorts.mNow();
   aForwarder.mIsNoticeDue |=
     now >= aForwarder.mNoticeSentAt + kReportInterval &&
-    std::any_of(
-      aForwarder.mStated.begin(),
-      aForwarder.mStated.end(),
-      [&](const auto& aItem) { return IsReportable(aItem.second, now); });
+    (HasReportedWarmUps(aForwarder) ||
+     std::any_of(
+       aForwarder.mStated.begin(),
+       aForwarder.mStated.end(),
+       [&](const auto& aItem) { return IsReportable(aItem.second, now); }));
 }
 
 auto
--- a/src/forwarding/internal/statements.h
+++ b/src/forwarding/internal/statements.h
@@ -3,7 +3,8 @@
 #include "forwarding/internal/forwarderstate.h"
 
 /// What endpoints state about themselves in their answers: that they leave,
-/// want no requests for a time, or accept a limited rate.
+/// want no requests for a time, or accept a limited rate. How they warm up is
+/// in warmup.h.
 namespace cuminslip::forwarding {
 
 /// An answer as evidence about its endpoint.
@@ -21,9 +22,10 @@
 /// Whether an endpoint may be sent a request.
 struct SendCheck
 {
+  /// It has a request limit or is cold.
   bool mIsLimited = false;
   /// Time until this instance may send, 0 for now; empty if the endpoint leaves
-  /// or this instance holds no share of its limit.
+  /// or this instance holds no share of what it accepts.
   std::optional<Millis> mUntilSend = Millis(0);
   /// The limit was not confirmed lately and may have ended.
   bool mIsTrialDue = false;
@@ -40,6 +42,7 @@
               const StatementSource& aSource,
               const EndpointStatement& aStatement) -> void;
 
+/// Checks what the endpoint stated, and the bound for cold endpoints.
 auto
 CheckSend(Forwarder& aForwarder, const directory::EndpointNotice& aEndpoint)
   -> SendCheck;
--- a/src/forwarding/loadnotice.capnp
+++ b/src/forwarding/loadnotice.capnp
@@ -26,6 +26,8 @@
   requestsPerSecond @2 :Float64;
   version @3 :UInt64;
   isLeaving @4 :Bool;
+  # Remaining time for which the endpoint is cold, by an answer to the sender.
+  coldMillis @5 :UInt32;
 }
 
 struct EndpointCrash {
--- a/src/forwarding/loadnotice.h
+++ b/src/forwarding/loadnotice.h
@@ -37,6 +37,8 @@
   RequestLimit mLimit;
   /// The endpoint is about to leave.
   bool mIsLeaving = false;
+  /// Remaining time for which the endpoint is cold, by an answer to the sender.
+  Millis mWarmUpTime{ 0 };
 
   auto operator==(const ReportedStatement&) const -> bool = default;
 };
--- a/src/forwarding/tests/fakeworld.h
+++ b/src/forwarding/tests/fakeworld.h
@@ -93,6 +93,9 @@
       if (const auto pause = wire::FindHeader(aHeaders, "pause")) {
         facts.mStatement.mPause = Millis(std::stoi(*pause));
       }
+      if (const auto cold = wire::FindHeader(aHeaders, "cold")) {
+        facts.mStatement.mWarmUpTime = Millis(std::stoi(*cold));
+      }
       facts.mStatement.mIsLeaving =
         wire::FindHeader(aHeaders, "leaving").has_value();
       facts.mStatement.mIsMalformed =
--- a/src/forwarding/types/forwardevents.h
+++ b/src/forwarding/types/forwardevents.h
@@ -72,4 +72,9 @@
 inline constexpr auto kEvacuationsInForceEvent =
   Event{ 2030, "forward_evacuations", Severity::Info };
 
+inline constexpr auto kEndpointColdEvent =
+  Event{ 2031, "endpoint_cold", Severity::Info };
+inline constexpr auto kEndpointWarmEvent =
+  Event{ 2032, "endpoint_warm", Severity::Info };
+
 } // namespace cuminslip::forwarding
--- a/src/forwarding/types/forwardsettings.h
+++ b/src/forwarding/types/forwardsettings.h
@@ -17,6 +17,17 @@
 
 namespace cuminslip::forwarding {
 
+/// How this instance keeps the bound for cold endpoints; see policy/warmup.h.
+struct WarmUpRules
+{
+  double mOvershoot = 1;
+  double mSlack = 0;
+  /// Interval at which endpoints state in heartbeats how long they stay cold.
+  Millis mHeartbeat{ 1200 };
+
+  auto operator==(const WarmUpRules&) const -> bool = default;
+};
+
 struct ForwardSettings
 {
   FailureDomainId mFailureDomain;
@@ -30,6 +41,8 @@
   GroupRules mGroups;
   BorrowRules mBorrowing;
   LimitRules mLimits;
+  /// Empty: cold endpoints get requests like others.
+  std::optional<WarmUpRules> mWarmUp;
   RosterRules mRoster;
   CrashRules mCrashes;
   ReachRules mReach;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -211,6 +211,11 @@
   if (settings.mOverload.mDefersLate) {
     forward.mDeferral.emplace();
   }
+  if (settings.mWarmUp) {
+    forward.mWarmUp = { settings.mWarmUp->mOvershoot,
+                        settings.mWarmUp->mSlack,
+                        settings.mDiscovery.mHeartbeat };
+  }
   if (settings.mListen.mRelay) {
     BOOST_LEAF_AUTO(key, LoadPeerKey(settings));
     forward.mRelayPort = settings.mListen.mRelay->mPort;
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -115,6 +115,16 @@
           "Endpoints that get no requests since their failure domain is "
           "evacuated.",
           static_cast<double>(forwarding::CountEvacuatedEndpoints(aForwarder))),
+    Gauge("cuminslip_forward_cold_endpoints",
+          "Endpoints that get a limited rate since they are cold.",
+          static_cast<double>(forwarding::CountColdEndpoints(aForwarder))),
+    Counter("cuminslip_forward_cold_sends_total",
+            "Requests sent to cold endpoints.",
+            counters.mColdSends),
+    Counter("cuminslip_forward_warm_up_refusals_total",
+            "Requests refused while cold endpoints accepted none from this "
+            "instance.",
+            counters.mWarmUpRefusals),
     Counter("cuminslip_forward_deferred_total",
             "Short prompts that waited since no engine could answer in time.",
             counters.mDeferred),
