Tell all load groups at once when an answer states that its endpoint is cold

Where all engines become cold at once and only their answers say so, instances borrowed engines of other groups that knew them to be cold: in the worst second 33 of 49 requests to one engine came from another group. The news went to the own group, and to the others with a summary, up to 500 ms later. It now goes to all groups; it is news only where the endpoint was not known to be cold that long, so that few instances send it.

--- a/src/forwarding/internal/warmup.cpp
+++ b/src/forwarding/internal/warmup.cpp
@@ -299,12 +299,20 @@
     return false;
   }
   const auto until = now + aWarmUpTime;
-  const auto isNews = until >= state->mStatedUntil + kMinExtension;
+  const auto isNews = until >= state->mColdUntil + kMinExtension;
   state->mColdUntil = isRefuted ? until : std::max(state->mColdUntil, until);
   state->mAwaitsContact = state->mAwaitsContact && !isRefuted;
   state->mStatedUntil = std::max(state->mStatedUntil, until);
-  aForwarder.mIsNoticeDue |= isNews;
-  return isNews;
+  if (!isNews) {
+    return false;
+  }
+  // NOTE: where an engine becomes cold, instances of other groups may borrow it
+  // before they hear of that in a summary.
+  for (const auto& [group, members] : aForwarder.mMembers) {
+    aForwarder.mNotifiedGroups.insert(group);
+  }
+  aForwarder.mIsNoticeDue = true;
+  return true;
 }
 
 auto
--- a/src/forwarding/tests/warmup_tests.cpp
+++ b/src/forwarding/tests/warmup_tests.cpp
@@ -1,9 +1,8 @@
+#include "base/digest.h"
 #include "evacuation/evacuation.h"
 #include "forwarding/loadnotice.h"
 #include "forwarding/tests/fakeworld.h"
 
-#include "base/digest.h"
-
 using namespace cuminslip;
 using namespace cuminslip::forwarding;
 using namespace cuminslip::forwarding::testing;
@@ -173,6 +172,21 @@
   BOOST_TEST(SendsOf(5) == 5U);
 }
 
+// Instances of other groups that borrow the engine heard of it in the next
+// summary only, up to half a second later.
+BOOST_AUTO_TEST_CASE(InstancesOfAllGroupsHearOfAStatementAtOnce)
+{
+  LoseShare();
+  mNotices.clear();
+  Ask(MakeRequest("read"));
+  Answer(LastSend(), 200, Stating(2000), "");
+  const auto n =
+    std::count_if(mNotices.begin(), mNotices.end(), [](const auto& aItem) {
+      return aItem.first.starts_with("10.0.2.");
+    });
+  BOOST_TEST(n == 60);
+}
+
 BOOST_AUTO_TEST_CASE(AReportCountsButIsNotRepeated)
 {
   HandleLoadNotice(
