Merge the founding of control logs

Reviewed: a founder without a durable entry forgets its log only where no commit floor was written, so that a disk that lost entries is not taken for one. A check of the founding term was tried too and is wrong: 12 cases of APowerLossWhileFoundingLeavesAWholeLogOrNone fail, as the vote of the founder's first election may be durable before its first entry. Control and peers pass.

--- a/src/control/internal/corestep.cpp
+++ b/src/control/internal/corestep.cpp
@@ -151,12 +151,14 @@
 
 /// True when this member founded a control log whose first entry was not
 /// durable yet. Only a founder votes for itself without an entry, and it can't
-/// have been elected, so that no other member belongs to that log.
+/// have been elected, so that no other member belongs to that log. A commit
+/// floor means that entries were lost.
 auto
-IsHalfFounded(const CoreState& aState) -> bool
+IsHalfFounded(const CoreState& aState, Revision aCommitFloor) -> bool
 {
   return aState.mVote.mVote == aState.mVote.mMember &&
-         LastIndex(aState.mLog) == 0 && aState.mSnapshot.mIndex == 0;
+         aCommitFloor == 0 && LastIndex(aState.mLog) == 0 &&
+         aState.mSnapshot.mIndex == 0;
 }
 
 auto
@@ -236,7 +238,7 @@
            aItem.mIndex <= state.mSnapshot.mIndex;
   });
   state.mDurable = LastIndex(state.mLog);
-  if (IsHalfFounded(state)) {
+  if (IsHalfFounded(state, aDisk.mCommitFloor)) {
     state.mVote.mCluster = 0;
   }
   state.mApplied = state.mSnapshot.mIndex;
