Order waiting prompts by the loss avoided for each engine millisecond

Long prompts are placed in the order of arrival and refused after half of their time, whatever is ahead of them: with more long work than the engines prefill, a few very long prompts make many others late, and prompts without a chance hold their callers for seconds.

policy/workorder.h orders the waiting prompts and decides by a forecast whether one waits or is refused. Nothing uses it yet.

--- a/bench/decisioncost.cpp
+++ b/bench/decisioncost.cpp
@@ -1,15 +1,18 @@
 #include "policy/endpointchoice.h"
 #include "policy/prefixhashes.h"
 #include "policy/waitqueue.h"
+#include "policy/workorder.h"
 
 #include "base/digest.h"
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <fstream>
 #include <string>
+#include <vector>
 
 using namespace cuminslip;
 
@@ -225,6 +228,66 @@
   std::printf("| prefix hashes of %zu bytes | %.0f |\n", aBytes, nanos);
 }
 
+/// Returns the median time of a call.
+template<class Function>
+auto
+MedianNanos(std::size_t aRounds, Function aFunction) -> double
+{
+  auto times = std::vector<double>{};
+  for (auto i = std::size_t{ 0 }; i < aRounds; ++i) {
+    const auto begin = std::chrono::steady_clock::now();
+    aFunction();
+    const auto time = std::chrono::steady_clock::now() - begin;
+    times.push_back(std::chrono::duration<double, std::nano>(time).count());
+  }
+  std::sort(times.begin(), times.end());
+  return times[times.size() / 2];
+}
+
+/// Prints the time to order waiting prompts, and to decide on one of them.
+auto
+PrintWorkOrder(std::size_t aWaiting, std::size_t aEngines) -> void
+{
+  constexpr auto kRounds = std::size_t{ 2000 };
+  const auto rules = WorkOrderRules{};
+  auto prompts = std::vector<WaitingPrompt>{};
+  for (auto i = std::size_t{ 0 }; i < aWaiting; ++i) {
+    const auto tokens = static_cast<std::int64_t>(1000 + i * 7919 % 190000);
+    prompts.push_back({ i,
+                        { "client-account-" + std::to_string(i % 40) },
+                        static_cast<int>(i % 3),
+                        static_cast<double>(tokens) / 100,
+                        tokens,
+                        Millis(3000),
+                        Millis(i * 31 % 4000),
+                        Millis(12000),
+                        false });
+  }
+  const auto busy = std::vector<double>(aEngines, 700.0);
+  const auto context = WorkContext{ static_cast<double>(aEngines), {} };
+  const auto order = MedianNanos(
+    kRounds, [&] { sSink = OrderWork(prompts, rules, context).front(); });
+  auto next = std::size_t{ 0 };
+  const auto decide = MedianNanos(kRounds, [&] {
+    auto sum = 0.0;
+    for (const auto it : busy) {
+      sum += it;
+    }
+    next = (next + 1) % aWaiting;
+    const auto forecast =
+      RoomForecast{ context.mEngines,
+                    sum / context.mEngines,
+                    WorkAhead(prompts, next, rules, context) };
+    const auto decision = DecideWait(prompts[next], forecast, rules);
+    sSink = static_cast<std::size_t>(decision.mRetryAfter.count());
+  });
+  std::printf("| order of %zu waiting prompts | %.0f |\n", aWaiting, order);
+  std::printf("| one of %zu waiting prompts, %zu engines, median | %.0f |\n",
+              aWaiting,
+              aEngines,
+              decide);
+}
+
 } // namespace
 
 auto
@@ -244,6 +307,8 @@
   PrintWaitPrediction(10, 10);
   PrintWaitPrediction(290, 10);
   PrintWaitPrediction(290, 30);
+  PrintWorkOrder(50, 45);
+  PrintWorkOrder(1000, 200);
   PrintHashing(8000);
   PrintHashing(4000000);
   PrintMemory();
--- /dev/null
+++ b/src/policy/internal/workorder.cpp
@@ -0,0 +1,221 @@
+#include "policy/workorder.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string_view>
+#include <tuple>
+#include <unordered_map>
+
+namespace cuminslip {
+
+namespace {
+
+auto
+ToMillis(Millis aTime) -> double
+{
+  return static_cast<double>(aTime.count());
+}
+
+/// Sorts prompts; the lowest comes first.
+struct WorkKey
+{
+  int mPriority = 0;
+  bool mIsOverShare = false;
+  bool mIsUnpromoted = false;
+  bool mIsLate = false;
+  /// Negative, so that the greatest loss comes first.
+  double mLossPerMilli = 0;
+  Millis mAllowance{ 0 };
+  std::uint64_t mId = 0;
+
+  auto operator<=>(const WorkKey&) const = default;
+};
+
+/// The work of each account that has any. The keys refer to the accounts of the
+/// prompts and of the context.
+using AccountLoads = std::unordered_map<std::string_view, double>;
+
+auto
+SumByAccount(std::span<const WaitingPrompt> aPrompts,
+             const WorkContext& aContext) -> AccountLoads
+{
+  auto loads = AccountLoads{};
+  for (const auto& it : aPrompts) {
+    loads[it.mAccount.mValue] += it.mEngineMillis;
+  }
+  for (const auto& it : aContext.mRunning) {
+    loads[it.mAccount.mValue] += it.mEngineMillis;
+  }
+  return loads;
+}
+
+/// Keeps the accounts with more than their share of the work.
+auto
+ListOverShare(std::span<const WaitingPrompt> aPrompts,
+              const WorkOrderRules& aRules,
+              const WorkContext& aContext) -> AccountLoads
+{
+  auto loads = SumByAccount(aPrompts, aContext);
+  auto sum = 0.0;
+  for (const auto& [account, load] : loads) {
+    sum += load;
+  }
+  const auto limit =
+    sum * aRules.mMaxAccountShare / static_cast<double>(loads.size());
+  std::erase_if(loads,
+                [&](const auto& aItem) { return aItem.second <= limit; });
+  return loads;
+}
+
+auto
+ValueOf(const WaitingPrompt& aPrompt, const WorkOrderRules& aRules) -> double
+{
+  return std::max(1.0,
+                  static_cast<double>(aPrompt.mTokens) /
+                    std::max(aRules.mTokensPerValue, 1.0));
+}
+
+auto
+MakeKey(const WaitingPrompt& aPrompt,
+        const AccountLoads& aOverShare,
+        const WorkOrderRules& aRules,
+        const WorkContext& aContext) -> WorkKey
+{
+  const auto prefill = SharedPrefillMillis(aPrompt, aContext.mEngines, aRules);
+  const auto untilStart = ToMillis(aPrompt.mAllowance) - prefill;
+  const auto isPromoted =
+    untilStart >= 0 && untilStart <= ToMillis(aRules.mPromotionTime);
+  const auto isLate =
+    ToMillis(aPrompt.mWaited) + prefill > ToMillis(aPrompt.mAnswerTarget);
+  const auto loss = ValueOf(aPrompt, aRules) *
+                    (isLate ? 1 - aRules.mLateLoss : aRules.mLateLoss);
+  return { aPrompt.mPriority,
+           !aOverShare.empty() && aOverShare.contains(aPrompt.mAccount.mValue),
+           !isPromoted,
+           isLate,
+           -loss / std::max(aPrompt.mEngineMillis, 1.0),
+           aPrompt.mAllowance,
+           aPrompt.mId };
+}
+
+/// Returns a time within the bounds of Retry-After.
+auto
+BoundRetry(const WaitingPrompt& aPrompt,
+           double aMillis,
+           const WorkOrderRules& aRules,
+           double aDraw) -> Millis
+{
+  const auto most = std::max(ToMillis(aPrompt.mAllowance), 0.0) *
+                    aRules.mMaxRetryShare / (1 + aRules.mRetrySpread);
+  const auto time =
+    std::min(std::max(aMillis, ToMillis(aRules.mMinRetry)), most);
+  return Millis(std::llround(time * (1 + aRules.mRetrySpread * aDraw)));
+}
+
+} // namespace
+
+auto
+SharedPrefillMillis(const WaitingPrompt& aPrompt,
+                    double aEngines,
+                    const WorkOrderRules& aRules) -> double
+{
+  const auto parts = std::floor(aPrompt.mEngineMillis /
+                                std::max(ToMillis(aRules.mMinPartTime), 1.0));
+  const auto readers =
+    std::max(std::min({ parts, aRules.mMaxReaders, aEngines }), 1.0);
+  return aPrompt.mEngineMillis / readers;
+}
+
+auto
+CanMeetTarget(const WaitingPrompt& aPrompt,
+              double aEngines,
+              const WorkOrderRules& aRules) -> bool
+{
+  return ToMillis(aPrompt.mWaited) +
+           SharedPrefillMillis(aPrompt, aEngines, aRules) <=
+         ToMillis(aPrompt.mAnswerTarget);
+}
+
+auto
+OrderWork(std::span<const WaitingPrompt> aPrompts,
+          const WorkOrderRules& aRules,
+          const WorkContext& aContext) -> std::vector<std::size_t>
+{
+  const auto overShare = ListOverShare(aPrompts, aRules, aContext);
+  auto keys = std::vector<std::pair<WorkKey, std::size_t>>{};
+  keys.reserve(aPrompts.size());
+  for (auto i = std::size_t{ 0 }; i < aPrompts.size(); ++i) {
+    keys.emplace_back(MakeKey(aPrompts[i], overShare, aRules, aContext), i);
+  }
+  std::sort(keys.begin(), keys.end());
+  auto order = std::vector<std::size_t>{};
+  order.reserve(keys.size());
+  for (const auto& [key, i] : keys) {
+    order.push_back(i);
+  }
+  return order;
+}
+
+auto
+WorkAhead(std::span<const WaitingPrompt> aPrompts,
+          std::size_t aPosition,
+          const WorkOrderRules& aRules,
+          const WorkContext& aContext) -> double
+{
+  const auto overShare = ListOverShare(aPrompts, aRules, aContext);
+  const auto own = MakeKey(aPrompts[aPosition], overShare, aRules, aContext);
+  auto sum = 0.0;
+  for (const auto& it : aPrompts) {
+    sum +=
+      MakeKey(it, overShare, aRules, aContext) < own ? it.mEngineMillis : 0;
+  }
+  return sum;
+}
+
+auto
+ToText(WaitVerdict aVerdict) -> std::string_view
+{
+  switch (aVerdict) {
+    case WaitVerdict::Wait:
+      return "wait";
+    case WaitVerdict::Refuse:
+      return "refuse";
+  }
+  return "unknown";
+}
+
+auto
+DecideWait(const WaitingPrompt& aPrompt,
+           const RoomForecast& aForecast,
+           const WorkOrderRules& aRules,
+           double aDraw) -> WaitDecision
+{
+  const auto prefill = SharedPrefillMillis(aPrompt, aForecast.mEngines, aRules);
+  const auto left = ToMillis(aPrompt.mAllowance);
+  const auto start = aForecast.mBusyMillis +
+                     aForecast.mAheadMillis / std::max(aForecast.mEngines, 1.0);
+  const auto isHopeless =
+    aPrompt.mIsReturned ? prefill > left
+                        : start + prefill > left * (1 + aRules.mOverrunShare);
+  if (!isHopeless) {
+    return {};
+  }
+  return { WaitVerdict::Refuse, BoundRetry(aPrompt, start, aRules, aDraw) };
+}
+
+auto
+UrgencyOf(const WaitingPrompt& aPrompt,
+          bool aIsShort,
+          double aEngines,
+          const WorkOrderRules& aRules) -> int
+{
+  constexpr auto kShortInTime = 3;
+  constexpr auto kInTime = 5;
+  constexpr auto kLate = 7;
+  if (!CanMeetTarget(aPrompt, aEngines, aRules)) {
+    return kLate;
+  }
+  return aIsShort ? kShortInTime : kInTime;
+}
+
+} // namespace cuminslip
