--- a/src/client/internal/requeststory.cpp
+++ b/src/client/internal/requeststory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace cuminslip::client {
 
@@ -117,6 +118,39 @@
   return cause + FailedSend(aLines);
 }
 
+/// Returns a number of milliseconds of a log line, or -1.
+auto
+NumberOf(const json::object& aFields, std::string_view aName) -> double
+{
+  const auto* value = aFields.if_contains(aName);
+  return value != nullptr && value->is_number() ? value->to_number<double>()
+                                                : -1;
+}
+
+/// Tells what would have had to be different for a long prompt that was refused
+/// by a forecast of free engines; empty for other refusals.
+auto
+ForecastCause(const json::object& aRefused) -> std::string
+{
+  const auto engines = NumberOf(aRefused, "engines");
+  const auto ahead = NumberOf(aRefused, "work_ahead_ms");
+  if (engines < 0 || ahead < 0) {
+    return {};
+  }
+  const auto busy = NumberOf(aRefused, "engines_busy_ms");
+  const auto start = std::lround(busy + ahead / std::max(engines, 1.0));
+  const auto startBy = NumberOf(aRefused, "start_by_ms");
+  const auto needed =
+    startBy < 0 ? std::string("its prefill alone exceeded the time it had left")
+                : "it would have waited if it could start after at most " +
+                    TextOf(aRefused, "start_by_ms") + " ms";
+  return "; it needed " + TextOf(aRefused, "engine_ms") + " engine ms, with " +
+         TextOf(aRefused, "work_ahead_ms") + " engine ms ahead of it on " +
+         TextOf(aRefused, "engines") +
+         " engines, and would have started after " + std::to_string(start) +
+         " ms; " + needed;
+}
+
 auto
 TellCause(const std::vector<ParsedLine>& aLines) -> std::string
 {
@@ -126,7 +160,7 @@
   if (const auto* it = FindLast(aLines, "forward_refused")) {
     return "refused, and has not run: " + TextOf(*it, "reason") + " after " +
            TextOf(*it, "age_ms") + " ms, with routing version " +
-           TextOf(*it, "version") + FailedSend(aLines);
+           TextOf(*it, "version") + ForecastCause(*it) + FailedSend(aLines);
   }
   if (const auto* it = FindLast(aLines, "forward_cut")) {
     return "cut after " + TextOf(*it, "events") +
--- a/src/client/tests/requeststory_tests.cpp
+++ b/src/client/tests/requeststory_tests.cpp
@@ -60,6 +60,23 @@
                  "forward_refused",
                  R"(,"reason":"unknown_key","age_ms":0,"version":7)")) ==
     "refused, and has not run: unknown_key after 0 ms, with routing version 7");
+  BOOST_TEST(
+    CauseOf(Line(
+      9,
+      "forward_refused",
+      R"(,"reason":"no_capacity","age_ms":0,"version":7,"work_ahead_ms":90000)"
+      R"(,"engine_ms":15000,"engines":9,"engines_busy_ms":2000,"start_by_ms":10100)")) ==
+    "refused, and has not run: no_capacity after 0 ms, with routing version 7; "
+    "it needed 15000 engine ms, with 90000 engine ms ahead of it on 9 engines, "
+    "and would have started after 12000 ms; it would have waited if it could "
+    "start after at most 10100 ms");
+  BOOST_TEST(
+    CauseOf(Line(
+      9,
+      "forward_refused",
+      R"(,"reason":"no_capacity","age_ms":0,"version":7,"work_ahead_ms":-1)"
+      R"(,"engine_ms":15000,"engines":-1,"engines_busy_ms":-1,"start_by_ms":-1)")) ==
+    "refused, and has not run: no_capacity after 0 ms, with routing version 7");
   BOOST_TEST(
     CauseOf(
       kPlaced + kSendFailed +
