Place and refuse waiting prompts by the order of work, where it is set

Waiting prompts were placed by arrival and refused after half of their time, with a Retry-After that had nothing to do with the work ahead.

forward_refused states the inputs of the forecast; counters tell prompts sent late, refused at once and refused after waiting.

--- a/bench/decisioncost.cpp
+++ b/bench/decisioncost.cpp
@@ -277,7 +277,7 @@
     const auto forecast =
       RoomForecast{ context.mEngines,
                     sum / context.mEngines,
-                    WorkAhead(prompts, next, rules, context) };
+                    QueueOf(prompts, next, rules, context).mAheadMillis };
     const auto decision = DecideWait(prompts[next], forecast, rules);
     sSink = static_cast<std::size_t>(decision.mRetryAfter.count());
   });
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -55,6 +55,12 @@
   /// them in time, and those of them that were refused.
   std::uint64_t mDeferred = 0;
   std::uint64_t mDeferredRefused = 0;
+  /// Prompts sent to an engine after their answer target had passed.
+  std::uint64_t mSentLate = 0;
+  /// Long prompts refused by the forecast of when engines are free, on arrival
+  /// and after they had waited.
+  std::uint64_t mRefusedAtOnce = 0;
+  std::uint64_t mRefusedWaiting = 0;
   /// Claims of a free slot that another instance was granted.
   std::uint64_t mSlotClaimsLost = 0;
 
--- a/src/forwarding/internal/ending.cpp
+++ b/src/forwarding/internal/ending.cpp
@@ -5,6 +5,7 @@
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cuminslip::forwarding {
 
@@ -94,6 +95,8 @@
   aForwarder.mPorts.mExchanges.mCancel(
     std::exchange(aFlight.mAttempt.mExchange, 0));
   aForwarder.mPorts.mTimers.mStop(aFlight.mDeadlineTimer);
+  aForwarder.mIsNoticeDue |=
+    aFlight.mIsWaiting && aForwarder.mSettings.mOrder.has_value();
   aForwarder.mPorts.mTimers.mStop(aFlight.mClaimTimer);
   aForwarder.mPorts.mTimers.mStop(aFlight.mReservationTimer);
   ReleaseMemory(aForwarder, aFlight.mAttempt);
@@ -121,6 +124,7 @@
                       : isRefusal         ? kForwardRefusedEvent
                                           : kForwardFailedEvent;
   const auto now = aForwarder.mPorts.mNow();
+  const auto forecast = aFlight.mForecast.value_or(RoomForecast{ -1, -1, -1 });
   LogEvent(event,
            { { "request", aFlight.mRequest.mId.mValue },
              { "reason", ToText(failure.mKind) },
@@ -132,6 +136,11 @@
              { "suspect", aFlight.mHarmful.value_or(0) },
              { "relayed", aFlight.mIsRelayed },
              { "age_ms", MillisBetween(aFlight.mArrived, now).count() },
+             { "work_ahead_ms", std::lround(forecast.mAheadMillis) },
+             { "engine_ms", std::lround(EngineMillis(aFlight)) },
+             { "engines", std::lround(forecast.mEngines) },
+             { "engines_busy_ms", std::lround(forecast.mBusyMillis) },
+             { "start_by_ms", std::lround(aFlight.mStartByMillis) },
              { "retry_after_ms",
                failure.mRetryAfter ? failure.mRetryAfter->count() : -1 } });
   if (aFlight.mHasStarted) {
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -45,6 +45,7 @@
   if (aFlight.mRoute == nullptr) {
     return Failure{ FailureKind::NoRoute, {} };
   }
+  aFlight.mPriority = aFlight.mRoute->mPriority;
   if (aFlight.mRequest.mId.mValue.empty()) {
     return Failure{ FailureKind::BadRequest, {} };
   }
@@ -64,6 +65,7 @@
     return Failure{ FailureKind::UnknownKey, {} };
   }
   aFlight.mAccount = account->mId;
+  aFlight.mPriority = account->mPriority.value_or(aFlight.mPriority);
   return std::nullopt;
 }
 
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -84,6 +84,8 @@
   /// Shortest pause target of all routes to the service.
   Millis mStrictestPause{ 0 };
   AccountId mAccount;
+  /// Of its client account or its route; 0 is the highest.
+  int mPriority = 0;
   TimePoint mArrived{};
   /// Deadline of the final answer.
   TimePoint mDeadline{};
@@ -105,6 +107,14 @@
   bool mHasStarted = false;
   /// Waits for an endpoint; placement is retried when capacity may be free.
   bool mIsWaiting = false;
+  /// Has waited for engines.
+  bool mHasWaited = false;
+  /// What it sees of the waiting prompts, while these are being placed.
+  std::optional<OwnQueue> mQueue;
+  /// The forecast by which it is refused, and the latest start at which it
+  /// would not have been; -1 if there is none.
+  std::optional<RoomForecast> mForecast;
+  double mStartByMillis = -1;
   /// Waits as a short prompt that is late on every engine.
   bool mIsDeferred = false;
   /// Waits for the first routing document.
@@ -169,6 +179,8 @@
   std::vector<std::uint64_t> mEngines;
   /// It reaches no endpoint.
   bool mIsCutOff = false;
+  /// Engine milliseconds of its waiting prompts, by priority.
+  std::vector<double> mWaitingMillis;
 };
 
 /// The work of another entry instance on one engine.
@@ -336,7 +348,37 @@
 
 /// Lets a long prompt wait until engines are free.
 auto
-WaitForEngine(Flight& aFlight, std::size_t aCandidates) -> void;
+WaitForEngine(Forwarder& aForwarder, Flight& aFlight, std::size_t aCandidates)
+  -> void;
+
+/// Returns the time to prefill the flight's prompt on one engine without other
+/// work; 0 if its service has no engines.
+auto
+EngineMillis(const Flight& aFlight) -> double;
+
+/// Returns the flight as the order of waiting prompts sees it. Precondition:
+/// the setting of that order.
+auto
+ToWaitingPrompt(const Forwarder& aForwarder, const Flight& aFlight)
+  -> WaitingPrompt;
+
+/// Returns the waiting flights, those of each service in the order of
+/// policy/workorder.h. Precondition: the setting of that order.
+auto
+OrderFlights(const Forwarder& aForwarder)
+  -> std::vector<std::pair<FlightId, WaitingPrompt>>;
+
+/// Returns the engine milliseconds of the waiting flights, by priority; empty
+/// if none waits or without the setting of that order.
+auto
+SumWaiting(const Forwarder& aForwarder) -> std::vector<double>;
+
+/// Forecasts when engines are free for the flight. Precondition: the setting of
+/// that order.
+auto
+ForecastRoom(const Forwarder& aForwarder,
+             const Flight& aFlight,
+             std::span<const EngineCandidate> aEngines) -> RoomForecast;
 
 /// Schedules the placement of the waiting flights, at once or after a short
 /// random delay.
--- a/src/forwarding/internal/loadnotice.cpp
+++ b/src/forwarding/internal/loadnotice.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 
 namespace cuminslip::forwarding {
 
@@ -102,6 +103,21 @@
   return suspects;
 }
 
+/// Skips priorities beyond the number that any sender writes. A figure that is
+/// no amount of time counts as none.
+auto
+ReadWaiting(schema::LoadNotice::Reader aRoot) -> std::vector<double>
+{
+  auto waiting = std::vector<double>{};
+  for (const auto it : aRoot.getWaitingMillis()) {
+    if (waiting.size() == kStatedPriorities) {
+      break;
+    }
+    waiting.push_back(std::isfinite(it) ? std::max(it, 0.0) : 0.0);
+  }
+  return waiting;
+}
+
 } // namespace
 
 auto
@@ -120,6 +136,13 @@
   root.setSequence(aNotice.mSequence);
   root.setIsSummary(aNotice.mIsSummary);
   root.setIsCutOff(aNotice.mIsCutOff);
+  const auto waiting =
+    std::span(aNotice.mWaitingMillis)
+      .first(std::min(aNotice.mWaitingMillis.size(), kStatedPriorities));
+  auto millis = root.initWaitingMillis(static_cast<unsigned>(waiting.size()));
+  for (auto i = 0U; i < waiting.size(); ++i) {
+    millis.set(i, waiting[i]);
+  }
   WriteStatements(aNotice.mStatements, root);
   WriteSuspects(aNotice.mSuspects, root);
   auto ends = root.initEnds(static_cast<unsigned>(aNotice.mEnds.size()));
@@ -162,6 +185,7 @@
       notice.mIsCutOff = aItem.getIsCutOff();
       notice.mStatements = ReadStatements(aItem);
       notice.mSuspects = ReadSuspects(aItem);
+      notice.mWaitingMillis = ReadWaiting(aItem);
       for (const auto it : aItem.getEnds()) {
         notice.mEnds.push_back({ it.getEndpoint(), Millis(it.getAgeMillis()) });
       }
--- a/src/forwarding/internal/loadsharing.cpp
+++ b/src/forwarding/internal/loadsharing.cpp
@@ -240,7 +240,10 @@
                                    limits,
                                    suspects,
                                    ends,
-                                   aForwarder.mReach.mIsLost }));
+                                   aForwarder.mReach.mIsLost,
+                                   group == aForwarder.mOwnGroup
+                                     ? SumWaiting(aForwarder)
+                                     : std::vector<double>{} }));
   }
 }
 
@@ -304,6 +307,7 @@
   remote.mSequence = notice.mValue->mSequence;
   remote.mHeard = aForwarder.mPorts.mNow();
   remote.mIsCutOff = notice.mValue->mIsCutOff;
+  remote.mWaitingMillis = notice.mValue->mWaitingMillis;
   RemoveShares(aForwarder, remote);
   remote.mEngines.clear();
   for (const auto& it : notice.mValue->mShares) {
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -279,6 +279,18 @@
              { "send", aFlight.mSends + 1 } });
 }
 
+/// Returns true if a forecast decides how long the flight waits for engines. A
+/// refusal must be true, so that a flight that may have run waits as without
+/// it.
+auto
+UsesForecast(const Forwarder& aForwarder, const Flight& aFlight) -> bool
+{
+  return aForwarder.mSettings.mOrder && !aFlight.mHasStarted &&
+         !aFlight.mMayHaveRun &&
+         IsLongPrompt(*aFlight.mService->mEngine,
+                      ToPromptWork(aForwarder, aFlight));
+}
+
 auto
 ChooseInGroup(Forwarder& aForwarder,
               const Flight& aFlight,
@@ -291,6 +303,9 @@
     rules.mPackShare =
       aForwarder.mSettings.mDeferral ? kClaimedPackShare : kReducedPackShare;
   }
+  if (UsesForecast(aForwarder, aFlight)) {
+    rules.mWaitShare = 1;
+  }
   // NOTE: a limit counts requests, not the parts that an engine prefills for
   // others, so a long prompt on a limited engine gets no other engines.
   const auto isLimited =
@@ -438,7 +453,7 @@
   if (verdict == DeferralVerdict::Defer) {
     aForwarder.mCounters.mDeferred += aFlight.mIsDeferred ? 0 : 1;
     aFlight.mIsDeferred = true;
-    WaitForEngine(aFlight, aChosen.mCandidates.size());
+    WaitForEngine(aForwarder, aFlight, aChosen.mCandidates.size());
     return true;
   }
   ++aForwarder.mCounters.mDeferredRefused;
@@ -465,6 +480,36 @@
          GroupSize(aForwarder, aChosen.mGroup) > 1;
 }
 
+/// Lets a long prompt that finds no engines now wait for them, or refuses it.
+auto
+WaitByForecast(Forwarder& aForwarder,
+               Flight& aFlight,
+               const std::vector<Candidate>& aCandidates,
+               const GroupChoice& aChosen) -> void
+{
+  const auto forecast =
+    ForecastRoom(aForwarder,
+                 aFlight,
+                 aChosen.mEngines.empty() ? ListEngines(aForwarder, aCandidates)
+                                          : aChosen.mEngines);
+  auto draw = std::uniform_real_distribution<double>(0, 1);
+  const auto decision = DecideWait(ToWaitingPrompt(aForwarder, aFlight),
+                                   forecast,
+                                   *aForwarder.mSettings.mOrder,
+                                   draw(aForwarder.mRandom));
+  if (decision.mVerdict == WaitVerdict::Wait ||
+      MayWaitForEndpoints(aForwarder, aFlight)) {
+    WaitForEngine(aForwarder, aFlight, aCandidates.size());
+    return;
+  }
+  aFlight.mForecast = forecast;
+  aFlight.mStartByMillis = decision.mStartByMillis;
+  ++(aFlight.mHasWaited ? aForwarder.mCounters.mRefusedWaiting
+                        : aForwarder.mCounters.mRefusedAtOnce);
+  FailFlight(
+    aForwarder, aFlight, { FailureKind::NoCapacity, decision.mRetryAfter });
+}
+
 auto
 PlaceOnEngines(Forwarder& aForwarder,
                Flight& aFlight,
@@ -473,8 +518,12 @@
   const auto prompt = ToPromptWork(aForwarder, aFlight);
   auto chosen = ChooseWithinLimits(aForwarder, aFlight, aCandidates);
   const auto& choice = chosen.mChoice;
+  if (!choice.mEngine && UsesForecast(aForwarder, aFlight)) {
+    WaitByForecast(aForwarder, aFlight, aCandidates, chosen);
+    return;
+  }
   if (choice.mReason == LaneReason::Wait) {
-    WaitForEngine(aFlight, aCandidates.size());
+    WaitForEngine(aForwarder, aFlight, aCandidates.size());
     return;
   }
   if (!IsInTime(prompt, choice) && MayWaitForEndpoints(aForwarder, aFlight)) {
--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -35,6 +35,36 @@
                     aSettings.mConnectTimeout);
 }
 
+/// Returns true for a prompt whose answer target has passed before its first
+/// event.
+auto
+IsSentLate(const Forwarder& aForwarder, const Flight& aFlight) -> bool
+{
+  return aFlight.mService->mEngine && !aFlight.mHasStarted &&
+         aForwarder.mPorts.mNow() >=
+           aFlight.mArrived + aFlight.mRoute->mAnswerTarget;
+}
+
+/// Returns the urgency to state to an engine, by the order of waiting prompts.
+/// A stream that has started is never late.
+auto
+UrgencyOfFlight(const Forwarder& aForwarder, const Flight& aFlight)
+  -> std::optional<int>
+{
+  if (!aForwarder.mSettings.mOrder || !aFlight.mService->mEngine) {
+    return std::nullopt;
+  }
+  if (aFlight.mHasStarted) {
+    return kDefaultUrgency;
+  }
+  const auto isShort = !IsLongPrompt(*aFlight.mService->mEngine,
+                                     ToPromptWork(aForwarder, aFlight));
+  return UrgencyOf(ToWaitingPrompt(aForwarder, aFlight),
+                   isShort,
+                   static_cast<double>(aFlight.mAttempt.mWork.size()),
+                   *aForwarder.mSettings.mOrder);
+}
+
 } // namespace
 
 auto
@@ -70,6 +100,7 @@
     ++aForwarder.mCounters.mRepeats;
   }
   ++aForwarder.mCounters.mSends;
+  aForwarder.mCounters.mSentLate += IsSentLate(aForwarder, aFlight) ? 1 : 0;
   DrawSend(aForwarder, aAttempt.mEndpoint);
   aFlight.mTried.insert(aAttempt.mEndpoint);
   aAttempt.mSentAt = now;
@@ -85,6 +116,7 @@
   facts.mLastEvent =
     aFlight.mHasStarted ? aFlight.mLastEvent : aFlight.mRequest.mLastEvent;
   facts.mHelpers = ListHelpers(aFlight.mAttempt);
+  facts.mUrgency = UrgencyOfFlight(aForwarder, aFlight);
   auto exchange = MakeExchange(aForwarder, aFlight.mAttempt.mAddress);
   exchange.mConnectTimeout =
     ConnectTimeout(aForwarder.mSettings, *aFlight.mRoute);
--- a/src/forwarding/internal/waiting.cpp
+++ b/src/forwarding/internal/waiting.cpp
@@ -14,18 +14,99 @@
 /// times the time to send a notice to one more instance.
 constexpr auto kPlacementSpreadPerInstance = Micros(2000);
 
+auto
+IsLate(const Flight& aFlight, TimePoint aNow) -> bool
+{
+  return aNow >= aFlight.mArrived + aFlight.mRoute->mAnswerTarget;
+}
+
+/// Returns true for a deferred prompt that may have to be refused or sent now,
+/// whether a slot is free or not, since its caller would leave.
+auto
+IsPatienceShort(const Forwarder& aForwarder, const Flight& aFlight) -> bool
+{
+  const auto& rules = *aForwarder.mSettings.mDeferral;
+  const auto work = ToPromptWork(aForwarder, aFlight);
+  auto prompt = LatePrompt{};
+  prompt.mAnswerTarget = work.mAnswerTarget;
+  prompt.mPauseTarget = aFlight.mRoute->mPauseTarget;
+  const auto patience =
+    std::min(PatienceOf(prompt, rules), work.mWaited + work.mAllowance);
+  // NOTE: an engine with a free slot would answer within the target.
+  return work.mWaited + work.mAnswerTarget + rules.mMargin >= patience;
+}
+
+/// The waiting prompts of one service while they are being placed in order.
+struct ServiceQueue
+{
+  double mAheadMillis = 0;
+  /// Of each priority, those that were passed and still wait, and all.
+  std::map<int, double> mSameAheadMillis;
+  std::map<int, double> mSameMillis;
+  /// No slot is free for a deferred prompt, and for a late one.
+  bool mIsFull = false;
+  bool mIsFullForLate = false;
+};
+
+/// Places one flight in its turn.
+auto
+PlaceInTurn(Forwarder& aForwarder,
+            Flight& aFlight,
+            const WaitingPrompt& aPrompt,
+            ServiceQueue& aQueue) -> void
+{
+  const auto isLate = IsLate(aFlight, aForwarder.mPorts.mNow());
+  const auto isFull = isLate ? aQueue.mIsFullForLate : aQueue.mIsFull;
+  if (!aFlight.mIsDeferred || !isFull || IsPatienceShort(aForwarder, aFlight)) {
+    aFlight.mQueue = OwnQueue{ aQueue.mAheadMillis,
+                               aQueue.mSameAheadMillis[aPrompt.mPriority],
+                               aQueue.mSameMillis[aPrompt.mPriority] };
+    PlaceFlight(aForwarder, aFlight);
+  }
+  auto* flight = FindFlight(aForwarder, aPrompt.mId);
+  if (flight == nullptr || !flight->mIsWaiting) {
+    aQueue.mSameMillis[aPrompt.mPriority] -= aPrompt.mEngineMillis;
+  } else {
+    aQueue.mAheadMillis += aPrompt.mEngineMillis;
+    aQueue.mSameAheadMillis[aPrompt.mPriority] += aPrompt.mEngineMillis;
+    aQueue.mIsFull |= flight->mIsDeferred && !isLate;
+    aQueue.mIsFullForLate |= flight->mIsDeferred;
+  }
+  if (flight != nullptr) {
+    flight->mQueue.reset();
+  }
+}
+
+/// Places the waiting flights in the order of policy/workorder.h. A late
+/// deferred prompt leaves slots free, so one without a slot says nothing of
+/// those in time that come after it.
+auto
+PlaceInOrder(Forwarder& aForwarder) -> void
+{
+  const auto flights = OrderFlights(aForwarder);
+  auto queues = std::map<std::string, ServiceQueue>{};
+  for (const auto& [id, prompt] : flights) {
+    queues[FindFlight(aForwarder, id)->mService->mName]
+      .mSameMillis[prompt.mPriority] += prompt.mEngineMillis;
+  }
+  for (const auto& [id, prompt] : flights) {
+    auto* flight = FindFlight(aForwarder, id);
+    if (flight != nullptr && flight->mIsWaiting) {
+      PlaceInTurn(aForwarder, *flight, prompt, queues[flight->mService->mName]);
+    }
+  }
+}
+
 /// Places the waiting flights: first those that can still meet their answer
 /// target, then by arrival.
 auto
-PlaceWaiting(Forwarder& aForwarder) -> void
+PlaceByArrival(Forwarder& aForwarder) -> void
 {
   const auto now = aForwarder.mPorts.mNow();
   auto waiting = std::vector<std::tuple<bool, TimePoint, FlightId>>{};
   for (const auto& [id, flight] : aForwarder.mFlights) {
     if (flight->mIsWaiting) {
-      const auto isLate =
-        now >= flight->mArrived + flight->mRoute->mAnswerTarget;
-      waiting.emplace_back(isLate, flight->mArrived, id);
+      waiting.emplace_back(IsLate(*flight, now), flight->mArrived, id);
     }
   }
   std::sort(waiting.begin(), waiting.end());
@@ -61,11 +142,14 @@
 }
 
 auto
-WaitForEngine(Flight& aFlight, std::size_t aCandidates) -> void
+WaitForEngine(Forwarder& aForwarder, Flight& aFlight, std::size_t aCandidates)
+  -> void
 {
+  aFlight.mHasWaited = true;
   if (std::exchange(aFlight.mIsWaiting, true)) {
     return;
   }
+  aForwarder.mIsNoticeDue |= aForwarder.mSettings.mOrder.has_value();
   LogEvent(kForwardWaitsEvent,
            { { "request", aFlight.mRequest.mId.mValue },
              { "route", aFlight.mRoute->mName },
@@ -93,7 +177,11 @@
   aForwarder.mPlacementTimer = aForwarder.mPorts.mTimers.mStart(
     Micros(spread(aForwarder.mRandom)), [&aForwarder] {
       aForwarder.mPlacementTimer = 0;
-      PlaceWaiting(aForwarder);
+      if (aForwarder.mSettings.mOrder) {
+        PlaceInOrder(aForwarder);
+      } else {
+        PlaceByArrival(aForwarder);
+      }
     });
 }
 
--- a/src/forwarding/loadnotice.capnp
+++ b/src/forwarding/loadnotice.capnp
@@ -70,4 +70,8 @@
   ends @6 :List(EndpointEnd);
   # The sender reaches no endpoint.
   isCutOff @7 :Bool;
+  # Engine milliseconds of the prompts that wait at the sender for engines of
+  # its group; the position is the priority, 8 at most. Empty if none waits, or
+  # if the sender does not order its waiting prompts.
+  waitingMillis @8 :List(Float64);
 }
--- a/src/forwarding/loadnotice.h
+++ b/src/forwarding/loadnotice.h
@@ -5,6 +5,7 @@
 #include "policy/crashevidence.h"
 #include "policy/enginelanes.h"
 #include "policy/requestlimits.h"
+#include "policy/workorder.h"
 
 #include <cstdint>
 #include <optional>
@@ -95,6 +96,9 @@
   std::vector<ReportedEnd> mEnds;
   /// The sender reaches no endpoint.
   bool mIsCutOff = false;
+  /// Engine milliseconds of the prompts that wait at the sender for engines of
+  /// its group, by priority; at most kStatedPriorities.
+  std::vector<double> mWaitingMillis;
 
   auto operator==(const LoadNotice&) const -> bool = default;
 };
--- a/src/forwarding/tests/fakeworld.h
+++ b/src/forwarding/tests/fakeworld.h
@@ -75,6 +75,9 @@
       if (aFacts.mLastEvent) {
         headers.push_back({ "after", std::to_string(*aFacts.mLastEvent) });
       }
+      if (aFacts.mUrgency) {
+        headers.push_back({ "urgency", std::to_string(*aFacts.mUrgency) });
+      }
       for (const auto& it : aFacts.mHelpers) {
         headers.push_back({ "helper", it.mAddress + "/" + it.mHolding.mValue });
       }
--- a/src/forwarding/types/forwardrequest.h
+++ b/src/forwarding/types/forwardrequest.h
@@ -76,6 +76,8 @@
   /// Resume after this event.
   std::optional<std::uint64_t> mLastEvent;
   std::vector<HelperAddress> mHelpers;
+  /// Order of admission by a full engine, 0 to 9; 0 is first.
+  std::optional<int> mUrgency;
 
   auto operator==(const AttemptParameters&) const -> bool = default;
 };
--- a/src/forwarding/types/forwardsettings.h
+++ b/src/forwarding/types/forwardsettings.h
@@ -11,6 +11,7 @@
 #include "policy/reach.h"
 #include "policy/requestlimits.h"
 #include "policy/retrybudget.h"
+#include "policy/workorder.h"
 
 #include <optional>
 #include <string>
@@ -27,6 +28,9 @@
   LaneRules mLanes;
   /// Empty: short prompts are sent in the order of arrival.
   std::optional<DeferralRules> mDeferral;
+  /// Empty: prompts wait in the order of arrival, and are refused after
+  /// LaneRules::mWaitShare of their time.
+  std::optional<WorkOrderRules> mOrder;
   GroupRules mGroups;
   BorrowRules mBorrowing;
   LimitRules mLimits;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -211,6 +211,9 @@
   if (settings.mOverload.mDefersLate) {
     forward.mDeferral.emplace();
   }
+  if (settings.mOverload.mOrdersWork) {
+    forward.mOrder.emplace();
+  }
   if (settings.mListen.mRelay) {
     BOOST_LEAF_AUTO(key, LoadPeerKey(settings));
     forward.mRelayPort = settings.mListen.mRelay->mPort;
--- a/src/policy/internal/workorder.cpp
+++ b/src/policy/internal/workorder.cpp
@@ -121,8 +121,9 @@
 {
   const auto parts = std::floor(aPrompt.mEngineMillis /
                                 std::max(ToMillis(aRules.mMinPartTime), 1.0));
-  const auto readers =
-    std::max(std::min({ parts, aRules.mMaxReaders, aEngines }), 1.0);
+  const auto readers = std::max(
+    std::min({ parts, static_cast<double>(aRules.mMaxReaders), aEngines }),
+    1.0);
   return aPrompt.mEngineMillis / readers;
 }
 
@@ -157,17 +158,44 @@
 }
 
 auto
-WorkAhead(std::span<const WaitingPrompt> aPrompts,
-          std::size_t aPosition,
-          const WorkOrderRules& aRules,
-          const WorkContext& aContext) -> double
+QueueOf(std::span<const WaitingPrompt> aPrompts,
+        std::size_t aPosition,
+        const WorkOrderRules& aRules,
+        const WorkContext& aContext) -> OwnQueue
 {
   const auto overShare = ListOverShare(aPrompts, aRules, aContext);
   const auto own = MakeKey(aPrompts[aPosition], overShare, aRules, aContext);
-  auto sum = 0.0;
+  auto queue = OwnQueue{};
   for (const auto& it : aPrompts) {
-    sum +=
-      MakeKey(it, overShare, aRules, aContext) < own ? it.mEngineMillis : 0;
+    const auto isSame = it.mPriority == own.mPriority;
+    const auto ahead =
+      MakeKey(it, overShare, aRules, aContext) < own ? it.mEngineMillis : 0.0;
+    queue.mAheadMillis += ahead;
+    queue.mSameAheadMillis += isSame ? ahead : 0;
+    queue.mSameMillis += isSame ? it.mEngineMillis : 0;
+  }
+  return queue;
+}
+
+auto
+StatedPriority(int aPriority) -> std::size_t
+{
+  return std::min(static_cast<std::size_t>(std::max(aPriority, 0)),
+                  kStatedPriorities - 1);
+}
+
+auto
+WorkAheadElsewhere(std::span<const double> aWaitingMillis,
+                   const WaitingPrompt& aPrompt,
+                   const OwnQueue& aQueue) -> double
+{
+  const auto own = StatedPriority(aPrompt.mPriority);
+  const auto fraction =
+    (aQueue.mSameAheadMillis + aPrompt.mEngineMillis / 2) /
+    std::max(aQueue.mSameMillis, std::max(aPrompt.mEngineMillis, 1.0));
+  auto sum = 0.0;
+  for (auto i = std::size_t{ 0 }; i <= own && i < aWaitingMillis.size(); ++i) {
+    sum += aWaitingMillis[i] * (i < own ? 1.0 : std::min(fraction, 1.0));
   }
   return sum;
 }
@@ -194,13 +222,14 @@
   const auto left = ToMillis(aPrompt.mAllowance);
   const auto start = aForecast.mBusyMillis +
                      aForecast.mAheadMillis / std::max(aForecast.mEngines, 1.0);
-  const auto isHopeless =
-    aPrompt.mIsReturned ? prefill > left
-                        : start + prefill > left * (1 + aRules.mOverrunShare);
-  if (!isHopeless) {
-    return {};
+  const auto startBy = left * (1 + aRules.mOverrunShare) - prefill;
+  const auto canBeServed = prefill <= left;
+  if (aPrompt.mIsReturned ? canBeServed : start <= startBy) {
+    return { WaitVerdict::Wait, Millis(0), startBy };
   }
-  return { WaitVerdict::Refuse, BoundRetry(aPrompt, start, aRules, aDraw) };
+  return { WaitVerdict::Refuse,
+           BoundRetry(aPrompt, start, aRules, aDraw),
+           aPrompt.mIsReturned ? left - prefill : startBy };
 }
 
 auto
@@ -210,12 +239,11 @@
           const WorkOrderRules& aRules) -> int
 {
   constexpr auto kShortInTime = 3;
-  constexpr auto kInTime = 5;
   constexpr auto kLate = 7;
   if (!CanMeetTarget(aPrompt, aEngines, aRules)) {
     return kLate;
   }
-  return aIsShort ? kShortInTime : kInTime;
+  return aIsShort ? kShortInTime : kDefaultUrgency;
 }
 
 } // namespace cuminslip
--- a/src/policy/tests/workorder_tests.cpp
+++ b/src/policy/tests/workorder_tests.cpp
@@ -414,8 +414,8 @@
     const auto order = OrderWork(prompts, kRules, { 9, {} });
     auto ahead = 0.0;
     for (const auto i : order) {
-      const auto found = WorkAhead(prompts, i, kRules, { 9, {} });
-      RC_ASSERT(std::abs(found - ahead) < 1e-3);
+      const auto found = QueueOf(prompts, i, kRules, { 9, {} });
+      RC_ASSERT(std::abs(found.mAheadMillis - ahead) < 1e-3);
       ahead += prompts[i].mEngineMillis;
     }
     auto sorted = order;
@@ -426,6 +426,20 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(OtherInstancesCountByPriority)
+{
+  auto prompt = MakePrompt(1, 100000);
+  prompt.mEngineMillis = 1000;
+  prompt.mPriority = 1;
+  const auto elsewhere = std::vector<double>{ 5000, 8000, 30000 };
+  BOOST_TEST(WorkAheadElsewhere(elsewhere, prompt, { 0, 0, 1000 }) == 9000);
+  BOOST_TEST(WorkAheadElsewhere(elsewhere, prompt, { 700, 500, 4000 }) == 7000);
+  BOOST_TEST(WorkAheadElsewhere({}, prompt, { 0, 0, 1000 }) == 0);
+  prompt.mPriority = 99;
+  BOOST_TEST(WorkAheadElsewhere(elsewhere, prompt, { 0, 0, 1000 }) == 43000,
+             "priorities that are not stated come after all that are");
+}
+
 BOOST_AUTO_TEST_CASE(APromptIsRefusedAsSoonAsItsForecastOverrunsItsDeadline)
 {
   auto prompt = MakePrompt(1, 100000);
@@ -437,6 +451,7 @@
   const auto refused = DecideWait(prompt, { 10, 833, 40100 }, kRules);
   BOOST_TEST((refused.mVerdict == WaitVerdict::Refuse));
   BOOST_TEST(refused.mRetryAfter.count() == 960);
+  BOOST_TEST(std::lround(refused.mStartByMillis) == 4833);
   prompt.mIsReturned = true;
   BOOST_TEST((DecideWait(prompt, { 10, 833, 40100 }, kRules).mVerdict ==
               WaitVerdict::Wait),
--- a/src/policy/workorder.h
+++ b/src/policy/workorder.h
@@ -2,6 +2,8 @@
 
 #include "base/clock.h"
 #include "base/types/ids.h"
+#include "policy/deferral.h"
+#include "policy/enginelanes.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -38,13 +40,13 @@
 struct WorkOrderRules
 {
   /// Number of prompt tokens valued as one short request, and fraction of its
-  /// value that a late answer loses; as in LaneRules.
-  double mTokensPerValue = 8000;
-  double mLateLoss = 0.75;
+  /// value that a late answer loses.
+  double mTokensPerValue = LaneRules{}.mTokensPerValue;
+  double mLateLoss = LaneRules{}.mLateLoss;
   /// Maximum number of engines that prefill one prompt, and minimum time of the
-  /// part of each; as in LaneRules.
-  double mMaxReaders = 17;
-  Millis mMinPartTime{ 150 };
+  /// part of each.
+  std::size_t mMaxReaders = LaneRules{}.mMaxReaders;
+  Millis mMinPartTime = LaneRules{}.mMinPartTime;
   /// A prompt that must start within this time to meet its deadline is
   /// promoted within its priority.
   Millis mPromotionTime{ 500 };
@@ -54,6 +56,9 @@
   /// A prompt is refused if its forecast end exceeds the time it has left by
   /// more than this fraction, since forecasts are uncertain.
   double mOverrunShare = 0.25;
+  /// A prompt with less than this fraction of its route's timeout left when it
+  /// arrives has been refused before; as for short prompts.
+  double mReturnedShare = DeferralRules{}.mReturnedShare;
   /// Bounds of Retry-After: at least a time, at most a fraction of the time
   /// left, which callers honour. Spread by up to a fraction, so that callers
   /// refused together do not return together.
@@ -104,13 +109,42 @@
           const WorkOrderRules& aRules,
           const WorkContext& aContext = {}) -> std::vector<std::size_t>;
 
-/// Returns the engine milliseconds of the prompts that come before the one at
-/// aPosition in that order, without sorting.
+/// The prompts of one service that wait at an instance, as seen by one of them.
+struct OwnQueue
+{
+  /// Engine milliseconds of all that come before it.
+  double mAheadMillis = 0;
+  /// Of its own priority, those that come before it and all, itself included.
+  double mSameAheadMillis = 0;
+  double mSameMillis = 0;
+
+  auto operator==(const OwnQueue&) const -> bool = default;
+};
+
+/// Load notices state waiting work for this many priorities; lower ones count
+/// as the last of them.
+inline constexpr auto kStatedPriorities = std::size_t{ 8 };
+
+/// Returns the position of a priority in load notices.
 auto
-WorkAhead(std::span<const WaitingPrompt> aPrompts,
-          std::size_t aPosition,
-          const WorkOrderRules& aRules,
-          const WorkContext& aContext = {}) -> double;
+StatedPriority(int aPriority) -> std::size_t;
+
+/// Returns the part of the work waiting at other instances that comes before a
+/// prompt: all of the more urgent priorities, and of its own priority the same
+/// fraction as at this instance, where the prompt counts as half ahead of
+/// itself. aWaitingMillis is by priority.
+auto
+WorkAheadElsewhere(std::span<const double> aWaitingMillis,
+                   const WaitingPrompt& aPrompt,
+                   const OwnQueue& aQueue) -> double;
+
+/// Returns what the prompt at aPosition sees of the waiting prompts, without
+/// sorting them.
+auto
+QueueOf(std::span<const WaitingPrompt> aPrompts,
+        std::size_t aPosition,
+        const WorkOrderRules& aRules,
+        const WorkContext& aContext = {}) -> OwnQueue;
 
 /// When engines are expected to be free for a prompt.
 struct RoomForecast
@@ -140,6 +174,9 @@
   WaitVerdict mVerdict = WaitVerdict::Wait;
   /// Set if refused.
   Millis mRetryAfter{ 0 };
+  /// Latest forecast start at which the prompt waits; below 0 if it is refused
+  /// whatever the forecast.
+  double mStartByMillis = 0;
 
   auto operator==(const WaitDecision&) const -> bool = default;
 };
@@ -153,6 +190,9 @@
            const WorkOrderRules& aRules,
            double aDraw = 0) -> WaitDecision;
 
+/// Urgency that engines assume where none is stated.
+inline constexpr auto kDefaultUrgency = 5;
+
 /// Returns the urgency to state to the engine, 0 to 9; 0 is first. Short
 /// prompts in time come before long ones, late prompts last.
 auto
--- a/src/settings/internal/settingssections.cpp
+++ b/src/settings/internal/settingssections.cpp
@@ -338,6 +338,8 @@
   auto overload = OverloadOptions{};
   overload.mDefersLate =
     documents::ReadBool(section, "defer", overload.mDefersLate);
+  overload.mOrdersWork =
+    documents::ReadBool(section, "order", overload.mOrdersWork);
   CloseSection(section);
   return overload;
 }
--- a/src/settings/tests/settings_tests.cpp
+++ b/src/settings/tests/settings_tests.cpp
@@ -231,6 +231,7 @@
   window: 10 s
 overload:
   defer: true
+  order: true
 keys:
   peer_file: deploy/peer.key
 )";
@@ -248,6 +249,7 @@
   BOOST_TEST(settings.mValue->mDiscovery.mMayFound);
   BOOST_TEST(settings.mValue->mRetries.mSlack == 104);
   BOOST_TEST(settings.mValue->mOverload.mDefersLate);
+  BOOST_TEST(settings.mValue->mOverload.mOrdersWork);
 }
 
 /// A platform scales its bounds with the size of a deployment.
@@ -276,6 +278,7 @@
     WrongCase{ "peer: 10.1.0.40:7340", "", "listen.peer: missing" },
     WrongCase{ "ratio: 0.2", "ratio: 7", "retries.ratio" },
     WrongCase{ "defer: true", "defer: 3", "overload.defer" },
+    WrongCase{ "order: true", "order: 3", "overload.order" },
     WrongCase{ "adapter: platform", "adapter: other", "adapter: " },
   };
   for (const auto& it : cases) {
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -192,6 +192,9 @@
   /// Short prompts that would be late on every engine give way to those that
   /// can still be in time; see policy/deferral.h.
   bool mDefersLate = false;
+  /// Prompts that wait for engines are placed by the loss that this avoids, and
+  /// refused by a forecast; see policy/workorder.h.
+  bool mOrdersWork = false;
 
   auto operator==(const OverloadOptions&) const -> bool = default;
 };
