Sum the own work on all engines in one pass over the requests

To choose engines, each candidate was looked up in all requests in flight: with 1,000 waiting prompts and 200 engines the placement of one more took 1.8 ms (trial with fakes), most of it for that. Forwarding and platform tests pass.

--- a/src/forwarding/internal/enginework.cpp
+++ b/src/forwarding/internal/enginework.cpp
@@ -6,15 +6,21 @@
 
 namespace {
 
+/// Calls aAdd with each engine that the flight has work on, or only with aOnly
+/// if it is not null, and the work.
+template<class Function>
 auto
-AddAssignedWork(const Forwarder& aForwarder,
+ForAssignedWork(const Forwarder& aForwarder,
                 const Flight& aFlight,
-                const EndpointId& aEngine,
-                EngineWork& aSum) -> void
+                const EndpointId* aOnly,
+                Function aAdd) -> void
 {
+  if (aFlight.mAttempt.mWork.empty()) {
+    return;
+  }
   const auto now = aForwarder.mPorts.mNow();
   for (const auto& assigned : aFlight.mAttempt.mWork) {
-    if (assigned.mEngine != aEngine) {
+    if (aOnly != nullptr && assigned.mEngine != *aOnly) {
       continue;
     }
     auto work = EngineWork{};
@@ -44,7 +50,7 @@
         work.mPauseMillis = static_cast<double>(pause.count());
       }
     }
-    aSum = AddWork(aSum, work);
+    aAdd(assigned.mEngine, work);
   }
 }
 
@@ -68,11 +74,29 @@
 {
   auto work = EngineWork{};
   for (const auto& [id, flight] : aForwarder.mFlights) {
-    AddAssignedWork(aForwarder, *flight, aEngine, work);
+    ForAssignedWork(
+      aForwarder, *flight, &aEngine, [&](const auto&, const auto& aWork) {
+        work = AddWork(work, aWork);
+      });
   }
   return work;
 }
 
+auto
+OwnWorkByEngine(const Forwarder& aForwarder)
+  -> std::unordered_map<EndpointId, EngineWork>
+{
+  auto works = std::unordered_map<EndpointId, EngineWork>{};
+  for (const auto& [id, flight] : aForwarder.mFlights) {
+    ForAssignedWork(
+      aForwarder, *flight, nullptr, [&](const auto& aId, const auto& aWork) {
+        auto& sum = works[aId];
+        sum = AddWork(sum, aWork);
+      });
+  }
+  return works;
+}
+
 auto
 RemoteWorkOn(const Forwarder& aForwarder, const EndpointId& aEngine)
   -> EngineWork
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -461,6 +461,13 @@
 auto
 OwnWorkOn(const Forwarder& aForwarder, const EndpointId& aEngine) -> EngineWork;
 
+/// Returns the same for all engines with such work, in one pass over the
+/// flights: with a thousand waiting flights, a pass for each engine takes most
+/// of the time of a placement.
+auto
+OwnWorkByEngine(const Forwarder& aForwarder)
+  -> std::unordered_map<EndpointId, EngineWork>;
+
 /// Returns the work that the other entry instances have assigned to an engine,
 /// by their recent load notices, or by the summary of the engine's group.
 auto
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -156,10 +156,13 @@
 ListEngines(Forwarder& aForwarder, const std::vector<Candidate>& aCandidates)
   -> std::vector<EngineCandidate>
 {
+  const auto own = OwnWorkByEngine(aForwarder);
   auto engines = std::vector<EngineCandidate>{};
   for (const auto& it : aCandidates) {
     auto engine = EngineCandidate{};
-    engine.mWork = WorkOn(aForwarder, it.mId);
+    const auto work = own.find(it.mId);
+    engine.mWork = AddWork(work == own.end() ? EngineWork{} : work->second,
+                           RemoteWorkOn(aForwarder, it.mId));
     engine.mOrder = Checksum(it.mId.mValue);
     engine.mRandomKey = aForwarder.mRandom();
     engine.mIsInOwnFailureDomain =
@@ -487,11 +490,12 @@
                const std::vector<Candidate>& aCandidates,
                const GroupChoice& aChosen) -> void
 {
+  // NOTE: the own group may have no engines for the prompt.
+  const auto all = aChosen.mEngines.empty()
+                     ? ListEngines(aForwarder, aCandidates)
+                     : std::vector<EngineCandidate>{};
   const auto forecast =
-    ForecastRoom(aForwarder,
-                 aFlight,
-                 aChosen.mEngines.empty() ? ListEngines(aForwarder, aCandidates)
-                                          : aChosen.mEngines);
+    ForecastRoom(aForwarder, aFlight, all.empty() ? aChosen.mEngines : all);
   auto draw = std::uniform_real_distribution<double>(0, 1);
   const auto decision = DecideWait(ToWaitingPrompt(aForwarder, aFlight),
                                    forecast,
--- a/src/forwarding/internal/waitingwork.cpp
+++ b/src/forwarding/internal/waitingwork.cpp
@@ -16,6 +16,13 @@
   std::vector<AccountWork> mRunning;
 };
 
+auto
+PromptTokens(const Flight& aFlight) -> std::int64_t
+{
+  const auto& prompt = aFlight.mRequest.mPrompt;
+  return prompt ? prompt->mPromptTokens : 0;
+}
+
 /// Adds a flight to the work of its service. Work in decoding takes no prefill
 /// time and does not count.
 auto
@@ -74,6 +81,8 @@
               double aEngines) -> OwnQueue
 {
   auto work = ServiceWork{};
+  work.mFlights.reserve(aForwarder.mFlights.size());
+  work.mPrompts.reserve(aForwarder.mFlights.size());
   auto own = std::size_t{ 0 };
   for (const auto& [id, flight] : aForwarder.mFlights) {
     if (flight->mService == nullptr ||
@@ -98,8 +107,7 @@
   if (aFlight.mService == nullptr || !aFlight.mService->mEngine) {
     return 0;
   }
-  const auto prompt = aFlight.mRequest.mPrompt.value_or(PromptFacts{});
-  return PrefillMillis(*aFlight.mService->mEngine, prompt.mPromptTokens);
+  return PrefillMillis(*aFlight.mService->mEngine, PromptTokens(aFlight));
 }
 
 auto
@@ -114,7 +122,7 @@
            aFlight.mAccount,
            aFlight.mPriority,
            EngineMillis(aFlight),
-           aFlight.mRequest.mPrompt.value_or(PromptFacts{}).mPromptTokens,
+           PromptTokens(aFlight),
            aFlight.mRoute->mAnswerTarget,
            MillisBetween(aFlight.mArrived, now),
            MillisBetween(now, aFlight.mDeadline),
