Promote waiting prompts that must start to meet their target

Only prompts near their deadline were promoted.

A prompt whose latest start for its target is near is promoted too. The promotion time becomes 1 s, by the table in docs/design/policy-overload.md.

--- a/src/policy/internal/workorder.cpp
+++ b/src/policy/internal/workorder.cpp
@@ -83,8 +83,12 @@
 {
   const auto prefill = SharedPrefillMillis(aPrompt, aContext.mEngines, aRules);
   const auto untilStart = ToMillis(aPrompt.mAllowance) - prefill;
-  const auto isPromoted =
-    untilStart >= 0 && untilStart <= ToMillis(aRules.mPromotionTime);
+  const auto slack =
+    ToMillis(aPrompt.mAnswerTarget - aPrompt.mWaited) - prefill;
+  const auto isNear = [&](double aMillis) {
+    return aMillis >= 0 && aMillis <= ToMillis(aRules.mPromotionTime);
+  };
+  const auto isPromoted = isNear(untilStart) || isNear(slack);
   const auto isLate =
     ToMillis(aPrompt.mWaited) + prefill > ToMillis(aPrompt.mAnswerTarget);
   const auto loss = ValueOf(aPrompt, aRules) *
--- a/src/policy/workorder.h
+++ b/src/policy/workorder.h
@@ -47,9 +47,9 @@
   /// part of each.
   std::size_t mMaxReaders = LaneRules{}.mMaxReaders;
   Millis mMinPartTime = LaneRules{}.mMinPartTime;
-  /// A prompt that must start within this time to meet its deadline is
-  /// promoted within its priority.
-  Millis mPromotionTime{ 500 };
+  /// A prompt that must start within this time to meet its target, or its
+  /// deadline, is promoted within its priority.
+  Millis mPromotionTime{ 1000 };
   /// An account with more than this multiple of the mean work of all accounts
   /// comes after the others of its priority.
   double mMaxAccountShare = 3;
