--- a/src/forwarding/internal/ending.cpp
+++ b/src/forwarding/internal/ending.cpp
@@ -6,6 +6,7 @@
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cuminslip::forwarding {
 
@@ -95,6 +96,8 @@
   aForwarder.mPorts.mExchanges.mCancel(
     std::exchange(aFlight.mAttempt.mExchange, 0));
   aForwarder.mPorts.mTimers.mStop(aFlight.mDeadlineTimer);
+  aForwarder.mIsNoticeDue |=
+    aFlight.mIsWaiting && aForwarder.mSettings.mOrder.has_value();
   aForwarder.mPorts.mTimers.mStop(aFlight.mClaimTimer);
   aForwarder.mPorts.mTimers.mStop(aFlight.mReservationTimer);
   ReleaseMemory(aForwarder, aFlight.mAttempt);
@@ -125,6 +128,7 @@
   const auto withheld = isRefusal && failure.mKind == FailureKind::NoCapacity
                           ? NoteWarmUpRefusal(aForwarder, aFlight)
                           : std::size_t{ 0 };
+  const auto forecast = aFlight.mForecast.value_or(RoomForecast{ -1, -1, -1 });
   LogEvent(event,
            { { "request", aFlight.mRequest.mId.mValue },
              { "reason", ToText(failure.mKind) },
@@ -137,6 +141,11 @@
              { "relayed", aFlight.mIsRelayed },
              { "cold", withheld },
              { "age_ms", MillisBetween(aFlight.mArrived, now).count() },
+             { "work_ahead_ms", std::lround(forecast.mAheadMillis) },
+             { "engine_ms", std::lround(EngineMillis(aFlight)) },
+             { "engines", std::lround(forecast.mEngines) },
+             { "engines_busy_ms", std::lround(forecast.mBusyMillis) },
+             { "start_by_ms", std::lround(aFlight.mStartByMillis) },
              { "retry_after_ms",
                failure.mRetryAfter ? failure.mRetryAfter->count() : -1 } });
   if (aFlight.mHasStarted) {
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -46,6 +46,7 @@
   if (aFlight.mRoute == nullptr) {
     return Failure{ FailureKind::NoRoute, {} };
   }
+  aFlight.mPriority = aFlight.mRoute->mPriority;
   if (aFlight.mRequest.mId.mValue.empty()) {
     return Failure{ FailureKind::BadRequest, {} };
   }
@@ -65,6 +66,7 @@
     return Failure{ FailureKind::UnknownKey, {} };
   }
   aFlight.mAccount = account->mId;
+  aFlight.mPriority = account->mPriority.value_or(aFlight.mPriority);
   return std::nullopt;
 }
 
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -86,6 +86,8 @@
   /// Shortest pause target of all routes to the service.
   Millis mStrictestPause{ 0 };
   AccountId mAccount;
+  /// Of its client account or its route; 0 is the highest.
+  int mPriority = 0;
   TimePoint mArrived{};
   /// Deadline of the final answer.
   TimePoint mDeadline{};
@@ -107,6 +109,14 @@
   bool mHasStarted = false;
   /// Waits for an endpoint; placement is retried when capacity may be free.
   bool mIsWaiting = false;
+  /// Has waited for engines.
+  bool mHasWaited = false;
+  /// What it sees of the waiting prompts, while these are being placed.
+  std::optional<OwnQueue> mQueue;
+  /// The forecast by which it is refused, and the latest start at which it
+  /// would not have been; -1 if there is none.
+  std::optional<RoomForecast> mForecast;
+  double mStartByMillis = -1;
   /// Waits as a short prompt that is late on every engine.
   bool mIsDeferred = false;
   /// Waits for the first routing document.
@@ -207,6 +217,8 @@
   std::vector<std::uint64_t> mEngines;
   /// It reaches no endpoint.
   bool mIsCutOff = false;
+  /// Engine milliseconds of its waiting prompts, by priority.
+  std::vector<double> mWaitingMillis;
 };
 
 /// The work of another entry instance on one engine.
@@ -376,7 +388,37 @@
 
 /// Lets a long prompt wait until engines are free.
 auto
-WaitForEngine(Flight& aFlight, std::size_t aCandidates) -> void;
+WaitForEngine(Forwarder& aForwarder, Flight& aFlight, std::size_t aCandidates)
+  -> void;
+
+/// Returns the time to prefill the flight's prompt on one engine without other
+/// work; 0 if its service has no engines.
+auto
+EngineMillis(const Flight& aFlight) -> double;
+
+/// Returns the flight as the order of waiting prompts sees it. Precondition:
+/// the setting of that order.
+auto
+ToWaitingPrompt(const Forwarder& aForwarder, const Flight& aFlight)
+  -> WaitingPrompt;
+
+/// Returns the waiting flights, those of each service in the order of
+/// policy/workorder.h. Precondition: the setting of that order.
+auto
+OrderFlights(const Forwarder& aForwarder)
+  -> std::vector<std::pair<FlightId, WaitingPrompt>>;
+
+/// Returns the engine milliseconds of the waiting flights, by priority; empty
+/// if none waits or without the setting of that order.
+auto
+SumWaiting(const Forwarder& aForwarder) -> std::vector<double>;
+
+/// Forecasts when engines are free for the flight. Precondition: the setting of
+/// that order.
+auto
+ForecastRoom(const Forwarder& aForwarder,
+             const Flight& aFlight,
+             std::span<const EngineCandidate> aEngines) -> RoomForecast;
 
 /// Schedules the placement of the waiting flights, at once or after a short
 /// random delay.
@@ -459,6 +501,13 @@
 auto
 OwnWorkOn(const Forwarder& aForwarder, const EndpointId& aEngine) -> EngineWork;
 
+/// Returns the same for all engines with such work, in one pass over the
+/// flights: with a thousand waiting flights, a pass for each engine takes most
+/// of the time of a placement.
+auto
+OwnWorkByEngine(const Forwarder& aForwarder)
+  -> std::unordered_map<EndpointId, EngineWork>;
+
 /// Returns the work that the other entry instances have assigned to an engine,
 /// by their recent load notices, or by the summary of the engine's group.
 auto
--- a/src/forwarding/internal/statements.cpp
+++ b/src/forwarding/internal/statements.cpp
@@ -291,7 +291,8 @@
 {
   auto check = CheckStated(aForwarder, aEndpoint);
   if (const auto warmUp = CheckWarmUp(aForwarder, aEndpoint)) {
-    check.mIsLimited = true;
+    // NOTE: the bound counts requests, not the parts that an engine prefills
+    // for others, so that cold engines take long prompts like warm ones.
     check.mUntilSend =
       check.mUntilSend && warmUp->mUntilSend
         ? std::optional(std::max(*check.mUntilSend, *warmUp->mUntilSend))
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -216,6 +216,9 @@
                         settings.mWarmUp->mSlack,
                         settings.mDiscovery.mHeartbeat };
   }
+  if (settings.mOverload.mOrdersWork) {
+    forward.mOrder.emplace();
+  }
   if (settings.mListen.mRelay) {
     BOOST_LEAF_AUTO(key, LoadPeerKey(settings));
     forward.mRelayPort = settings.mListen.mRelay->mPort;
--- a/src/settings/tests/settings_tests.cpp
+++ b/src/settings/tests/settings_tests.cpp
@@ -231,6 +231,7 @@
   window: 10 s
 overload:
   defer: true
+  order: true
 warm_up:
   overshoot: 1.5
   slack: 5
@@ -252,6 +253,7 @@
   BOOST_TEST(settings.mValue->mRetries.mSlack == 104);
   BOOST_TEST(settings.mValue->mOverload.mDefersLate);
   BOOST_TEST((settings.mValue->mWarmUp == WarmUpSettings{ 1.5, 5 }));
+  BOOST_TEST(settings.mValue->mOverload.mOrdersWork);
 }
 
 /// A platform scales its bounds with the size of a deployment.
@@ -295,6 +297,7 @@
     WrongCase{ "overshoot: 1.5", "overshoot: -1", "warm_up.overshoot" },
     WrongCase{ "  overshoot: 1.5\n", "", "warm_up.overshoot: missing" },
     WrongCase{ "slack: 5\n", "slack: much\n", "warm_up.slack" },
+    WrongCase{ "order: true", "order: 3", "overload.order" },
     WrongCase{ "adapter: platform", "adapter: other", "adapter: " },
   };
   for (const auto& it : cases) {
