--- a/src/control/internal/corestep.cpp
+++ b/src/control/internal/corestep.cpp
@@ -156,9 +156,8 @@
 auto
 IsHalfFounded(const CoreState& aState, Revision aCommitFloor) -> bool
 {
-  return aState.mVote.mVote == aState.mVote.mMember &&
-         aCommitFloor == 0 && LastIndex(aState.mLog) == 0 &&
-         aState.mSnapshot.mIndex == 0;
+  return aState.mVote.mVote == aState.mVote.mMember && aCommitFloor == 0 &&
+         LastIndex(aState.mLog) == 0 && aState.mSnapshot.mIndex == 0;
 }
 
 auto
