--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -111,6 +111,33 @@
     Gauge("cuminslip_forward_cut_off",
           "1 while this instance reaches no endpoint.",
           forwarding::IsCutOff(aForwarder) ? 1 : 0),
+    Counter("cuminslip_forward_relayed_total",
+            "Requests sent through other instances.",
+            counters.mRelayed),
+    Counter("cuminslip_forward_relays_accepted_total",
+            "Requests of other instances served here.",
+            counters.mRelaysAccepted),
+    Counter("cuminslip_forward_relays_refused_total",
+            "Requests of other instances refused at once.",
+            counters.mRelaysRefused),
+    Gauge("cuminslip_forward_suspect_requests",
+          "Requests and parts of prompts with a crash of an endpoint against "
+          "them.",
+          static_cast<double>(forwarding::CountSuspects(aForwarder))),
+    Gauge("cuminslip_forward_harmful_requests",
+          "Requests and parts of prompts that end endpoints; they are refused.",
+          static_cast<double>(forwarding::CountHarmful(aForwarder)))
+  };
+}
+
+/// Returns the metrics of what happens under too much load, and to endpoints
+/// that must be spared.
+auto
+LoadMetrics(const forwarding::Forwarder& aForwarder)
+  -> std::vector<MetricFamily>
+{
+  const auto& counters = forwarding::CountersOf(aForwarder);
+  return {
     Gauge("cuminslip_forward_evacuated_endpoints",
           "Endpoints that get no requests since their failure domain is "
           "evacuated.",
@@ -142,23 +169,7 @@
             counters.mRefusedWaiting),
     Counter("cuminslip_forward_slot_claims_lost_total",
             "Claims of a free slot that another instance was granted.",
-            counters.mSlotClaimsLost),
-    Counter("cuminslip_forward_relayed_total",
-            "Requests sent through other instances.",
-            counters.mRelayed),
-    Counter("cuminslip_forward_relays_accepted_total",
-            "Requests of other instances served here.",
-            counters.mRelaysAccepted),
-    Counter("cuminslip_forward_relays_refused_total",
-            "Requests of other instances refused at once.",
-            counters.mRelaysRefused),
-    Gauge("cuminslip_forward_suspect_requests",
-          "Requests and parts of prompts with a crash of an endpoint against "
-          "them.",
-          static_cast<double>(forwarding::CountSuspects(aForwarder))),
-    Gauge("cuminslip_forward_harmful_requests",
-          "Requests and parts of prompts that end endpoints; they are refused.",
-          static_cast<double>(forwarding::CountHarmful(aForwarder)))
+            counters.mSlotClaimsLost)
   };
 }
 
@@ -206,8 +217,10 @@
               "Bytes dropped that belong to no request.",
               pool.mStrayBytes)
     };
-    for (auto& it : StatementMetrics(*aGateway.mForwarder)) {
-      families.push_back(std::move(it));
+    for (const auto metricsOf : { StatementMetrics, LoadMetrics }) {
+      for (auto& it : metricsOf(*aGateway.mForwarder)) {
+        families.push_back(std::move(it));
+      }
     }
     const auto& times = forwarding::TimesOf(*aGateway.mForwarder);
     families.push_back(RequestTimes(times));
