--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -156,11 +156,14 @@
         except (OSError, http.client.HTTPException):
             return None, b""
 
-    def put_config(self, routes, services, seconds=20):
+    def put_config(self, routes, services, tenants=None, seconds=20):
+        """Sends a new configuration until it is acknowledged. None leaves out tenants."""
         self.version += 1
         document = {"version": self.version, "routes": routes, "services": services,
                     "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                                "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
+        if tenants is not None:
+            document["tenants"] = tenants
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             status, _ = self.call_control("PUT", "/api/config", document)
