--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -94,6 +94,7 @@
         self.runner_port = base + 5
         self.cores = [Instance(self, f"core-{n}", f"{self.net}.{10 + n}", "core") for n in range(cores)]
         self.edges = [Instance(self, f"edge-{n}", f"{self.net}.{30 + n}", "edge") for n in range(edges)]
+        self.seeds = self.cores[:3]
         self.zones = zones
         self.runners = []
         self.version = 0
@@ -118,7 +119,7 @@
                       f"  platform: {it.host}:{self.ready_port}",
                       f"  relay: {it.host}:{self.relay_port}"]
         lines += ["discovery:", "  seeds:"]
-        lines += [f"    - {core.host}:{self.control_port}" for core in self.cores[:3]]
+        lines += [f"    - {core.host}:{self.control_port}" for core in self.seeds]
         lines += [f"  peer_port: {self.peer_port}", f"  may_found: {'true' if may_found else 'false'}",
                   "  heartbeat: 1200 ms", "retries:", "  ratio: 0.2", "  slack: 104", "  window: 10 s",
                   "overload:", "  defer: true", "  order: true",
