Log what a graceful stop leaves undone

gateway_stop_ended said nothing of callers that still waited, so that a stop that cuts answers could not be told from one that does not. gateway_closing states the age of the stop, and the requests and the bytes of answers that are left.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -344,6 +344,12 @@
   return aForwarder.mFlights.empty();
 }
 
+auto
+CountRequests(const Forwarder& aForwarder) -> std::size_t
+{
+  return aForwarder.mFlights.size();
+}
+
 auto
 AbandonRequests(Forwarder& aForwarder) -> void
 {
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -352,6 +352,20 @@
   return {};
 }
 
+auto
+UnsentBytesOf(const wire::HttpServerPtr& aServer) -> std::size_t
+{
+  return aServer == nullptr ? 0 : wire::UnsentBytes(*aServer);
+}
+
+/// Bytes of answers that callers and other instances have still to be sent.
+auto
+CountUnsentBytes(const Gateway& aGateway) -> std::size_t
+{
+  return UnsentBytesOf(aGateway.mCallerServer) +
+         UnsentBytesOf(aGateway.mRelayServer);
+}
+
 auto
 CheckStopped(Gateway& aGateway) -> void
 {
@@ -366,6 +380,13 @@
     });
     return;
   }
+  LogEvent(
+    kGatewayClosingEvent,
+    { { "age_ms", age.count() },
+      { "requests",
+        aGateway.mForwarder ? forwarding::CountRequests(*aGateway.mForwarder)
+                            : std::size_t{ 0 } },
+      { "unsent_bytes", CountUnsentBytes(aGateway) } });
   CloseGateway(aGateway);
   wire::StopLoop(*aGateway.mLoop);
 }
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -34,5 +34,7 @@
   Event{ 2112, "evacuation_refused", Severity::Warning };
 inline constexpr auto kEvacuationsUnreadableEvent =
   Event{ 2113, "evacuations_unreadable", Severity::Error };
+inline constexpr auto kGatewayClosingEvent =
+  Event{ 2114, "gateway_closing", Severity::Info };
 
 } // namespace cuminslip::gateway
--- a/src/wire/httpserver.h
+++ b/src/wire/httpserver.h
@@ -68,6 +68,11 @@
 auto
 CountConnections(const HttpServer& aServer) -> std::size_t;
 
+/// Bytes of answers that were given to the server and that the callers'
+/// connections have not yet taken.
+auto
+UnsentBytes(const HttpServer& aServer) -> std::size_t;
+
 /// Answers with a whole response. Precondition: nothing was sent before.
 auto
 SendResponse(const ResponderPtr& aResponder, const HttpResponse& aResponse)
--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -116,6 +116,7 @@
   aResponder.mRequest = nullptr;
   aResponder.mGenerator = nullptr;
   aResponder.mPending.clear();
+  aResponder.mInFlight.clear();
   const auto onClose = std::exchange(aResponder.mOnClose, {});
   if (!aResponder.mIsDone && onClose) {
     onClose();
@@ -419,6 +420,18 @@
   return aServer.mConnections->size();
 }
 
+auto
+UnsentBytes(const HttpServer& aServer) -> std::size_t
+{
+  auto bytes = std::size_t{ 0 };
+  for (const auto& weak : aServer.mResponders) {
+    if (const auto responder = weak.lock()) {
+      bytes += UnsentBytes(responder);
+    }
+  }
+  return bytes;
+}
+
 auto
 SendResponse(const ResponderPtr& aResponder, const HttpResponse& aResponse)
   -> void
