Never deliver a whole answer inside a stream

Callers saw their connections end without an answer, all those of one instance at once. A stream that had begun broke off and was resumed; the second endpoint answered with a whole answer, as a 500, and no third attempt was allowed. HandleWholeAnswer then delivered that answer, which began a second response on the same request, and h2o ended the process by an assertion.

A flight whose caller has the head of a stream now takes a whole answer as a failed attempt: the stream is resumed again, or cut so that the caller can tell. The relay takes the same path.

--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -266,6 +266,17 @@
   NoteSoundAnswer(aForwarder, aFlight);
   const auto isError =
     attempt.mStatus >= kFirstServerError && attempt.mRelay.empty();
+  if (!isError) {
+    NoteSuccess(aForwarder, attempt.mEndpoint);
+  }
+  // NOTE: the caller has the head of a stream, which only events can continue.
+  if (aFlight.mHasStarted) {
+    RecoverFlight(aForwarder,
+                  aFlight,
+                  SendOutcome::Answered,
+                  "the endpoint did not continue the stream");
+    return;
+  }
   if (isError && MayRepeatFlight(aForwarder, aFlight, SendOutcome::Answered)) {
     RecoverFlight(aForwarder,
                   aFlight,
@@ -273,9 +284,6 @@
                   "the endpoint answered with an error");
     return;
   }
-  if (!isError) {
-    NoteSuccess(aForwarder, attempt.mEndpoint);
-  }
   DeliverWhole(aForwarder, aFlight);
 }
 
--- a/src/forwarding/tests/fakeworld.h
+++ b/src/forwarding/tests/fakeworld.h
@@ -187,9 +187,12 @@
     auto port = wire::CallerPort{};
     port.mRespond = [caller](const wire::HttpResponse& aResponse) {
       BOOST_TEST(!caller->mResponse.has_value(), "a second final answer");
+      BOOST_TEST(caller->mStreamStatus == 0, "an answer inside a stream");
       caller->mResponse = aResponse;
     };
     port.mStartStream = [caller](int aStatus, const wire::Headers&) {
+      BOOST_TEST(!caller->mResponse.has_value(), "a stream after an answer");
+      BOOST_TEST(caller->mStreamStatus == 0, "a second head");
       caller->mStreamStatus = aStatus;
     };
     port.mSendPiece = [caller](std::string_view aPiece) {
--- a/src/forwarding/tests/streams_tests.cpp
+++ b/src/forwarding/tests/streams_tests.cpp
@@ -178,6 +178,31 @@
   BOOST_TEST(caller->mStreamed == Events(1, 3));
 }
 
+// Incident LOST: such an answer ended the process, and all requests in flight.
+BOOST_AUTO_TEST_CASE(AWholeAnswerToAResumedStreamDoesNotReachItsCaller)
+{
+  const auto notRun = wire::Headers{ { "not-run", "1" }, { "id", "r1" } };
+  for (const auto status :
+       { 201, 204, 302, 400, 404, 421, 429, 500, 503, 504 }) {
+    for (const auto& headers : { kSealed, notRun, wire::Headers{} }) {
+      const auto caller = Ask(MakeRequest("draft"));
+      Head(LastSend(), 200, kSealed);
+      Piece(LastSend(), Events(1, 3));
+      End(LastSend(), ExchangeEnd::Broken);
+      const auto resumed = mSends.size();
+      Answer(LastSend(), status, headers, "error text");
+
+      BOOST_TEST(!caller->mResponse.has_value(), status);
+      BOOST_TEST(caller->mStreamed == Events(1, 3), status);
+      BOOST_TEST(!caller->mIsFinished, status);
+      BOOST_TEST(caller->mIsAborted, status);
+      BOOST_TEST(mSends.size() == resumed, status);
+      BOOST_TEST(IsIdle(*mForwarder), status);
+      Run(kSettled);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(CommentsAndEmptyLinesMayEndAStream)
 {
   for (const auto* rest : { "\n", "\r\n", ": done\n", ": done\r\n\r\n" }) {
