Give each response of the HTTP server a phase that only moves forward

Callers lost all requests of an instance when a layer above began a response twice. Four flags said how far a response was, and beginning one trusted its caller. It is one phase now (not begun, begun, ended, handed over, cut). A second head cuts the response, so that its caller can tell, and pieces before the head or after the end have no effect; no call can reach the assertions of h2o_start_response and h2o_send. Ending a response after its end no longer cuts it.

Before: EverySequenceOfCallsGivesOneResponse ended by SIGABRT. After: 1,250 runs of all sequences of four calls, at once and with rounds of the loop between, give one response each, whole or visibly cut.

--- a/src/wire/httpserver.h
+++ b/src/wire/httpserver.h
@@ -73,27 +73,31 @@
 auto
 UnsentBytes(const HttpServer& aServer) -> std::size_t;
 
-/// Answers with a whole response. Precondition: nothing was sent before.
+/// Answers with a whole response. Where the response has begun before and is
+/// still open, it is cut instead, as by AbortStream.
 auto
 SendResponse(const ResponderPtr& aResponder, const HttpResponse& aResponse)
   -> void;
 
-/// Sends status and headers of a response whose body follows in pieces.
-/// Precondition: nothing was sent before.
+/// Sends status and headers of a response whose body follows in pieces. Where
+/// the response has begun before and is still open, it is cut instead.
 auto
 StartStream(const ResponderPtr& aResponder,
             int aStatus,
             const Headers& aHeaders) -> void;
 
-/// Sends a piece of the body. Precondition: StartStream was called.
+/// Sends a piece of the body. Without effect before StartStream, and after the
+/// end.
 auto
 SendPiece(const ResponderPtr& aResponder, std::string_view aPiece) -> void;
 
-/// Ends the body normally.
+/// Ends the body normally. Without effect where SendPiece has none.
 auto
 FinishStream(const ResponderPtr& aResponder) -> void;
 
-/// Breaks the connection so that the caller sees an incomplete body.
+/// Breaks the connection so that the caller sees an incomplete body. A response
+/// that has not begun is a 503 without a body instead. Without effect after the
+/// end.
 auto
 AbortStream(const ResponderPtr& aResponder) -> void;
 
--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -13,11 +13,26 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <optional>
 #include <set>
 #include <vector>
 
 namespace cuminslip::wire {
 
+/// How far a response is. Later phases never lead back to earlier ones.
+enum class ResponsePhase : std::uint8_t
+{
+  NotBegun,
+  /// The head was sent.
+  Begun,
+  /// No more of the body follows; a part may not have been handed to h2o yet.
+  Ended,
+  /// h2o has the last part.
+  HandedOver,
+  /// Broken off so that the caller can tell.
+  Cut
+};
+
 struct Responder
 {
   /// Outlives mRequest.
@@ -26,11 +41,9 @@
   struct Generator* mGenerator = nullptr;
   std::string mPending;
   std::string mInFlight;
-  bool mHasStarted = false;
+  ResponsePhase mPhase = ResponsePhase::NotBegun;
+  /// h2o has a part and has not asked for the next one.
   bool mIsSending = false;
-  bool mIsFinishing = false;
-  bool mIsDone = false;
-  bool mIsAborted = false;
   std::function<void()> mOnClose;
 };
 
@@ -81,6 +94,15 @@
 /// The first HTTP version, as h2o counts them, whose callers read chunks.
 constexpr auto kChunkedVersion = 0x101;
 
+/// True if nothing more can be done for the response.
+auto
+IsOver(const Responder& aResponder) -> bool
+{
+  return aResponder.mRequest == nullptr ||
+         aResponder.mPhase == ResponsePhase::HandedOver ||
+         aResponder.mPhase == ResponsePhase::Cut;
+}
+
 auto
 ToString(const h2o_iovec_t& aBytes) -> std::string
 {
@@ -109,16 +131,17 @@
 }
 
 /// Detaches the responder from the request and reports a close that came
-/// before the response was done.
+/// before the response was over.
 auto
 Detach(Responder& aResponder) -> void
 {
+  const auto isEarly = !IsOver(aResponder);
   aResponder.mRequest = nullptr;
   aResponder.mGenerator = nullptr;
   aResponder.mPending.clear();
   aResponder.mInFlight.clear();
   const auto onClose = std::exchange(aResponder.mOnClose, {});
-  if (!aResponder.mIsDone && onClose) {
+  if (isEarly && onClose) {
     onClose();
   }
 }
@@ -134,11 +157,9 @@
 auto
 Flush(Responder& aResponder) -> void
 {
-  if (aResponder.mIsSending || aResponder.mRequest == nullptr ||
-      aResponder.mIsDone) {
-    return;
-  }
-  if (aResponder.mPending.empty() && !aResponder.mIsFinishing) {
+  const auto isEnd = aResponder.mPhase == ResponsePhase::Ended;
+  const auto hasPart = !aResponder.mPending.empty() || isEnd;
+  if (aResponder.mIsSending || IsOver(aResponder) || !hasPart) {
     return;
   }
   aResponder.mInFlight = std::exchange(aResponder.mPending, {});
@@ -146,12 +167,13 @@
   auto* request = aResponder.mRequest;
   auto buf =
     h2o_iovec_init(aResponder.mInFlight.data(), aResponder.mInFlight.size());
-  const auto state =
-    aResponder.mIsFinishing ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS;
-  if (aResponder.mIsFinishing) {
-    aResponder.mIsDone = true;
+  if (isEnd) {
+    aResponder.mPhase = ResponsePhase::HandedOver;
   }
-  h2o_send(request, &buf, buf.len > 0 ? 1 : 0, state);
+  h2o_send(request,
+           &buf,
+           buf.len > 0 ? 1 : 0,
+           isEnd ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
 }
 
 auto
@@ -160,7 +182,7 @@
   const auto responder = *reinterpret_cast<Generator*>(aGenerator)->mResponder;
   responder->mIsSending = false;
   responder->mInFlight.clear();
-  if (responder->mIsAborted) {
+  if (responder->mPhase == ResponsePhase::Cut) {
     // NOTE: h2o does not read while a response is open, so that it would not
     // notice the closed connection by itself.
     h2o_send(responder->mRequest, nullptr, 0, H2O_SEND_STATE_ERROR);
@@ -330,6 +352,58 @@
   }
 }
 
+/// Breaks the connection of a response that has begun and is not handed over.
+auto
+CutResponse(Responder& aResponder) -> void
+{
+  aResponder.mPhase = ResponsePhase::Cut;
+  aResponder.mPending.clear();
+  auto* request = aResponder.mRequest;
+  request->http1_is_persistent = 0;
+  const auto fd =
+    h2o_socket_get_fd(request->conn->callbacks->get_socket(request->conn));
+  if (request->version >= kChunkedVersion) {
+    // NOTE: h2o ends a chunked body that fails with half a chunk, which no
+    // caller can read; on a closed connection it can't write that.
+    shutdown(fd, SHUT_RDWR);
+  } else {
+    // NOTE: without chunks only a reset differs from the end of the body.
+    const auto reset = linger{ 1, 0 };
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  }
+  // NOTE: while a piece is being written h2o finds the broken connection
+  // itself.
+  if (!aResponder.mIsSending) {
+    h2o_send(request, nullptr, 0, H2O_SEND_STATE_ERROR);
+  }
+}
+
+/// Sends the head of a response. False if none can be sent: the caller has
+/// gone, or the response has begun before. One that is still open is cut then,
+/// since the caller would take a second head for a part of its body.
+auto
+BeginResponse(const ResponderPtr& aResponder,
+              int aStatus,
+              const Headers& aHeaders,
+              std::optional<std::size_t> aBodyBytes) -> bool
+{
+  if (IsOver(*aResponder)) {
+    return false;
+  }
+  if (aResponder->mPhase != ResponsePhase::NotBegun) {
+    AbortStream(aResponder);
+    return false;
+  }
+  auto& request = *aResponder->mRequest;
+  SetResponseHead(*aResponder, aStatus, aHeaders);
+  if (aBodyBytes) {
+    request.res.content_length = *aBodyBytes;
+  }
+  aResponder->mPhase = ResponsePhase::Begun;
+  h2o_start_response(&request, &aResponder->mGenerator->mBase);
+  return true;
+}
+
 /// Answers what is still open and closes every connection, which h2o notices
 /// within a few rounds of the loop.
 auto
@@ -337,10 +411,13 @@
 {
   for (const auto& weak : aServer.mResponders) {
     const auto responder = weak.lock();
-    if (responder && !responder->mHasStarted) {
-      SendResponse(responder, { 503, {}, "" });
-    } else if (responder) {
-      AbortStream(responder);
+    if (!responder || IsOver(*responder)) {
+      continue;
+    }
+    if (responder->mPhase == ResponsePhase::NotBegun) {
+      SendResponse(responder, { kUnavailable, {}, "" });
+    } else {
+      CutResponse(*responder);
     }
   }
   for (auto* sock : *aServer.mConnections) {
@@ -436,17 +513,13 @@
 SendResponse(const ResponderPtr& aResponder, const HttpResponse& aResponse)
   -> void
 {
-  if (aResponder->mRequest == nullptr || aResponder->mIsDone) {
-    return;
+  if (BeginResponse(aResponder,
+                    aResponse.mStatus,
+                    aResponse.mHeaders,
+                    aResponse.mBody.size())) {
+    aResponder->mPending = aResponse.mBody;
+    FinishStream(aResponder);
   }
-  auto& request = *aResponder->mRequest;
-  SetResponseHead(*aResponder, aResponse.mStatus, aResponse.mHeaders);
-  request.res.content_length = aResponse.mBody.size();
-  aResponder->mHasStarted = true;
-  h2o_start_response(&request, &aResponder->mGenerator->mBase);
-  aResponder->mPending = aResponse.mBody;
-  aResponder->mIsFinishing = true;
-  Flush(*aResponder);
 }
 
 auto
@@ -454,70 +527,47 @@
             int aStatus,
             const Headers& aHeaders) -> void
 {
-  if (aResponder->mRequest == nullptr) {
-    return;
+  if (BeginResponse(aResponder, aStatus, aHeaders, std::nullopt)) {
+    // NOTE: an empty piece makes h2o write the head at once.
+    aResponder->mIsSending = true;
+    h2o_send(aResponder->mRequest, nullptr, 0, H2O_SEND_STATE_IN_PROGRESS);
   }
-  auto& request = *aResponder->mRequest;
-  SetResponseHead(*aResponder, aStatus, aHeaders);
-  aResponder->mHasStarted = true;
-  h2o_start_response(&request, &aResponder->mGenerator->mBase);
-  // NOTE: an empty piece makes h2o write the head at once.
-  aResponder->mIsSending = true;
-  h2o_send(&request, nullptr, 0, H2O_SEND_STATE_IN_PROGRESS);
 }
 
 auto
 SendPiece(const ResponderPtr& aResponder, std::string_view aPiece) -> void
 {
-  if (aResponder->mRequest == nullptr || aResponder->mIsFinishing) {
-    return;
+  if (aResponder->mRequest != nullptr &&
+      aResponder->mPhase == ResponsePhase::Begun) {
+    aResponder->mPending += aPiece;
+    Flush(*aResponder);
   }
-  aResponder->mPending += aPiece;
-  Flush(*aResponder);
 }
 
 auto
 FinishStream(const ResponderPtr& aResponder) -> void
 {
-  if (aResponder->mRequest == nullptr || aResponder->mIsFinishing) {
-    return;
+  if (aResponder->mRequest != nullptr &&
+      aResponder->mPhase == ResponsePhase::Begun) {
+    aResponder->mPhase = ResponsePhase::Ended;
+    Flush(*aResponder);
   }
-  aResponder->mIsFinishing = true;
-  Flush(*aResponder);
 }
 
 auto
 AbortStream(const ResponderPtr& aResponder) -> void
 {
-  if (aResponder->mRequest == nullptr || aResponder->mIsDone) {
+  if (IsOver(*aResponder)) {
     return;
   }
-  if (!aResponder->mHasStarted) {
+  if (aResponder->mPhase == ResponsePhase::NotBegun) {
     // NOTE: h2o has no way to end a request but by a response.
     aResponder->mRequest->http1_is_persistent = 0;
     SendResponse(aResponder, { kUnavailable, {}, "" });
     return;
   }
-  aResponder->mIsDone = true;
-  aResponder->mIsAborted = true;
-  aResponder->mPending.clear();
-  auto* request = aResponder->mRequest;
-  request->http1_is_persistent = 0;
-  const auto fd =
-    h2o_socket_get_fd(request->conn->callbacks->get_socket(request->conn));
-  if (request->version >= kChunkedVersion) {
-    // NOTE: h2o ends a chunked body that fails with half a chunk, which no
-    // caller can read; on a closed connection it can't write that.
-    shutdown(fd, SHUT_RDWR);
-  } else {
-    // NOTE: without chunks only a reset differs from the end of the body.
-    const auto reset = linger{ 1, 0 };
-    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-  }
-  // NOTE: while a piece is being written h2o finds the broken connection
-  // itself.
-  if (!aResponder->mIsSending) {
-    h2o_send(request, nullptr, 0, H2O_SEND_STATE_ERROR);
+  if (aResponder->mPhase == ResponsePhase::Begun) {
+    CutResponse(*aResponder);
   }
 }
 
@@ -530,7 +580,7 @@
 auto
 IsClosed(const ResponderPtr& aResponder) -> bool
 {
-  if (aResponder->mRequest == nullptr || aResponder->mIsDone) {
+  if (IsOver(*aResponder)) {
     return true;
   }
   auto* conn = aResponder->mRequest->conn;
--- a/src/wire/tests/http_tests.cpp
+++ b/src/wire/tests/http_tests.cpp
@@ -171,6 +171,95 @@
   BOOST_TEST(answer.mResponse.mStatus == 503);
 }
 
+// Incident LOST: a second head ended the process.
+BOOST_AUTO_TEST_CASE(EverySequenceOfCallsGivesOneResponse)
+{
+  enum class Step
+  {
+    Respond,
+    Start,
+    Piece,
+    Finish,
+    Abort
+  };
+  constexpr auto kSteps = 5;
+  constexpr auto kLength = 4;
+  constexpr auto kSequences = kSteps * kSteps * kSteps * kSteps;
+  const auto apply = [](const ResponderPtr& aResponder, Step aStep) {
+    switch (aStep) {
+      case Step::Respond:
+        return SendResponse(aResponder, { 200, {}, "whole" });
+      case Step::Start:
+        return StartStream(aResponder, 200, {});
+      case Step::Piece:
+        return SendPiece(aResponder, "piece");
+      case Step::Finish:
+        return FinishStream(aResponder);
+      case Step::Abort:
+        return AbortStream(aResponder);
+    }
+  };
+  for (auto n = 0; n < 2 * kSequences; ++n) {
+    const auto runsBetween = n >= kSequences;
+    auto steps = std::vector<Step>{};
+    for (auto [i, rest] = std::pair(0, n); i < kLength; ++i, rest /= kSteps) {
+      steps.push_back(static_cast<Step>(rest % kSteps));
+    }
+    // NOTE: ends what the sequence leaves open.
+    steps.push_back(Step::Abort);
+    auto expected = Answer{};
+    auto isOpen = false;
+    for (const auto it : steps) {
+      if (expected.mEnd) {
+        break;
+      }
+      const auto isFirst = !isOpen;
+      if (isFirst && it == Step::Respond) {
+        expected = { CallEnd::Complete, { 200, {}, "whole" } };
+      } else if (isFirst && it == Step::Abort) {
+        expected = { CallEnd::Complete, { 503, {}, "" } };
+      } else if (isFirst) {
+        isOpen = it == Step::Start;
+      } else if (it == Step::Piece) {
+        expected.mResponse.mBody += "piece";
+      } else {
+        expected.mEnd =
+          it == Step::Finish ? CallEnd::Complete : CallEnd::Broken;
+        expected.mResponse.mStatus = 200;
+      }
+    }
+
+    auto responder = ResponderPtr{};
+    Serve([&](const HttpRequest&, const ResponderPtr& aResponder) {
+      responder = aResponder;
+      for (const auto it : runsBetween ? std::vector<Step>{} : steps) {
+        apply(aResponder, it);
+      }
+    });
+    auto answer = Answer{};
+    FetchResponse(*mClient,
+                  Call("GET", "/", ""),
+                  kMaxBody,
+                  [&](CallEnd aEnd, const HttpResponse& aResponse) {
+                    answer = { aEnd, aResponse };
+                  });
+    RunUntil([&] { return responder != nullptr; });
+    for (const auto it : runsBetween ? steps : std::vector<Step>{}) {
+      apply(responder, it);
+      RunLoopOnce(*mLoop, Millis(0));
+    }
+    RunUntil([&] { return answer.mEnd.has_value(); });
+
+    BOOST_TEST((answer.mEnd == expected.mEnd), n);
+    const auto isWhole = answer.mEnd == CallEnd::Complete;
+    BOOST_TEST(
+      (!isWhole || (answer.mResponse.mStatus == expected.mResponse.mStatus &&
+                    answer.mResponse.mBody == expected.mResponse.mBody)),
+      n);
+    BOOST_TEST(expected.mResponse.mBody.starts_with(answer.mResponse.mBody), n);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(NoticesACallerWhoLeaves)
 {
   auto responder = ResponderPtr{};
