End a planned stop after the last byte of each answer

Callers that read slowly lost the rest of their answers when their instance was stopped in order. A request counted as ended when its answer was handed to the HTTP server, so that the process closed its connections with megabytes unwritten and seconds of its stop time left. A stop now also waits until the callers' connections, and those of instances that relay, have taken every answer, up to the stop time; then the connections are cut inside the framing of the answer. The own interface had the same fault and waits in the same way.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -137,10 +137,6 @@
 auto
 IsIdle(const Forwarder& aForwarder) -> bool;
 
-/// Returns the number of requests in flight.
-auto
-CountRequests(const Forwarder& aForwarder) -> std::size_t;
-
 /// Ends all requests in flight: streams are aborted, other requests answered as
 /// failed.
 auto
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -344,12 +344,6 @@
   return aForwarder.mFlights.empty();
 }
 
-auto
-CountRequests(const Forwarder& aForwarder) -> std::size_t
-{
-  return aForwarder.mFlights.size();
-}
-
 auto
 AbandonRequests(Forwarder& aForwarder) -> void
 {
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -366,27 +366,39 @@
          UnsentBytesOf(aGateway.mRelayServer);
 }
 
+/// Number of callers and other instances that do not have their whole answers.
+auto
+CountOpenResponses(const Gateway& aGateway) -> std::size_t
+{
+  auto count = std::size_t{ 0 };
+  for (const auto* server :
+       { aGateway.mCallerServer.get(), aGateway.mRelayServer.get() }) {
+    count += server == nullptr ? 0 : wire::CountOpenResponses(*server);
+  }
+  return count;
+}
+
 auto
 CheckStopped(Gateway& aGateway) -> void
 {
   const auto age = MillisBetween(aGateway.mStopBegan, MonotonicNow());
   const auto isLate = age >= aGateway.mSettings.mLimits.mStopTime;
-  const auto isIdle =
+  const auto isDrained =
     !aGateway.mForwarder ||
     (age >= kTrafficDrainTime && forwarding::IsIdle(*aGateway.mForwarder));
+  // NOTE: a request ends with its answer's last byte, which a caller that reads
+  // slowly takes long after the forwarder has passed it on.
+  const auto isIdle = isDrained && CountOpenResponses(aGateway) == 0;
   if (!isIdle && !isLate) {
     wire::StartTimer(*aGateway.mLoop, kStopCheckInterval, [&aGateway] {
       CheckStopped(aGateway);
     });
     return;
   }
-  LogEvent(
-    kGatewayClosingEvent,
-    { { "age_ms", age.count() },
-      { "requests",
-        aGateway.mForwarder ? forwarding::CountRequests(*aGateway.mForwarder)
-                            : std::size_t{ 0 } },
-      { "unsent_bytes", CountUnsentBytes(aGateway) } });
+  LogEvent(kGatewayClosingEvent,
+           { { "age_ms", age.count() },
+             { "requests", CountOpenResponses(aGateway) },
+             { "unsent_bytes", CountUnsentBytes(aGateway) } });
   CloseGateway(aGateway);
   wire::StopLoop(*aGateway.mLoop);
 }
--- a/src/gateway/tests/closing_tests.cpp
+++ b/src/gateway/tests/closing_tests.cpp
@@ -11,6 +11,8 @@
 
 constexpr auto kTestTimeout = Seconds(30);
 constexpr auto kPollInterval = Millis(5);
+/// More than the sockets of a connection hold.
+constexpr auto kLongBody = std::size_t{ 32 } * 1024 * 1024;
 constexpr auto kCall =
   std::string_view("GET / HTTP/1.1\r\nhost: localhost\r\n\r\n");
 
@@ -19,6 +21,7 @@
 {
   GatewayPtr mGateway{ new Gateway };
   int mHandledRequests = 0;
+  std::string mBody;
 
   CallerFixture()
   {
@@ -32,7 +35,7 @@
         mGateway->mIsClosed,
         [this](const wire::HttpRequest&, const wire::ResponderPtr& aResponder) {
           ++mHandledRequests;
-          wire::SendResponse(aResponder, { 200, {}, "" });
+          wire::SendResponse(aResponder, { 200, {}, mBody });
         });
     });
     BOOST_REQUIRE(server.mValue.has_value());
@@ -69,6 +72,60 @@
   BOOST_TEST(mHandledRequests == 1);
 }
 
+// Incident LOST: a planned stop cut answers that slow callers were reading.
+BOOST_AUTO_TEST_CASE(AStopWaitsForCallersThatReadSlowly)
+{
+  constexpr auto kPauses = 20;
+  auto caller =
+    wire::testing::RawCaller(wire::ListenAddress(*mGateway->mCallerServer));
+  mBody = std::string(kLongBody, 'x');
+  caller.Send(kCall);
+  while (mHandledRequests == 0) {
+    wire::RunLoopOnce(*mGateway->mLoop, kPollInterval);
+  }
+
+  StopGateway(*mGateway);
+  wire::StartTimer(
+    *mGateway->mLoop, kPollInterval * kPauses, [&] { caller.IsClosed(); });
+  auto isRead = false;
+  const auto limit = MonotonicNow() + kTestTimeout;
+  wire::StartTimer(*mGateway->mLoop, kPollInterval * 2 * kPauses, [&] {
+    isRead = true;
+    while (!caller.IsClosed() && MonotonicNow() < limit) {
+      wire::RunLoopOnce(*mGateway->mLoop, kPollInterval);
+    }
+  });
+  RunGateway(*mGateway);
+  mGateway.reset();
+
+  BOOST_TEST(isRead);
+  BOOST_TEST(caller.IsClosed());
+  BOOST_TEST(caller.Received().ends_with("\r\n\r\n" + mBody));
+}
+
+BOOST_AUTO_TEST_CASE(AStopCutsCallersThatReadNothingAtItsLimit)
+{
+  constexpr auto kStopTime = Millis(300);
+  mGateway->mSettings.mLimits.mStopTime = kStopTime;
+  auto caller =
+    wire::testing::RawCaller(wire::ListenAddress(*mGateway->mCallerServer));
+  mBody = std::string(kLongBody, 'x');
+  caller.Send(kCall);
+  while (mHandledRequests == 0) {
+    wire::RunLoopOnce(*mGateway->mLoop, kPollInterval);
+  }
+
+  const auto began = MonotonicNow();
+  StopGateway(*mGateway);
+  RunGateway(*mGateway);
+  mGateway.reset();
+
+  BOOST_TEST((MonotonicNow() - began >= kStopTime));
+  BOOST_TEST((MonotonicNow() - began < 10 * kStopTime));
+  BOOST_TEST(caller.IsClosed());
+  BOOST_TEST(caller.Received().size() < kLongBody);
+}
+
 BOOST_AUTO_TEST_CASE(ARequestReceivedDuringDestructionIsNotHandled)
 {
   auto caller =
--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -313,7 +313,12 @@
 CheckStopped(Instance& aInstance, TimePoint aLimit) -> void
 {
   const auto isLate = MonotonicNow() >= aLimit;
-  if (requests::IsIdle(*aInstance.mFront) || isLate) {
+  // NOTE: a request ends with its answer's last byte, which a caller that reads
+  // slowly takes long after the front has passed it on.
+  const auto isIdle = requests::IsIdle(*aInstance.mFront) &&
+                      (!aInstance.mCallerServer ||
+                       wire::CountOpenResponses(*aInstance.mCallerServer) == 0);
+  if (isIdle || isLate) {
     requests::AbandonRequests(*aInstance.mFront);
     requests::LeaveDomain(*aInstance.mFront);
     wire::StopLoop(*aInstance.mLoop);
--- a/src/wire/httpserver.h
+++ b/src/wire/httpserver.h
@@ -73,6 +73,11 @@
 auto
 UnsentBytes(const HttpServer& aServer) -> std::size_t;
 
+/// Number of requests whose responses the callers' connections have not yet
+/// taken whole, those without a response included.
+auto
+CountOpenResponses(const HttpServer& aServer) -> std::size_t;
+
 /// Answers with a whole response. Where the response has begun before and is
 /// still open, it is cut instead, as by AbortStream.
 auto
--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -509,6 +509,18 @@
   return bytes;
 }
 
+auto
+CountOpenResponses(const HttpServer& aServer) -> std::size_t
+{
+  return static_cast<std::size_t>(
+    std::count_if(aServer.mResponders.begin(),
+                  aServer.mResponders.end(),
+                  [](const auto& aWeak) {
+                    const auto responder = aWeak.lock();
+                    return responder && responder->mRequest != nullptr;
+                  }));
+}
+
 auto
 SendResponse(const ResponderPtr& aResponder, const HttpResponse& aResponse)
   -> void
