Accept no key where the list of client accounts is empty

An operator who took away the last client account opened every route that is not public to everyone: an empty list counted as none. The document now keeps whether it has a list, and one function says if a route needs a key. cuminslip check warns of a list without any account, and names a change that opens or closes all routes.

The own interface has no such list.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -56,8 +56,7 @@
 auto
 IdentifyAccount(Forwarder&, Flight& aFlight) -> std::optional<Failure>
 {
-  const auto hasAccounts = !aFlight.mTable->mDocument.mAccounts.empty();
-  if (aFlight.mRoute->mIsPublic || !hasAccounts) {
+  if (!routing::NeedsKey(aFlight.mTable->mDocument, *aFlight.mRoute)) {
     return std::nullopt;
   }
   const auto* account =
@@ -271,7 +270,7 @@
              { "former_version", present },
              { "routes", aTable->mDocument.mRoutes.size() },
              { "services", aTable->mDocument.mServices.size() },
-             { "accounts", aTable->mDocument.mAccounts.size() } });
+             { "accounts", routing::AccountsOf(aTable->mDocument).size() } });
   if (aForwarder.mTable == nullptr) {
     aForwarder.mDiscoverySettledAt =
       aForwarder.mPorts.mNow() + kDiscoverySettleTime;
--- a/src/forwarding/tests/forwarder_tests.cpp
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -308,4 +308,43 @@
   BOOST_TEST(LastSend().mIsCancelled);
 }
 
+// An empty list of accounts was taken for none, which opened the routes.
+BOOST_AUTO_TEST_CASE(WithoutAnyAccountLeftNoKeyIsAccepted)
+{
+  using Accounts = std::vector<routing::ClientAccount>;
+  struct Case
+  {
+    std::optional<Accounts> mAccounts;
+    bool mIsPublic;
+    bool mIsServed;
+  };
+  const auto other = Accounts{ { { "other" }, { "other key" }, {} } };
+  const auto keyless = Accounts{ { { "keyless" }, {}, {} } };
+  const auto cases = std::vector<Case>{
+    { std::nullopt, false, true }, { Accounts{}, false, false },
+    { keyless, false, false },     { other, false, false },
+    { Accounts{}, true, true },    { other, true, true },
+  };
+  auto version = routing::Version{ 1 };
+  for (const auto& it : cases) {
+    auto document = MakeDocument(++version);
+    document.mAccounts = it.mAccounts;
+    document.mRoutes[0].mIsPublic = it.mIsPublic;
+    ApplyRouting(*mForwarder, MakeTable(std::move(document)));
+    for (const auto* key : { "", "good key" }) {
+      auto request = MakeRequest("read");
+      request.mKey = key;
+      const auto sends = mSends.size();
+      const auto caller = Ask(request);
+      BOOST_TEST((mSends.size() > sends) == it.mIsServed, version);
+      const auto isDenied =
+        caller->mResponse && caller->mResponse->mBody == "unknown_key";
+      BOOST_TEST(isDenied == !it.mIsServed, version);
+      if (it.mIsServed) {
+        Answer(LastSend(), 200, kSealed, "x");
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/forwarding/tests/workorder_tests.cpp
+++ b/src/forwarding/tests/workorder_tests.cpp
@@ -32,7 +32,7 @@
     : FakeWorld("10.0.0.1:7000", std::move(aSettings))
   {
     auto document = MakeDocument(1);
-    document.mAccounts.push_back({ { "vip" }, { "vip key" }, 0 });
+    document.mAccounts->push_back({ { "vip" }, { "vip key" }, 0 });
     document.mRoutes[3].mPriority = 2;
     document.mRoutes[2].mServices = { { "engines", 1 } };
     ApplyRouting(*mForwarder, MakeTable(std::move(document)));
--- a/src/routing/internal/routing.cpp
+++ b/src/routing/internal/routing.cpp
@@ -74,7 +74,7 @@
 {
   auto names = std::set<AccountId>{};
   auto keys = std::set<std::string>{};
-  for (const auto& account : aDocument.mAccounts) {
+  for (const auto& account : AccountsOf(aDocument)) {
     const auto key = "accounts." + account.mId.mValue;
     if (!names.insert(account.mId).second) {
       AddProblem(aFindings,
@@ -95,6 +95,20 @@
 
 } // namespace
 
+auto
+AccountsOf(const RoutingDocument& aDocument)
+  -> const std::vector<ClientAccount>&
+{
+  static const auto none = std::vector<ClientAccount>{};
+  return aDocument.mAccounts ? *aDocument.mAccounts : none;
+}
+
+auto
+NeedsKey(const RoutingDocument& aDocument, const Route& aRoute) -> bool
+{
+  return aDocument.mAccounts && !aRoute.mIsPublic;
+}
+
 auto
 CheckRoutingDocument(const RoutingDocument& aDocument) -> Findings
 {
@@ -137,8 +151,9 @@
              document.mRoutes[aRight].mPathPrefix.size();
     });
   }
-  for (auto i = std::size_t{ 0 }; i < document.mAccounts.size(); ++i) {
-    for (const auto& key : document.mAccounts[i].mKeys) {
+  const auto& accounts = AccountsOf(document);
+  for (auto i = std::size_t{ 0 }; i < accounts.size(); ++i) {
+    for (const auto& key : accounts[i].mKeys) {
       table.mAccountsByKey.emplace(key, i);
     }
   }
@@ -173,7 +188,7 @@
   const auto it = aTable.mAccountsByKey.find(std::string(aKey));
   return it == aTable.mAccountsByKey.end()
            ? nullptr
-           : &aTable.mDocument.mAccounts[it->second];
+           : &AccountsOf(aTable.mDocument)[it->second];
 }
 
 auto
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -19,6 +19,17 @@
 CheckRoutingDocument(const RoutingDocument& aDocument) -> Findings;
 
 /// A routing document with lookup indexes. Immutable once built.
+/// Returns the client accounts of a document, none where it has no list of
+/// them. Valid as long as the document. Thread safe.
+auto
+AccountsOf(const RoutingDocument& aDocument)
+  -> const std::vector<ClientAccount>&;
+
+/// Returns true if a request on aRoute needs the key of a client account.
+/// Thread safe.
+auto
+NeedsKey(const RoutingDocument& aDocument, const Route& aRoute) -> bool;
+
 struct RoutingTable
 {
   RoutingDocument mDocument;
--- a/src/routing/tests/routing_tests.cpp
+++ b/src/routing/tests/routing_tests.cpp
@@ -32,8 +32,10 @@
                        MakeRoute("drafts", "/drafts/", "engines"),
                        MakeRoute("long", "/drafts/long/", "engines") };
   document.mServices = { { "plain", "", 0, {} }, { "engines", "", 0, {} } };
-  document.mAccounts = { { { "claims" }, { "key-1", "key-2" }, {} },
-                         { { "dubbing" }, { "key-3" }, 2 } };
+  document.mAccounts = std::vector<routing::ClientAccount>{
+    { { "claims" }, { "key-1", "key-2" }, {} },
+    { { "dubbing" }, { "key-3" }, 2 }
+  };
   return document;
 }
 
@@ -97,9 +99,9 @@
     { "prefix without slash",
       [](auto& aItem) { aItem.mRoutes[2].mPathPrefix = "/drafts"; } },
     { "key shared by two accounts",
-      [](auto& aItem) { aItem.mAccounts[1].mKeys = { "key-1" }; } },
+      [](auto& aItem) { aItem.mAccounts->at(1).mKeys = { "key-1" }; } },
     { "duplicate account",
-      [](auto& aItem) { aItem.mAccounts[1].mId = { "claims" }; } },
+      [](auto& aItem) { aItem.mAccounts->at(1).mId = { "claims" }; } },
     { "duplicate service",
       [](auto& aItem) { aItem.mServices[1].mName = "plain"; } },
   };
--- a/src/routing/types/routingdocument.h
+++ b/src/routing/types/routingdocument.h
@@ -136,7 +136,9 @@
   Version mVersion = 0;
   std::vector<Route> mRoutes;
   std::vector<Service> mServices;
-  std::vector<ClientAccount> mAccounts;
+  /// Requests on routes that are not public need a key of one of these. Without
+  /// a list no request needs a key; with an empty one no key is accepted.
+  std::optional<std::vector<ClientAccount>> mAccounts;
   CallerLimits mLimits;
 
   auto operator==(const RoutingDocument&) const -> bool = default;
--- a/src/routingcheck/internal/checkdocument.cpp
+++ b/src/routingcheck/internal/checkdocument.cpp
@@ -1,6 +1,7 @@
 #include "routingcheck/routingcheck.h"
 
 #include "base/digest.h"
+#include "routing/routing.h"
 
 #include <algorithm>
 #include <map>
@@ -254,8 +255,16 @@
                  [](const auto& aItem) { return aItem.mIsPublic; });
   auto names = std::set<AccountId>{};
   auto owners = std::map<std::string, AccountId>{};
-  for (auto i = std::size_t{ 0 }; i < aDocument.mAccounts.size(); ++i) {
-    const auto& it = aDocument.mAccounts[i];
+  const auto& accounts = routing::AccountsOf(aDocument);
+  if (aDocument.mAccounts && accounts.empty() && needKeys) {
+    AddWarning(
+      aFindings,
+      { { Field::Accounts, {} } },
+      "is empty, so that no key is accepted, and every route needs one",
+      "at least one client account, or no list");
+  }
+  for (auto i = std::size_t{ 0 }; i < accounts.size(); ++i) {
+    const auto& it = accounts[i];
     const auto step = PathStep{ Field::Accounts, i };
     if (!names.insert(it.mId).second) {
       AddError(aFindings,
--- a/src/routingcheck/internal/comparedocuments.cpp
+++ b/src/routingcheck/internal/comparedocuments.cpp
@@ -318,7 +318,17 @@
   }
   CompareLists(Field::Routes, aInForce.mRoutes, aNext.mRoutes, findings);
   CompareLists(Field::Services, aInForce.mServices, aNext.mServices, findings);
-  CompareLists(Field::Accounts, aInForce.mAccounts, aNext.mAccounts, findings);
+  if (aInForce.mAccounts.has_value() != aNext.mAccounts.has_value()) {
+    AddDifference(findings,
+                  { { Field::Accounts, {} } },
+                  aNext.mAccounts
+                    ? "routes that are not public now need a key"
+                    : "routes that are not public are now open without a key");
+  }
+  CompareLists(Field::Accounts,
+               routing::AccountsOf(aInForce),
+               routing::AccountsOf(aNext),
+               findings);
   CompareFields(kLimitFields,
                 aInForce.mLimits,
                 aNext.mLimits,
--- a/src/routingcheck/tests/routingcheck_tests.cpp
+++ b/src/routingcheck/tests/routingcheck_tests.cpp
@@ -39,8 +39,10 @@
   document.mServices = { { "plain", "/healthz", 9, {} },
                          { "engines", "/healthz", 9, EngineTiming{} } };
   document.mServices[1].mEngine->mKvCacheTokens = 1000;
-  document.mAccounts = { { { "claims" }, { "key-1", "key-2" }, {} },
-                         { { "dubbing" }, { "key-3" }, 2 } };
+  document.mAccounts = std::vector<routing::ClientAccount>{
+    { { "claims" }, { "key-1", "key-2" }, {} },
+    { { "dubbing" }, { "key-3" }, 2 }
+  };
   return document;
 }
 
@@ -49,11 +51,12 @@
 {
   auto document = RoutingDocument{};
   document.mVersion = 1;
+  document.mAccounts.emplace();
   for (auto i = std::size_t{ 0 }; i < aCount; ++i) {
     const auto n = std::to_string(i);
     document.mRoutes.push_back(MakeRoute("r" + n, "s" + n));
     document.mServices.push_back({ "s" + n, "", 0, {} });
-    document.mAccounts.push_back({ { "a" + n }, { "key-" + n }, {} });
+    document.mAccounts->push_back({ { "a" + n }, { "key-" + n }, {} });
   }
   return document;
 }
@@ -123,13 +126,13 @@
     } },
   { kError,
     At(kAccount, Field::Name),
-    [](auto& aTo) { aTo.mAccounts[1].mId = aTo.mAccounts[0].mId; } },
+    [](auto& aTo) { aTo.mAccounts->at(1).mId = aTo.mAccounts->at(0).mId; } },
   { kError,
     { kAccount, { Field::Keys, 1 } },
-    [](auto& aTo) { aTo.mAccounts[1].mKeys.emplace_back("key-2"); } },
+    [](auto& aTo) { aTo.mAccounts->at(1).mKeys.emplace_back("key-2"); } },
   { kError,
     { kAccount, { Field::Keys, 1 } },
-    [](auto& aTo) { aTo.mAccounts[1].mKeys.emplace_back(""); } },
+    [](auto& aTo) { aTo.mAccounts->at(1).mKeys.emplace_back(""); } },
 };
 
 const auto kWarnings = std::vector<Change>{
@@ -145,7 +148,7 @@
     } },
   { kWarning,
     At(kAccount, Field::Keys),
-    [](auto& aTo) { aTo.mAccounts[1].mKeys.clear(); } },
+    [](auto& aTo) { aTo.mAccounts->at(1).mKeys.clear(); } },
   { kWarning,
     At(kRoute, Field::Timeout),
     [](auto& aTo) { aTo.mRoutes[1].mAnswerTarget = aTo.mRoutes[1].mTimeout; } },
@@ -236,12 +239,38 @@
 BOOST_AUTO_TEST_CASE(AnAccountWithoutKeysMayUsePublicRoutes)
 {
   auto document = MakeDocument();
-  document.mAccounts[1].mKeys.clear();
+  document.mAccounts->at(1).mKeys.clear();
   document.mRoutes[0].mIsPublic = true;
 
   BOOST_TEST(CheckDocument(document).empty());
 }
 
+// Guards against a list of accounts whose last entry is taken away unnoticed.
+BOOST_AUTO_TEST_CASE(ChangesThatOpenOrCloseAllRoutesAreNamed)
+{
+  auto empty = MakeDocument();
+  empty.mVersion = 4;
+  empty.mAccounts->clear();
+  auto absent = empty;
+  absent.mAccounts.reset();
+  const auto says = [](const RoutingFindings& aFindings,
+                       std::string_view aText) {
+    return std::any_of(
+      aFindings.begin(), aFindings.end(), [&](const auto& aItem) {
+        return aItem.mProblem.find(aText) != std::string::npos;
+      });
+  };
+
+  BOOST_TEST(says(CheckDocument(empty), "no key is accepted"));
+  BOOST_TEST(CheckDocument(absent).empty());
+  auto isPublic = empty;
+  isPublic.mRoutes[0].mIsPublic = true;
+  BOOST_TEST(CheckDocument(isPublic).empty());
+  BOOST_TEST(says(CompareDocuments(MakeDocument(), absent), "open without"));
+  BOOST_TEST(says(CompareDocuments(absent, empty), "now need a key"));
+  BOOST_TEST(!says(CompareDocuments(MakeDocument(), empty), "open without"));
+}
+
 // Guards against warnings about the lowest values that are consistent.
 BOOST_AUTO_TEST_CASE(LimitsAtTheirBoundsHaveNoFindings)
 {
@@ -262,7 +291,7 @@
   next.mVersion = 4;
   next.mRoutes[0].mName = "r2";
   std::reverse(next.mServices.begin(), next.mServices.end());
-  next.mAccounts.pop_back();
+  next.mAccounts->pop_back();
 
   const auto findings = CompareDocuments(inForce, next);
 
