--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -18,7 +18,6 @@
 auto
 CheckRoutingDocument(const RoutingDocument& aDocument) -> Findings;
 
-/// A routing document with lookup indexes. Immutable once built.
 /// Returns the client accounts of a document, none where it has no list of
 /// them. Valid as long as the document. Thread safe.
 auto
@@ -30,6 +29,7 @@
 auto
 NeedsKey(const RoutingDocument& aDocument, const Route& aRoute) -> bool;
 
+/// A routing document with lookup indexes. Immutable once built.
 struct RoutingTable
 {
   RoutingDocument mDocument;
