End the responses of callers that leave

Each caller that left before its answer kept its connection, its request's body and its descriptor in the instance until the process ended: the forwarder forgot the request, and nobody ended the response, while h2o reads nothing from a connection whose response is open. The caller's connection is now cut. An abort before the head was answered by a 503, which promises that a request has not run; it is no answer at all now, so that the test of the 503 is replaced by one of the connection.

The own interface ended such responses already, by that 503.

A listener without a free descriptor also pauses instead of taking all processor time.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -173,6 +173,7 @@
         { "events", flight.mEvents },
         { "age_ms",
           MillisBetween(flight.mArrived, aForwarder.mPorts.mNow()).count() } });
+    flight.mCaller.mAbort();
     RemoveFlight(aForwarder, flight);
   }
 }
--- a/src/wire/httpserver.h
+++ b/src/wire/httpserver.h
@@ -100,9 +100,8 @@
 auto
 FinishStream(const ResponderPtr& aResponder) -> void;
 
-/// Breaks the connection so that the caller sees an incomplete body. A response
-/// that has not begun is a 503 without a body instead. Without effect after the
-/// end.
+/// Breaks the connection so that the caller sees an incomplete body, or no
+/// answer where the response has not begun. Without effect after the end.
 auto
 AbortStream(const ResponderPtr& aResponder) -> void;
 
--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -68,6 +68,8 @@
   h2o_context_t mContext{};
   h2o_accept_ctx_t mAccept{};
   h2o_socket_t* mListener = nullptr;
+  /// Runs while accepting is paused.
+  TimerId mAcceptPause = 0;
   SocketAddress mAddress;
   TlsContextPtr mTls;
   ListenerLimits mLimits;
@@ -91,6 +93,7 @@
 constexpr auto kBacklog = 1024;
 constexpr auto kUnavailable = 503;
 constexpr auto kCloseRounds = 1000;
+constexpr auto kAcceptPause = Millis(50);
 /// The first HTTP version, as h2o counts them, whose callers read chunks.
 constexpr auto kChunkedVersion = 0x101;
 
@@ -244,6 +247,21 @@
   entry->mConnections->erase(entry->mSocket);
 }
 
+auto
+OnAccept(h2o_socket_t* aListener, const char* aError) -> void;
+
+/// Stops accepting for a moment. Without a free descriptor the listener stays
+/// readable, and the loop would do nothing else.
+auto
+PauseAccepting(HttpServer& aServer) -> void
+{
+  h2o_socket_read_stop(aServer.mListener);
+  aServer.mAcceptPause = StartTimer(*aServer.mLoop, kAcceptPause, [&aServer] {
+    aServer.mAcceptPause = 0;
+    h2o_socket_read_start(aServer.mListener, OnAccept);
+  });
+}
+
 auto
 OnAccept(h2o_socket_t* aListener, const char* aError) -> void
 {
@@ -253,6 +271,7 @@
   }
   auto* sock = h2o_evloop_socket_accept(aListener);
   if (sock == nullptr) {
+    PauseAccepting(*server);
     return;
   }
   if (server->mConnections->size() >= server->mLimits.mMaxConnections) {
@@ -352,6 +371,15 @@
   }
 }
 
+/// Returns the descriptor of the connection. Precondition: the response is not
+/// over.
+auto
+SocketOf(const Responder& aResponder) -> int
+{
+  auto* conn = aResponder.mRequest->conn;
+  return h2o_socket_get_fd(conn->callbacks->get_socket(conn));
+}
+
 /// Breaks the connection of a response that has begun and is not handed over.
 auto
 CutResponse(Responder& aResponder) -> void
@@ -360,8 +388,7 @@
   aResponder.mPending.clear();
   auto* request = aResponder.mRequest;
   request->http1_is_persistent = 0;
-  const auto fd =
-    h2o_socket_get_fd(request->conn->callbacks->get_socket(request->conn));
+  const auto fd = SocketOf(aResponder);
   if (request->version >= kChunkedVersion) {
     // NOTE: h2o ends a chunked body that fails with half a chunk, which no
     // caller can read; on a closed connection it can't write that.
@@ -480,6 +507,7 @@
   if (aServer.mListener == nullptr) {
     return;
   }
+  StopTimer(*aServer.mLoop, std::exchange(aServer.mAcceptPause, 0));
   h2o_socket_read_stop(aServer.mListener);
   h2o_socket_close(aServer.mListener);
   aServer.mListener = nullptr;
@@ -573,8 +601,10 @@
     return;
   }
   if (aResponder->mPhase == ResponsePhase::NotBegun) {
-    // NOTE: h2o has no way to end a request but by a response.
+    // NOTE: h2o has no way to end a request but by a response, which the closed
+    // connection does not take.
     aResponder->mRequest->http1_is_persistent = 0;
+    shutdown(SocketOf(*aResponder), SHUT_RDWR);
     SendResponse(aResponder, { kUnavailable, {}, "" });
     return;
   }
@@ -595,11 +625,9 @@
   if (IsOver(*aResponder)) {
     return true;
   }
-  auto* conn = aResponder->mRequest->conn;
-  auto* sock = conn->callbacks->get_socket(conn);
   // NOTE: bytes may still be unread when the caller has gone, as a second
   // request or TLS's own closing record, so reading ahead does not tell.
-  auto waiting = pollfd{ h2o_socket_get_fd(sock), POLLRDHUP, 0 };
+  auto waiting = pollfd{ SocketOf(*aResponder), POLLRDHUP, 0 };
   return poll(&waiting, 1, 0) > 0;
 }
 
--- a/src/wire/types/callerport.h
+++ b/src/wire/types/callerport.h
@@ -9,8 +9,10 @@
 namespace cuminslip::wire {
 
 /// The response side of one caller's request, a struct of functions so that
-/// tests stand in for it. After mAbort or mFinish, and once the caller is gone,
-/// the others do nothing. For the thread of the caller's listener.
+/// tests stand in for it. Each must be ended by mRespond, mFinish or mAbort,
+/// also for a caller that is gone: its connection is kept until then. After
+/// mAbort or mFinish, and once the caller is gone, the others do nothing. For
+/// the thread of the caller's listener.
 struct CallerPort
 {
   std::function<void(const HttpResponse&)> mRespond;
