Never attribute an answer without id on a kept connection

Callers were told "not run, try again" for requests that an endpoint had run or was running, or such a request ran at a second endpoint.

Cause: the pool dropped an answer only if its id differed. A late copy of an earlier refusal that carries no id, on a connection used again, counted as the refusal of the request under way. Answers to orders for memory were not checked at all, so that a late answer to a request could confirm one.

An answer without the id is now accepted on a new connection only. Where the connection has carried another answer, the exchange ends as Unattributed and the request counts as possibly run. Orders accept no answer that carries an id. A late copy of an order's own answer is still taken for the next order's: such an answer promises nothing about a request.

Tested with length, chunks, no length, after interim answers, before the request is sent whole, and behind a foreign answer.

--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -329,6 +329,12 @@
                     SendOutcome::NotAnAnswer,
                     "the answer is malformed or too large");
       return;
+    case wire::ExchangeEnd::Unattributed:
+      RecoverFlight(aForwarder,
+                    *flight,
+                    SendOutcome::NotAnAnswer,
+                    "the answer may be one to an earlier request");
+      return;
   }
 }
 
--- a/src/forwarding/internal/holding.cpp
+++ b/src/forwarding/internal/holding.cpp
@@ -33,6 +33,8 @@
   exchange.mRequest = aForwarder.mPorts.mCodec.mWriteReservation(
     { aWork.mHolding, aWork.mHoldTokens, aLease }, aWork.mAddress);
   exchange.mMaxBodyBytes = kMaxReplyBytes;
+  // NOTE: answers to requests carry the id of theirs, answers to orders none.
+  exchange.mEcho = aForwarder.mPorts.mCodec.mEchoOf({});
   auto handlers = wire::ExchangeHandlers{};
   const auto isHeld = std::make_shared<bool>(false);
   auto source = StatementSource{};
--- a/src/forwarding/tests/longprompts_tests.cpp
+++ b/src/forwarding/tests/longprompts_tests.cpp
@@ -99,6 +99,17 @@
              "the other instance is notified immediately");
 }
 
+BOOST_AUTO_TEST_CASE(AnAnswerToARequestConfirmsNoReservation)
+{
+  AskLong(400000);
+  const auto orders = SendsTo("/hold");
+  BOOST_REQUIRE(!orders.empty());
+  for (const auto* it : orders) {
+    BOOST_TEST(it->mExchange.mEcho.mName == "id");
+    BOOST_TEST(it->mExchange.mEcho.mValue == "");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(WhereThereIsTimeASlowConnectionIsAwaited)
 {
   AskLong(154000);
--- a/src/forwarding/tests/relaying_tests.cpp
+++ b/src/forwarding/tests/relaying_tests.cpp
@@ -105,6 +105,19 @@
 
 BOOST_FIXTURE_TEST_SUITE(RelayingTests, RelayWorld)
 
+BOOST_AUTO_TEST_CASE(ALateCopyAtARelayDoesNotPromiseThatARequestHasNotRun)
+{
+  LoseEndpoints();
+  const auto caller = Ask(MakeRequest("book"));
+  BOOST_REQUIRE(IsRelay(LastSend()));
+  const auto sends = mSends.size();
+  End(LastSend(), ExchangeEnd::Unattributed);
+
+  BOOST_REQUIRE(caller->mResponse.has_value());
+  BOOST_TEST(caller->mResponse->mBody == ToText(FailureKind::EndpointFailed));
+  BOOST_TEST(mSends.size() == sends);
+}
+
 BOOST_AUTO_TEST_CASE(AnInstanceWithoutEndpointsSendsThroughItsDomainFirst)
 {
   const auto caller = LoseEndpoints();
--- a/src/forwarding/tests/streams_tests.cpp
+++ b/src/forwarding/tests/streams_tests.cpp
@@ -54,6 +54,26 @@
 
 BOOST_FIXTURE_TEST_SUITE(StreamTests, ReadyWorld)
 
+BOOST_AUTO_TEST_CASE(ALateCopyDoesNotPromiseThatARequestHasNotRun)
+{
+  for (const auto* route : { "book", "once" }) {
+    const auto sends = mSends.size();
+    const auto caller = Ask(MakeRequest(route));
+    End(LastSend(), ExchangeEnd::Unattributed);
+    BOOST_REQUIRE(caller->mResponse.has_value());
+    BOOST_TEST(caller->mResponse->mBody == ToText(FailureKind::EndpointFailed));
+    BOOST_TEST(mSends.size() == sends + 1);
+  }
+  for (const auto* route : { "read", "draft" }) {
+    const auto caller = Ask(MakeRequest(route));
+    End(LastSend(), ExchangeEnd::Unattributed);
+    Run(Millis(60));
+    Answer(LastSend(), 503, { { "id", "r1" }, { "not-run", "1" } }, "");
+    BOOST_REQUIRE(caller->mResponse.has_value());
+    BOOST_TEST(caller->mResponse->mBody == ToText(FailureKind::EndpointFailed));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(EventsPassAsTheyCome)
 {
   const auto caller = Ask(MakeRequest("draft"));
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -213,6 +213,9 @@
       Counter("cuminslip_pool_foreign_answers_total",
               "Answers dropped because they belong to another request.",
               pool.mForeignAnswers),
+      Counter("cuminslip_pool_unattributed_answers_total",
+              "Answers without id given up as late copies of other answers.",
+              pool.mUnattributedAnswers),
       Counter("cuminslip_pool_stray_bytes_total",
               "Bytes dropped that belong to no request.",
               pool.mStrayBytes)
--- a/src/wire/connectionpool.h
+++ b/src/wire/connectionpool.h
@@ -27,7 +27,10 @@
   /// The bytes received are no HTTP answer.
   Malformed,
   /// The answer's head or body is larger than allowed.
-  TooLarge
+  TooLarge,
+  /// The answer lacks the header to repeat, and its connection has carried
+  /// another answer, whose late copy it may be. No handler got its head.
+  Unattributed
 };
 
 /// One request and how to send it. The request's headers are sent as they are,
@@ -37,7 +40,9 @@
   SocketAddress mAddress;
   HttpRequest mRequest;
   /// A header that the answer repeats. An answer with another value belongs to
-  /// an earlier request and is dropped. Not checked when the name is empty.
+  /// an earlier request and is dropped; one without the header is accepted on a
+  /// new connection only. An empty value stands for an answer without the
+  /// header. Not checked when the name is empty.
   Header mEcho;
   /// Never uses a kept connection, whose server may be closing it.
   bool mNeedsNewConnection = false;
@@ -96,6 +101,7 @@
 {
   std::uint64_t mConnectionsOpened = 0;
   std::uint64_t mForeignAnswers = 0;
+  std::uint64_t mUnattributedAnswers = 0;
   std::uint64_t mStrayBytes = 0;
 
   auto operator==(const PoolCounters&) const -> bool = default;
--- a/src/wire/internal/connectionpool.cpp
+++ b/src/wire/internal/connectionpool.cpp
@@ -44,6 +44,8 @@
   AnswerParser mParser;
   /// The answer being received belongs to an earlier request.
   bool mIsForeign = false;
+  /// An answer to another request was received on the connection.
+  bool mHasOtherAnswers = false;
   std::size_t mBodyBytes = 0;
   /// Bytes since the last ones of the body.
   std::size_t mUselessBytes = 0;
@@ -183,10 +185,24 @@
   }
 }
 
+/// Returns true if nothing tells the answer from a late copy of another one.
+auto
+IsUnattributed(const Connection& aConnection, const AnswerHead& aHead) -> bool
+{
+  const auto& echo = aConnection.mRequest.mEcho;
+  return aConnection.mHasOtherAnswers && !echo.mName.empty() &&
+         !echo.mValue.empty() && !FindHeader(aHead.mHeaders, echo.mName);
+}
+
 /// Notes what a head says of the connection, and passes it on.
 auto
 TakeHead(Connection& aConnection, const AnswerHead& aHead) -> void
 {
+  if (IsUnattributed(aConnection, aHead)) {
+    ++aConnection.mPool->mCounters.mUnattributedAnswers;
+    FailConnection(aConnection, ExchangeEnd::Unattributed);
+    return;
+  }
   const auto& pool = *aConnection.mPool;
   aConnection.mIsReusable = aConnection.mIsReusable && aHead.mIsPersistent;
   aConnection.mIdleTime = pool.mSettings.mMaxIdleTime;
@@ -201,6 +217,7 @@
     !echo.mName.empty() && answered && *answered != echo.mValue;
   if (aConnection.mIsForeign) {
     ++aConnection.mPool->mCounters.mForeignAnswers;
+    aConnection.mHasOtherAnswers = true;
     aConnection.mIsReusable = false;
     return;
   }
@@ -492,6 +509,7 @@
     aPool.mConnections.emplace(connection->mId, std::move(created));
   }
   connection->mWasKept = isKept;
+  connection->mHasOtherAnswers = isKept;
   connection->mExchange = id;
   connection->mRequest = std::move(aExchange);
   connection->mHandlers =
--- a/src/wire/internal/httpclient.cpp
+++ b/src/wire/internal/httpclient.cpp
@@ -36,6 +36,7 @@
       return CallEnd::TooLarge;
     case ExchangeEnd::Broken:
     case ExchangeEnd::Malformed:
+    case ExchangeEnd::Unattributed:
       break;
   }
   return CallEnd::Broken;
--- a/src/wire/tests/connectionpool_tests.cpp
+++ b/src/wire/tests/connectionpool_tests.cpp
@@ -258,6 +258,80 @@
   BOOST_TEST(mRaw.Accepted() == 2, "the connection was used again");
 }
 
+BOOST_AUTO_TEST_CASE(ALateCopyWithoutIdIsNotTakenForTheNextAnswer)
+{
+  const auto refusal = std::string("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n");
+  for (const auto* interim : { "",
+                               "HTTP/1.1 100 Continue\r\n\r\n",
+                               "HTTP/1.1 103 A\r\nX-Id: 2\r\n\r\n" }) {
+    for (const auto* rest : { "Content-Length: 0\r\n\r\n",
+                              "Content-Length: 1\r\n\r\nx",
+                              "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                              "\r\nuntil the end" }) {
+      AwaitEnd(Exchanged("1", AnswerTo("1", "a")));
+      const auto outcome =
+        Exchanged("2", interim + refusal + rest + AnswerTo("2", "own"));
+      AwaitEnd(outcome);
+
+      BOOST_TEST((outcome->mResult->mEnd == ExchangeEnd::Unattributed),
+                 interim << rest);
+      BOOST_TEST(outcome->mStatus == 0, interim << rest);
+      BOOST_TEST(outcome->mBody == "");
+    }
+  }
+  BOOST_TEST(CountersOf(*mPool).mUnattributedAnswers == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(ALateCopyWithoutIdBeforeTheRequestIsSentIsNotItsAnswer)
+{
+  constexpr auto kLarge = std::size_t{ 16 } * 1024 * 1024;
+  AwaitEnd(Exchanged("1", AnswerTo("1", "a")));
+  auto exchange = MakeExchange("2");
+  exchange.mRequest.mMethod = "POST";
+  exchange.mRequest.mBody = std::string(kLarge, 'x');
+  const auto outcome = Start(std::move(exchange));
+  AwaitRequest();
+  mRaw.Send("HTTP/1.1 421 Elsewhere\r\nContent-Length: 0\r\n\r\n");
+  AwaitEnd(outcome);
+
+  BOOST_TEST((outcome->mResult->mEnd == ExchangeEnd::Unattributed));
+  BOOST_TEST(outcome->mStatus == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutIdIsOwnOnANewConnectionOnly)
+{
+  const auto refusal =
+    std::string("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+  const auto first = Exchanged("1", refusal);
+  AwaitEnd(first);
+  BOOST_TEST((first->mResult->mEnd == ExchangeEnd::Complete));
+  BOOST_TEST(first->mStatus == 503);
+  const auto kept = Exchanged("2", refusal);
+  AwaitEnd(kept);
+  BOOST_TEST((kept->mResult->mEnd == ExchangeEnd::Unattributed));
+  const auto behindForeign = Exchanged("3", AnswerTo("1", "late") + refusal);
+  AwaitEnd(behindForeign);
+  BOOST_TEST((behindForeign->mResult->mEnd == ExchangeEnd::Unattributed));
+  const auto next = Exchanged("4", AnswerTo("4", "own"));
+  AwaitEnd(next);
+  BOOST_TEST(next->mBody == "own");
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerToARequestIsNotTakenForOneWithoutId)
+{
+  AwaitEnd(Exchanged("1", AnswerTo("1", "a")));
+  auto order = MakeExchange("");
+  order.mRequest.mHeaders = {};
+  const auto outcome = Start(order);
+  AwaitRequest();
+  mRaw.Send(AnswerTo("1", "late") +
+            "HTTP/1.1 409 Full\r\nContent-Length: 0\r\n\r\n");
+  AwaitEnd(outcome);
+
+  BOOST_TEST((outcome->mResult->mEnd == ExchangeEnd::Complete));
+  BOOST_TEST(outcome->mStatus == 409);
+}
+
 BOOST_AUTO_TEST_CASE(BytesBehindAnAnswerEndTheConnection)
 {
   AwaitEnd(Exchanged("1", AnswerTo("1", "a") + AnswerTo("1", "b")));
