Frame answers with two lengths, folded headers and to HEAD rightly

Clients got a short body as a whole one from an endpoint that stated two different lengths, a header without a name from one on two lines, and 504 at the deadline instead of the answer to a HEAD request.

The parser took the first of several lengths, gave a continued line as a header of its own, and awaited the body that an answer to HEAD never has. Two different lengths are now no answer, a continued line belongs to the header before, and the parser knows a HEAD. An answer with length and chunks is framed by the chunks, and its connection isn't used again. The parser also keeps its limit of the head behind a foreign answer.

Not tried through the gateway.

--- a/src/wire/internal/answerparser.cpp
+++ b/src/wire/internal/answerparser.cpp
@@ -83,6 +83,16 @@
   return number ? std::optional(static_cast<int>(*number)) : std::nullopt;
 }
 
+/// Returns true if the head states two different lengths.
+auto
+HasConflictingLengths(const Headers& aHeaders) -> bool
+{
+  const auto first = FindHeader(aHeaders, "content-length");
+  return std::any_of(aHeaders.begin(), aHeaders.end(), [&](const auto& aItem) {
+    return aItem.mName == "content-length" && aItem.mValue != *first;
+  });
+}
+
 /// Sets the phase for the body that follows aHead.
 auto
 EnterBody(AnswerParser& aParser, const AnswerHead& aHead) -> void
@@ -90,12 +100,13 @@
   const auto coding =
     ToLower(FindHeader(aHead.mHeaders, "transfer-encoding").value_or(""));
   const auto length = FindHeader(aHead.mHeaders, "content-length");
-  if (aHead.mStatus == kNoContent || aHead.mStatus == kNotModified) {
+  if (aParser.mIsToHead || aHead.mStatus == kNoContent ||
+      aHead.mStatus == kNotModified) {
     aParser.mPhase = AnswerPhase::Done;
   } else if (coding == "chunked") {
     aParser.mPhase = AnswerPhase::ChunkedBody;
     aParser.mChunks = {};
-  } else if (!coding.empty()) {
+  } else if (!coding.empty() || HasConflictingLengths(aHead.mHeaders)) {
     aParser.mPhase = AnswerPhase::Failed;
   } else if (length) {
     const auto number = ReadNumber(*length);
@@ -136,6 +147,12 @@
   }
   for (auto i = std::size_t{ 0 }; i < count; ++i) {
     const auto& it = headers.at(i);
+    // NOTE: a line without a name continues the one before.
+    if (it.mName == nullptr) {
+      head.mHeaders.back().mValue +=
+        " " + std::string(it.mValue, it.mValueSize);
+      continue;
+    }
     head.mHeaders.push_back(
       { ToLower({ it.mName, it.mNameSize }), { it.mValue, it.mValueSize } });
   }
@@ -143,6 +160,9 @@
     ToLower(FindHeader(head.mHeaders, "connection").value_or(""));
   head.mIsPersistent =
     minor == 0 ? connection == "keep-alive" : connection != "close";
+  // NOTE: of two framings the chunks count, but the server may mean the other.
+  head.mIsPersistent &= !FindHeader(head.mHeaders, "transfer-encoding") ||
+                        !FindHeader(head.mHeaders, "content-length");
   head.mKeepAliveSeconds = ReadKeepAlive(head.mHeaders);
   auto part = ParsedPart{};
   part.mConsumed = static_cast<std::size_t>(used);
--- a/src/wire/internal/answerparser.h
+++ b/src/wire/internal/answerparser.h
@@ -37,6 +37,8 @@
 {
   AnswerPhase mPhase = AnswerPhase::Head;
   std::size_t mMaxHeadBytes = std::size_t{ 32 } * 1024;
+  /// The request was a HEAD, whose answer has no body whatever it states.
+  bool mIsToHead = false;
   std::size_t mBodyLeft = 0;
   ChunkDecoder mChunks;
 };
--- a/src/wire/internal/connectionpool.cpp
+++ b/src/wire/internal/connectionpool.cpp
@@ -185,6 +185,18 @@
   }
 }
 
+auto
+MakeParser(const Connection& aConnection) -> AnswerParser
+{
+  const auto& exchange = aConnection.mRequest;
+  auto parser = AnswerParser{};
+  parser.mMaxHeadBytes = exchange.mMaxHeadBytes > 0
+                           ? exchange.mMaxHeadBytes
+                           : aConnection.mPool->mSettings.mMaxHeadBytes;
+  parser.mIsToHead = exchange.mRequest.mMethod == "HEAD";
+  return parser;
+}
+
 /// Returns true if nothing tells the answer from a late copy of another one.
 auto
 IsUnattributed(const Connection& aConnection, const AnswerHead& aHead) -> bool
@@ -302,7 +314,7 @@
     return true;
   }
   if (connection->mIsForeign) {
-    connection->mParser = {};
+    connection->mParser = MakeParser(*connection);
     connection->mIsForeign = false;
     return true;
   }
@@ -355,11 +367,7 @@
 auto
 SendRequest(Connection& aConnection) -> void
 {
-  aConnection.mParser = {};
-  aConnection.mParser.mMaxHeadBytes =
-    aConnection.mRequest.mMaxHeadBytes > 0
-      ? aConnection.mRequest.mMaxHeadBytes
-      : aConnection.mPool->mSettings.mMaxHeadBytes;
+  aConnection.mParser = MakeParser(aConnection);
   aConnection.mIsForeign = false;
   aConnection.mBodyBytes = 0;
   aConnection.mUselessBytes = 0;
--- a/src/wire/tests/answerparser_tests.cpp
+++ b/src/wire/tests/answerparser_tests.cpp
@@ -149,4 +149,15 @@
   BOOST_TEST(!HeadOf("HTTP/1.0 200 OK\r\n\r\n").mIsPersistent);
 }
 
+BOOST_AUTO_TEST_CASE(AHeaderOnTwoLinesKeepsItsName)
+{
+  auto bytes = std::string("HTTP/1.1 200 OK\r\nX-A: one\r\n  two\r\n\r\n");
+  auto parser = AnswerParser{};
+  const auto part = ParseAnswer(parser, bytes.data(), bytes.size());
+  BOOST_REQUIRE(part.mHead.has_value());
+  BOOST_TEST(part.mHead->mHeaders.size() == 1U);
+  BOOST_TEST(FindHeader(part.mHead->mHeaders, "x-a").value_or("") ==
+             "one   two");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/wire/tests/connectionpool_tests.cpp
+++ b/src/wire/tests/connectionpool_tests.cpp
@@ -365,6 +365,77 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AnAnswerCutAtAnyByteIsNotWhole)
+{
+  const auto head = std::string("HTTP/1.1 200 OK\r\nX-Id: 1\r\n");
+  for (const auto& [framing, body] :
+       std::vector<std::pair<std::string, std::string>>{
+         { "Content-Length: 4\r\n\r\n", "body" },
+         { "Transfer-Encoding: chunked\r\n\r\n",
+           "10;a=b\r\nsixteen bytes...\r\n0\r\nX-T: 1\r\n\r\n" },
+         { "\r\n", "until the end" } }) {
+    auto whole = head;
+    whole += framing;
+    whole += body;
+    const auto isOpen = framing == "\r\n";
+    const auto headSize = head.size() + framing.size();
+    for (auto cut = std::size_t{ 0 }; cut < whole.size(); ++cut) {
+      for (const auto isReset : { false, true }) {
+        const auto outcome = Exchanged("1", whole.substr(0, cut));
+        isReset ? mRaw.Reset() : mRaw.Close();
+        AwaitEnd(outcome);
+        // NOTE: only the end of the connection ends a body without framing.
+        const auto mayBeWhole = isOpen && !isReset && cut >= headSize;
+        BOOST_TEST((outcome->mResult->mEnd == ExchangeEnd::Broken) !=
+                     mayBeWhole,
+                   framing << cut << isReset);
+        BOOST_TEST(outcome->mResult->mIsUnframed ==
+                   (outcome->mStatus != 0 && isOpen));
+        BOOST_TEST((cut >= headSize || outcome->mStatus == 0));
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerWithTwoLengthsIsNoAnswer)
+{
+  const auto outcome =
+    Exchanged("1",
+              "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n"
+              "Content-Length: 4\r\n\r\nbody");
+  AwaitEnd(outcome);
+  BOOST_TEST((outcome->mResult->mEnd == ExchangeEnd::Malformed));
+  BOOST_TEST(outcome->mBody == "");
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerWithLengthAndChunksEndsItsConnection)
+{
+  const auto outcome =
+    Exchanged("1",
+              "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+  AwaitEnd(outcome);
+  BOOST_TEST((outcome->mResult->mEnd == ExchangeEnd::Complete));
+  BOOST_TEST(outcome->mBody == "body");
+  AwaitEnd(Exchanged("2", AnswerTo("2", "b")));
+  BOOST_TEST(mRaw.Accepted() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(TheAnswerToAHeadRequestHasNoBody)
+{
+  for (const auto* framing :
+       { "Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n", "" }) {
+    auto exchange = MakeExchange("1");
+    exchange.mRequest.mMethod = "HEAD";
+    const auto outcome = Start(std::move(exchange));
+    AwaitRequest();
+    mRaw.Send(std::string("HTTP/1.1 200 OK\r\nX-Id: 1\r\n") + framing + "\r\n");
+    AwaitEnd(outcome);
+    BOOST_TEST((outcome->mResult->mEnd == ExchangeEnd::Complete), framing);
+  }
+  BOOST_TEST(mRaw.Accepted() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerWithoutLengthEndsWithItsConnection)
 {
   const auto outcome =
