--- a/src/wire/internal/connectionpool.cpp
+++ b/src/wire/internal/connectionpool.cpp
@@ -44,6 +44,8 @@
   AnswerParser mParser;
   /// The answer being received belongs to an earlier request.
   bool mIsForeign = false;
+  /// An answer to another request was received on the connection.
+  bool mHasOtherAnswers = false;
   std::size_t mBodyBytes = 0;
   /// Bytes since the last ones of the body.
   std::size_t mUselessBytes = 0;
@@ -183,10 +185,36 @@
   }
 }
 
+auto
+MakeParser(const Connection& aConnection) -> AnswerParser
+{
+  const auto& exchange = aConnection.mRequest;
+  auto parser = AnswerParser{};
+  parser.mMaxHeadBytes = exchange.mMaxHeadBytes > 0
+                           ? exchange.mMaxHeadBytes
+                           : aConnection.mPool->mSettings.mMaxHeadBytes;
+  parser.mIsToHead = exchange.mRequest.mMethod == "HEAD";
+  return parser;
+}
+
+/// Returns true if nothing tells the answer from a late copy of another one.
+auto
+IsUnattributed(const Connection& aConnection, const AnswerHead& aHead) -> bool
+{
+  const auto& echo = aConnection.mRequest.mEcho;
+  return aConnection.mHasOtherAnswers && !echo.mName.empty() &&
+         !echo.mValue.empty() && !FindHeader(aHead.mHeaders, echo.mName);
+}
+
 /// Notes what a head says of the connection, and passes it on.
 auto
 TakeHead(Connection& aConnection, const AnswerHead& aHead) -> void
 {
+  if (IsUnattributed(aConnection, aHead)) {
+    ++aConnection.mPool->mCounters.mUnattributedAnswers;
+    FailConnection(aConnection, ExchangeEnd::Unattributed);
+    return;
+  }
   const auto& pool = *aConnection.mPool;
   aConnection.mIsReusable = aConnection.mIsReusable && aHead.mIsPersistent;
   aConnection.mIdleTime = pool.mSettings.mMaxIdleTime;
@@ -201,6 +229,7 @@
     !echo.mName.empty() && answered && *answered != echo.mValue;
   if (aConnection.mIsForeign) {
     ++aConnection.mPool->mCounters.mForeignAnswers;
+    aConnection.mHasOtherAnswers = true;
     aConnection.mIsReusable = false;
     return;
   }
@@ -285,7 +314,7 @@
     return true;
   }
   if (connection->mIsForeign) {
-    connection->mParser = {};
+    connection->mParser = MakeParser(*connection);
     connection->mIsForeign = false;
     return true;
   }
@@ -338,11 +367,7 @@
 auto
 SendRequest(Connection& aConnection) -> void
 {
-  aConnection.mParser = {};
-  aConnection.mParser.mMaxHeadBytes =
-    aConnection.mRequest.mMaxHeadBytes > 0
-      ? aConnection.mRequest.mMaxHeadBytes
-      : aConnection.mPool->mSettings.mMaxHeadBytes;
+  aConnection.mParser = MakeParser(aConnection);
   aConnection.mIsForeign = false;
   aConnection.mBodyBytes = 0;
   aConnection.mUselessBytes = 0;
@@ -492,6 +517,7 @@
     aPool.mConnections.emplace(connection->mId, std::move(created));
   }
   connection->mWasKept = isKept;
+  connection->mHasOtherAnswers = isKept;
   connection->mExchange = id;
   connection->mRequest = std::move(aExchange);
   connection->mHandlers =
