Share one body among all that hold a request

Cause: each layer copied the request, so that a body in flight was in memory about five times.

HttpRequest holds a Body now, whose copies share the bytes, and the connection pool writes head and body as two parts. What is left is the server's own buffer and one copy.

Two tests of digests and reservations only name the bytes differently.

--- a/src/forwarding/tests/requestdigest_tests.cpp
+++ b/src/forwarding/tests/requestdigest_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
 #include <set>
 
 using namespace cuminslip;
@@ -35,8 +36,7 @@
 
   auto digests = std::set<std::uint64_t>{ DigestRequest(request, account),
                                           DigestRequest(request, { "other" }) };
-  const auto change = [&](std::string wire::HttpRequest::*aField,
-                          const std::string& aValue) {
+  const auto change = [&](auto aField, const std::string& aValue) {
     auto changed = request;
     changed.*aField = aValue;
     digests.insert(DigestRequest(changed, account));
@@ -77,13 +77,15 @@
   constexpr auto kHashed = std::size_t{ 64 } * 1024;
   constexpr auto kLength = 256 * kHashed;
   constexpr auto kStep = std::size_t{ 4099 };
-  auto request = MakePost(std::string(kLength, 'a'));
+  const auto bytes = std::make_shared<std::string>(kLength, 'a');
+  auto request = MakePost("");
+  request.mBody = wire::Body(std::shared_ptr<const std::string>(bytes));
   const auto digest = DigestRequest(request, {});
   auto changed = std::size_t{ 0 };
   for (auto at = std::size_t{ 0 }; at < kLength; at += kStep) {
-    request.mBody[at] = 'b';
+    (*bytes)[at] = 'b';
     changed += DigestRequest(request, {}) == digest ? 0 : 1;
-    request.mBody[at] = 'a';
+    (*bytes)[at] = 'a';
   }
   BOOST_TEST(changed > 0U);
   BOOST_TEST(changed <= 2 * kHashed / kStep);
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -264,7 +264,7 @@
              const wire::HttpRequest& aRequest,
              const wire::ResponderPtr& aResponder) -> void
 {
-  const auto request = aGateway.mAdapter.mReadRequest(aRequest);
+  auto request = aGateway.mAdapter.mReadRequest(aRequest);
   const auto acceptTime =
     request.mPrompt ? kStreamAcceptTime : kRequestAcceptTime;
   const auto isRefusing =
@@ -277,7 +277,7 @@
     return;
   }
   forwarding::HandleRequest(
-    *aGateway.mForwarder, request, wire::PortOf(aResponder));
+    *aGateway.mForwarder, std::move(request), wire::PortOf(aResponder));
 }
 
 /// Serves a request that another instance sends through this one.
--- a/src/requests/internal/claim.cpp
+++ b/src/requests/internal/claim.cpp
@@ -145,7 +145,7 @@
   auto claim = RunClaim{};
   claim.mKey = IdempotencyKey{ *key };
   claim.mFingerprint = Sha256Hex(http.mMethod + " " + http.mPath + "?" +
-                                 http.mQuery + "\n" + http.mBody);
+                                 http.mQuery + "\n" + http.mBody.Bytes());
   claim.mToken = MakeUniqueId(aFront, "run");
   aRequest.mClaim = claim;
   aRequest.mStage = Stage::Claiming;
--- a/src/requests/tests/fakes.cpp
+++ b/src/requests/tests/fakes.cpp
@@ -289,14 +289,14 @@
 auto
 FrontFixture::AttemptOf(wire::CallId aCall) -> std::string
 {
-  const auto body = json::parse(mCalls[aCall].mCall.mRequest.mBody);
+  const auto body = json::parse(mCalls[aCall].mCall.mRequest.mBody.Bytes());
   return std::string(body.at("attempt").as_string());
 }
 
 auto
 FrontFixture::SkippedPieces(wire::CallId aCall) -> std::int64_t
 {
-  const auto body = json::parse(mCalls[aCall].mCall.mRequest.mBody);
+  const auto body = json::parse(mCalls[aCall].mCall.mRequest.mBody.Bytes());
   return body.at("skip_pieces").as_int64();
 }
 
--- a/src/wire/internal/connectionpool.cpp
+++ b/src/wire/internal/connectionpool.cpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <map>
 #include <vector>
@@ -40,7 +41,9 @@
   Exchange mRequest;
   /// Shared with the call under way, which may cancel the exchange.
   std::shared_ptr<ExchangeHandlers> mHandlers;
+  /// Head and body of the request being written.
   std::string mOutput;
+  Body mOutputBody;
   AnswerParser mParser;
   /// The answer being received belongs to an earlier request.
   bool mIsForeign = false;
@@ -70,7 +73,7 @@
 namespace {
 
 auto
-FormatRequest(const HttpRequest& aRequest) -> std::string
+FormatHead(const HttpRequest& aRequest) -> std::string
 {
   auto text = aRequest.mMethod + " " + aRequest.mPath;
   if (!aRequest.mQuery.empty()) {
@@ -86,7 +89,6 @@
     text += "content-length: " + std::to_string(aRequest.mBody.size()) + "\r\n";
   }
   text += "\r\n";
-  text += aRequest.mBody;
   return text;
 }
 
@@ -154,6 +156,7 @@
     return;
   }
   aConnection.mOutput = {};
+  aConnection.mOutputBody = {};
   aConnection.mIdleSince = MonotonicNow();
   idle.push_back(aConnection.mId);
 }
@@ -346,11 +349,15 @@
   aConnection.mIsForeign = false;
   aConnection.mBodyBytes = 0;
   aConnection.mUselessBytes = 0;
-  aConnection.mOutput = FormatRequest(aConnection.mRequest.mRequest);
+  aConnection.mOutput = FormatHead(aConnection.mRequest.mRequest);
+  aConnection.mOutputBody = aConnection.mRequest.mRequest.mBody;
   aConnection.mIsWriting = true;
-  auto buf =
-    h2o_iovec_init(aConnection.mOutput.data(), aConnection.mOutput.size());
-  h2o_socket_write(aConnection.mSocket, &buf, 1, OnWritten);
+  const auto& body = aConnection.mOutputBody.Bytes();
+  auto parts = std::array{ h2o_iovec_init(aConnection.mOutput.data(),
+                                          aConnection.mOutput.size()),
+                           h2o_iovec_init(body.data(), body.size()) };
+  h2o_socket_write(
+    aConnection.mSocket, parts.data(), body.empty() ? 1 : 2, OnWritten);
   if (aConnection.mHandlers->mOnSent) {
     aConnection.mHandlers->mOnSent();
   }
--- a/src/wire/tests/connectionpool_tests.cpp
+++ b/src/wire/tests/connectionpool_tests.cpp
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <fstream>
+
 using namespace cuminslip;
 using namespace cuminslip::wire;
 using namespace cuminslip::wire::testing;
@@ -181,6 +183,16 @@
          aBody;
 }
 
+auto
+ResidentBytes() -> std::size_t
+{
+  auto file = std::ifstream("/proc/self/statm");
+  auto all = std::size_t{ 0 };
+  auto resident = std::size_t{ 0 };
+  file >> all >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(ConnectionPoolTests, PoolFixture)
@@ -426,6 +438,26 @@
              "POST /a?q=1 HTTP/1.1\r\nx-id: 1\r\ncontent-length: 0\r\n\r\n");
 }
 
+// Incident LOST: an instance held each body several times and was ended for its
+// memory.
+BOOST_AUTO_TEST_CASE(ABodyIsInMemoryOnceHoweverManyExchangesSendIt)
+{
+  constexpr auto kBytes = std::size_t{ 16 } * 1024 * 1024;
+  constexpr auto kExchanges = 6;
+  auto exchange = MakeExchange("1");
+  exchange.mRequest.mMethod = "POST";
+  exchange.mRequest.mBody = std::string(kBytes, 'b');
+  const auto before = ResidentBytes();
+  auto sent = 0;
+  for (auto n = 0; n < kExchanges; ++n) {
+    auto handlers = ExchangeHandlers{};
+    handlers.mOnSent = [&sent] { ++sent; };
+    StartExchange(*mPool, exchange, std::move(handlers));
+  }
+  RunUntil([&] { return sent == kExchanges; });
+  BOOST_TEST(ResidentBytes() < before + kBytes);
+}
+
 BOOST_AUTO_TEST_CASE(DatagramsArrive)
 {
   auto received = std::string{};
--- a/src/wire/types/httpmessage.h
+++ b/src/wire/types/httpmessage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "wire/types/body.h"
+
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,7 +28,7 @@
   std::string mPath;
   std::string mQuery;
   Headers mHeaders;
-  std::string mBody;
+  Body mBody;
   /// Host that the caller named, as it came; not sent by the client.
   std::string mHost;
 
