Bound the bytes that a process holds for callers

Callers saw LOST where large requests in flight, or answers left unread, took a process over its memory.

Cause: nothing on the platform's path bounded the bytes of requests in flight.

limits.memory, from the platform's memory_mb, is the memory of the process; half of it is for requests as they came, bodies in flight, buffered answers and answers not read yet. A request whose body does not fit is refused with 503 and a Retry-After, an eighth is left to small bodies, and what was accepted is never dropped. A file whose limits.body does not fit is refused with its place. Metrics by kind, refusals, and an event when the bound is met and left.

Not bounded: bodies that are still being received count, but are not stopped, and what HTTP/2 receives is not counted until it is whole.

LargeRequestsThatDoNotFitAreRefusedWithARetryTime: without the check 6 checks failed, passes now.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -137,6 +137,10 @@
 auto
 IsIdle(const Forwarder& aForwarder) -> bool;
 
+/// Bytes of answers that are kept until they are whole.
+auto
+CountBufferedBytes(const Forwarder& aForwarder) -> std::size_t;
+
 /// Ends all requests in flight: streams are aborted, other requests answered as
 /// failed.
 auto
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -343,6 +343,16 @@
   return aForwarder.mFlights.empty();
 }
 
+auto
+CountBufferedBytes(const Forwarder& aForwarder) -> std::size_t
+{
+  auto bytes = std::size_t{ 0 };
+  for (const auto& [id, flight] : aForwarder.mFlights) {
+    bytes += flight->mAttempt.mBody.size();
+  }
+  return bytes;
+}
+
 auto
 AbandonRequests(Forwarder& aForwarder) -> void
 {
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -29,6 +29,8 @@
 constexpr auto kStreamAcceptTime = Millis(3000);
 constexpr auto kRequestAcceptTime = Millis(5500);
 constexpr auto kStoppingRetryAfter = Millis(50);
+/// About as long as a request with a large body takes.
+constexpr auto kMemoryRetryAfter = Millis(1000);
 constexpr auto kStopCheckInterval = Millis(100);
 /// Longer than callers keep idle connections, so that they close them first.
 constexpr auto kIdleTimeout = Millis(30000);
@@ -259,36 +261,17 @@
   wire::SendResponse(aResponder, { isReady ? kOk : kUnavailable, {}, "" });
 }
 
-auto
-HandleCaller(Gateway& aGateway,
-             const wire::HttpRequest& aRequest,
-             const wire::ResponderPtr& aResponder) -> void
-{
-  auto request = aGateway.mAdapter.mReadRequest(aRequest);
-  const auto acceptTime =
-    request.mPrompt ? kStreamAcceptTime : kRequestAcceptTime;
-  const auto isRefusing =
-    aGateway.mIsStopping && MonotonicNow() >= aGateway.mStopBegan + acceptTime;
-  if (isRefusing) {
-    wire::SendResponse(
-      aResponder,
-      aGateway.mAdapter.mCodec.mWriteFailure(
-        request, { forwarding::FailureKind::NotReady, kStoppingRetryAfter }));
-    return;
-  }
-  forwarding::HandleRequest(
-    *aGateway.mForwarder, std::move(request), wire::PortOf(aResponder));
-}
-
 /// Serves a request that another instance sends through this one.
 auto
 HandleRelay(Gateway& aGateway,
             const wire::HttpRequest& aRequest,
             const wire::ResponderPtr& aResponder) -> void
 {
+  const auto isAccepting =
+    !aGateway.mIsStopping && TakeBody(aGateway, aRequest.mBody.size());
   forwarding::HandleRelayedRequest(*aGateway.mForwarder,
                                    aGateway.mAdapter.mReadRequest(aRequest),
-                                   !aGateway.mIsStopping,
+                                   isAccepting,
                                    wire::PortOf(aResponder));
 }
 
@@ -405,6 +388,34 @@
 
 } // namespace
 
+auto
+HandleCaller(Gateway& aGateway,
+             const wire::HttpRequest& aRequest,
+             const wire::ResponderPtr& aResponder) -> void
+{
+  auto request = aGateway.mAdapter.mReadRequest(aRequest);
+  const auto acceptTime =
+    request.mPrompt ? kStreamAcceptTime : kRequestAcceptTime;
+  const auto isRefusing =
+    aGateway.mIsStopping && MonotonicNow() >= aGateway.mStopBegan + acceptTime;
+  if (isRefusing) {
+    wire::SendResponse(
+      aResponder,
+      aGateway.mAdapter.mCodec.mWriteFailure(
+        request, { forwarding::FailureKind::NotReady, kStoppingRetryAfter }));
+    return;
+  }
+  if (!TakeBody(aGateway, request.mHttp.mBody.size())) {
+    wire::SendResponse(
+      aResponder,
+      aGateway.mAdapter.mCodec.mWriteFailure(
+        request, { forwarding::FailureKind::NoCapacity, kMemoryRetryAfter }));
+    return;
+  }
+  forwarding::HandleRequest(
+    *aGateway.mForwarder, std::move(request), wire::PortOf(aResponder));
+}
+
 auto
 CloseGateway(Gateway& aGateway) -> void
 {
--- a/src/gateway/internal/gatewaystate.h
+++ b/src/gateway/internal/gatewaystate.h
@@ -2,6 +2,7 @@
 
 #include "forwarding/forwarder.h"
 #include "gateway/gateway.h"
+#include "gateway/internal/memoryaccount.h"
 #include "peers/peertask.h"
 #include "wire/connectionpool.h"
 #include "wire/datagrams.h"
@@ -31,6 +32,7 @@
   /// Set by CloseGateway; the listeners then refuse all requests.
   bool mIsClosed = false;
   bool mIsStopping = false;
+  MemoryAccount mMemory;
   bool mWasReady = false;
   TimePoint mStopBegan{};
 };
@@ -42,6 +44,12 @@
 auto
 CloseGateway(Gateway& aGateway) -> void;
 
+/// Passes a caller's request on, or refuses it. Owner thread only.
+auto
+HandleCaller(Gateway& aGateway,
+             const wire::HttpRequest& aRequest,
+             const wire::ResponderPtr& aResponder) -> void;
+
 /// Executes a control call of an endpoint or an operator. Owner thread only.
 auto
 HandleControlCall(Gateway& aGateway,
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -173,6 +173,32 @@
   };
 }
 
+/// Returns the metrics of the memory that is held for callers.
+auto
+MemoryMetrics(const Gateway& aGateway) -> std::vector<MetricFamily>
+{
+  const auto use = CountMemory(aGateway);
+  auto bytes = MakeFamily("cuminslip_memory_bytes",
+                          "Bytes held for callers, by kind.",
+                          MetricType::Gauge);
+  for (const auto& [kind, value] : { std::pair("received", use.mReceived),
+                                     std::pair("bodies", use.mBodies),
+                                     std::pair("answers", use.mAnswers),
+                                     std::pair("unsent", use.mUnsent) }) {
+    auto metric = prometheus::ClientMetric{};
+    metric.gauge.value = static_cast<double>(value);
+    metric.label = { { "kind", kind } };
+    bytes.metric.push_back(std::move(metric));
+  }
+  return { std::move(bytes),
+           Gauge("cuminslip_memory_bound_bytes",
+                 "Most bytes held for callers; 0 for no bound.",
+                 static_cast<double>(MemoryRulesOf(aGateway).mMaxBytes)),
+           Counter("cuminslip_memory_refusals_total",
+                   "Requests refused since their bodies did not fit.",
+                   aGateway.mMemory.mRefusals) };
+}
+
 } // namespace
 
 auto
@@ -222,6 +248,9 @@
         families.push_back(std::move(it));
       }
     }
+    for (auto& it : MemoryMetrics(aGateway)) {
+      families.push_back(std::move(it));
+    }
     const auto& times = forwarding::TimesOf(*aGateway.mForwarder);
     families.push_back(RequestTimes(times));
     families.push_back(FirstEventTimes(times));
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -36,5 +36,9 @@
   Event{ 2113, "evacuations_unreadable", Severity::Error };
 inline constexpr auto kGatewayClosingEvent =
   Event{ 2114, "gateway_closing", Severity::Info };
+inline constexpr auto kMemoryBoundMetEvent =
+  Event{ 2115, "memory_bound_met", Severity::Warning };
+inline constexpr auto kMemoryBoundLeftEvent =
+  Event{ 2116, "memory_bound_left", Severity::Info };
 
 } // namespace cuminslip::gateway
--- a/src/settings/internal/settingssections.cpp
+++ b/src/settings/internal/settingssections.cpp
@@ -182,6 +182,8 @@
   const auto counts = documents::Bounds{ 1, kHighestCount };
   limits.mMaxBodyBytes =
     documents::ReadBytes(section, "body", base.mMaxBodyBytes);
+  limits.mMaxMemoryBytes =
+    documents::ReadBytes(section, "memory", base.mMaxMemoryBytes);
   limits.mMaxConnections = documents::ReadInteger(
     section, "connections", base.mMaxConnections, counts);
   limits.mRequestTimeout =
@@ -192,6 +194,16 @@
     documents::ReadBytes(section, "waiting_bytes", base.mMaxWaitingBytes);
   limits.mStopTime =
     documents::ReadDuration(section, "stop_time", base.mStopTime);
+  // NOTE: a body in flight is in memory twice, and large ones get less than
+  // half of the memory.
+  constexpr auto kBodiesInMemory = 5;
+  if (limits.mMaxMemoryBytes > 0 &&
+      limits.mMaxMemoryBytes / kBodiesInMemory < limits.mMaxBodyBytes) {
+    AddProblem(section,
+               "memory",
+               "too little for limits.body: a request of that size never fits",
+               "at least 5 times limits.body");
+  }
   if (limits.mMaxWaitingBytes < limits.mMaxBodyBytes) {
     AddProblem(section,
                "waiting_bytes",
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -49,6 +49,9 @@
 struct InstanceLimits
 {
   std::int64_t mMaxBodyBytes = std::int64_t{ 8 } * 1024 * 1024;
+  /// Memory that the process may use; 0 for any. Half of it is for what it
+  /// holds for callers.
+  std::int64_t mMaxMemoryBytes = 0;
   std::int64_t mMaxConnections = 4096;
   /// Longest time for a caller to send a request.
   Millis mRequestTimeout{ 10000 };
--- a/src/wire/httpserver.h
+++ b/src/wire/httpserver.h
@@ -68,6 +68,24 @@
 auto
 CountConnections(const HttpServer& aServer) -> std::size_t;
 
+/// Bytes that a server holds.
+struct ServerBytes
+{
+  /// Of requests as they came: those that are not whole yet, and those whose
+  /// responses have not ended. Bodies of HTTP/2 are not counted here.
+  std::size_t mReceived = 0;
+  /// Bodies that were given to the handler and that something still holds.
+  std::size_t mBodies = 0;
+  /// As by UnsentBytes.
+  std::size_t mUnsent = 0;
+
+  auto operator==(const ServerBytes&) const -> bool = default;
+};
+
+/// Looks at each connection.
+auto
+CountBytes(const HttpServer& aServer) -> ServerBytes;
+
 /// Bytes of answers that were given to the server and that the callers'
 /// connections have not yet taken.
 auto
--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cerrno>
 #include <cstring>
 #include <optional>
@@ -77,6 +78,9 @@
   std::shared_ptr<std::set<h2o_socket_t*>> mConnections =
     std::make_shared<std::set<h2o_socket_t*>>();
   std::vector<std::weak_ptr<Responder>> mResponders;
+  /// Of bodies that the handler was given; they may outlive the server.
+  std::shared_ptr<std::atomic<std::size_t>> mBodyBytes =
+    std::make_shared<std::atomic<std::size_t>>(0);
 };
 
 /// What a connection's close callback needs.
@@ -109,8 +113,26 @@
   return { aBytes.base, aBytes.len };
 }
 
+/// Returns a body that is counted until its last copy is gone.
 auto
-ToHttpRequest(const h2o_req_t& aRequest) -> HttpRequest
+CopyBody(const HttpServer& aServer, const h2o_iovec_t& aBytes) -> Body
+{
+  if (aBytes.len == 0) {
+    return {};
+  }
+  const auto count = aServer.mBodyBytes;
+  *count += aBytes.len;
+  return Body(
+    std::shared_ptr<const std::string>(new std::string(aBytes.base, aBytes.len),
+                                       [count](const std::string* aBody) {
+                                         *count -= aBody->size();
+                                         delete aBody;
+                                       }));
+}
+
+auto
+ToHttpRequest(const HttpServer& aServer, const h2o_req_t& aRequest)
+  -> HttpRequest
 {
   auto request = HttpRequest{};
   request.mMethod = ToString(aRequest.method);
@@ -125,7 +147,7 @@
     request.mHeaders.push_back(
       { ToString(*header.name), ToString(header.value) });
   }
-  request.mBody = ToString(aRequest.entity);
+  request.mBody = CopyBody(aServer, aRequest.entity);
   request.mHost = ToString(aRequest.input.authority);
   return request;
 }
@@ -232,7 +254,7 @@
   const auto responder = AttachResponder(aRequest);
   responder->mServer = server;
   RememberResponder(*server, responder);
-  server->mHandler(ToHttpRequest(*aRequest), responder);
+  server->mHandler(ToHttpRequest(*server, *aRequest), responder);
   return 0;
 }
 
@@ -497,6 +519,16 @@
   return aServer.mConnections->size();
 }
 
+auto
+CountBytes(const HttpServer& aServer) -> ServerBytes
+{
+  auto bytes = ServerBytes{ 0, *aServer.mBodyBytes, UnsentBytes(aServer) };
+  for (const auto* sock : *aServer.mConnections) {
+    bytes.mReceived += sock->input->size;
+  }
+  return bytes;
+}
+
 auto
 UnsentBytes(const HttpServer& aServer) -> std::size_t
 {
