--- a/fakes/load/internal/flight.cpp
+++ b/fakes/load/internal/flight.cpp
@@ -234,11 +234,13 @@
   // NOTE: the prompt has no character that JSON escapes, so that a long one is
   // copied once only.
   const auto head = json::serialize(body);
-  request.mBody.reserve(head.size() + aFlight.mPrompt.size() + 16);
-  request.mBody = head.substr(0, head.size() - 1);
-  request.mBody += R"(,"prompt":")";
-  request.mBody += aFlight.mPrompt;
-  request.mBody += "\"}";
+  auto text = std::string{};
+  text.reserve(head.size() + aFlight.mPrompt.size() + 16);
+  text = head.substr(0, head.size() - 1);
+  text += R"(,"prompt":")";
+  text += aFlight.mPrompt;
+  text += "\"}";
+  request.mBody = std::move(text);
   return request;
 }
 
--- a/src/client/tests/client_tests.cpp
+++ b/src/client/tests/client_tests.cpp
@@ -105,7 +105,7 @@
   BOOST_TEST(request.mMethod == "PUT");
   BOOST_TEST(request.mPath == "/operator/v1/templates/glasovna-soba");
   BOOST_TEST(wire::BearerKey(request.mHeaders) == "operator-key");
-  const auto body = json::parse(request.mBody);
+  const auto body = json::parse(request.mBody.Bytes());
   BOOST_TEST(body.at("expected_revision").as_int64() == 6);
   BOOST_TEST(body.at("request_id").as_string().size() == 32);
   BOOST_TEST(body.at("document").as_string().c_str() ==
