--- a/src/peers/internal/peerthread.cpp
+++ b/src/peers/internal/peerthread.cpp
@@ -70,6 +70,8 @@
   return aSince ? MillisBetween(*aSince, aNow) : Millis(0);
 }
 
+constexpr auto kAcceptPause = 100 * kj::MILLISECONDS;
+
 /// Accepts connections. A connection that can't be accepted, as without a free
 /// descriptor, is tried again after a pause.
 auto
@@ -77,7 +79,6 @@
               capnp::TwoPartyServer& aServer,
               kj::Timer& aTimer) -> kj::Promise<void>
 {
-  constexpr auto kPause = 100 * kj::MILLISECONDS;
   // NOTE: accept may also throw at once.
   return kj::evalNow([&aListener] { return aListener.accept(); })
     .then(
@@ -89,9 +90,10 @@
       [&aListener, &aServer, &aTimer](const kj::Exception& aProblem) {
         LogEvent(kPeerAcceptFailedEvent,
                  { { "reason", aProblem.getDescription().cStr() } });
-        return aTimer.afterDelay(kPause).then([&aListener, &aServer, &aTimer] {
-          return AcceptForever(aListener, aServer, aTimer);
-        });
+        return aTimer.afterDelay(kAcceptPause)
+          .then([&aListener, &aServer, &aTimer] {
+            return AcceptForever(aListener, aServer, aTimer);
+          });
       });
 }
 
--- a/src/wire/tests/http_tests.cpp
+++ b/src/wire/tests/http_tests.cpp
@@ -211,7 +211,7 @@
     Abort
   };
   constexpr auto kSteps = 5;
-  constexpr auto kLength = 4;
+  constexpr auto kLength = std::size_t{ 4 };
   constexpr auto kSequences = kSteps * kSteps * kSteps * kSteps;
   const auto apply = [](const ResponderPtr& aResponder, Step aStep) {
     switch (aStep) {
@@ -230,8 +230,10 @@
   for (auto n = 0; n < 2 * kSequences; ++n) {
     const auto runsBetween = n >= kSequences;
     auto steps = std::vector<Step>{};
-    for (auto [i, rest] = std::pair(0, n); i < kLength; ++i, rest /= kSteps) {
+    auto rest = n;
+    while (steps.size() < kLength) {
       steps.push_back(static_cast<Step>(rest % kSteps));
+      rest /= kSteps;
     }
     // NOTE: ends what the sequence leaves open.
     steps.push_back(Step::Abort);
