Refuse the requests that reach an instance while it closes

Callers of a planned stop saw "cut, no answer" now and then. The instance has no log line for them: they were never read. When the stop ended, connections that were not accepted yet were reset, and the peer task was destroyed before the callers' connections were closed, so that what came in between stayed unread.

Ruled out: answers dropped without a log line, since gateway_closing counts every open response and each of those has a forward_cut.

Now a stop that ends accepts what callers have opened, refuses what arrives in the next 250 ms with 503, and closes the callers' connections before it ends the peer task. gateway_closed says how many came.

ARequestOnItsWayWhenAStopEndsIsRefused: two of its three cases (a new and a kept connection) failed without the change.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -32,6 +32,12 @@
 /// About as long as a request with a large body takes.
 constexpr auto kMemoryRetryAfter = Millis(1000);
 constexpr auto kStopCheckInterval = Millis(100);
+/// Connections that are open when a stop ends are closed after this time, in
+/// which requests that were on their way are refused: longer than a request
+/// takes to follow the opening of its connection.
+constexpr auto kClosingTime = Millis(250);
+constexpr auto kClosingCheckInterval = Millis(25);
+constexpr auto kClosedRetryAfter = Millis(50);
 /// Longer than callers keep idle connections, so that they close them first.
 constexpr auto kIdleTimeout = Millis(30000);
 
@@ -267,8 +273,8 @@
             const wire::HttpRequest& aRequest,
             const wire::ResponderPtr& aResponder) -> void
 {
-  const auto isAccepting =
-    !aGateway.mIsStopping && TakeBody(aGateway, aRequest.mBody.size());
+  const auto isAccepting = !aGateway.mIsStopping && !aGateway.mIsClosed &&
+                           TakeBody(aGateway, aRequest.mBody.size());
   forwarding::HandleRelayedRequest(*aGateway.mForwarder,
                                    aGateway.mAdapter.mReadRequest(aRequest),
                                    isAccepting,
@@ -279,40 +285,53 @@
                         const wire::HttpRequest&,
                         const wire::ResponderPtr&) -> void;
 
+auto
+BindHandler(Gateway& aGateway, Handler aHandler) -> wire::RequestHandler
+{
+  return [&aGateway, aHandler](const wire::HttpRequest& aRequest,
+                               const wire::ResponderPtr& aResponder) {
+    aHandler(aGateway, aRequest, aResponder);
+  };
+}
+
 auto
 StartGatewayListener(Gateway& aGateway,
                      const std::optional<wire::SocketAddress>& aAddress,
-                     Handler aHandler) -> leaf::result<wire::HttpServerPtr>
+                     wire::RequestHandler aHandler)
+  -> leaf::result<wire::HttpServerPtr>
 {
-  return StartListener(
-    *aGateway.mLoop,
-    aAddress,
-    aGateway.mSettings,
-    kIdleTimeout,
-    aGateway.mIsClosed,
-    [&aGateway, aHandler](const wire::HttpRequest& aRequest,
-                          const wire::ResponderPtr& aResponder) {
-      aHandler(aGateway, aRequest, aResponder);
-    });
+  return StartListener(*aGateway.mLoop,
+                       aAddress,
+                       aGateway.mSettings,
+                       kIdleTimeout,
+                       std::move(aHandler));
 }
 
 auto
 StartListeners(Gateway& aGateway) -> leaf::result<void>
 {
   const auto& listen = aGateway.mSettings.mListen;
-  BOOST_LEAF_ASSIGN(
-    aGateway.mCallerServer,
-    StartGatewayListener(aGateway, listen.mCaller, HandleCaller));
-  BOOST_LEAF_ASSIGN(
-    aGateway.mOperatorServer,
-    StartGatewayListener(aGateway, listen.mOperator, HandleControlCall));
-  BOOST_LEAF_ASSIGN(
-    aGateway.mPlatformServer,
-    StartGatewayListener(aGateway, listen.mPlatform, HandlePlatformCall));
+  const auto refuseWhenClosed = [&aGateway](Handler aHandler) {
+    return RefuseWhenClosed(aGateway.mIsClosed,
+                            BindHandler(aGateway, aHandler));
+  };
+  BOOST_LEAF_ASSIGN(aGateway.mCallerServer,
+                    StartGatewayListener(aGateway,
+                                         listen.mCaller,
+                                         BindHandler(aGateway, HandleCaller)));
+  BOOST_LEAF_ASSIGN(aGateway.mOperatorServer,
+                    StartGatewayListener(aGateway,
+                                         listen.mOperator,
+                                         refuseWhenClosed(HandleControlCall)));
+  BOOST_LEAF_ASSIGN(aGateway.mPlatformServer,
+                    StartGatewayListener(aGateway,
+                                         listen.mPlatform,
+                                         refuseWhenClosed(HandlePlatformCall)));
   if (aGateway.mForwarder) {
-    BOOST_LEAF_ASSIGN(
-      aGateway.mRelayServer,
-      StartGatewayListener(aGateway, listen.mRelay, HandleRelay));
+    BOOST_LEAF_ASSIGN(aGateway.mRelayServer,
+                      StartGatewayListener(aGateway,
+                                           listen.mRelay,
+                                           BindHandler(aGateway, HandleRelay)));
   }
   return {};
 }
@@ -361,6 +380,35 @@
   return count;
 }
 
+auto
+CountOpenConnections(const Gateway& aGateway) -> std::size_t
+{
+  auto count = std::size_t{ 0 };
+  for (const auto* server :
+       { aGateway.mCallerServer.get(), aGateway.mRelayServer.get() }) {
+    count += server == nullptr ? 0 : wire::CountConnections(*server);
+  }
+  return count;
+}
+
+/// Ends the loop once all connections are closed, at aLimit at the latest.
+auto
+CheckClosed(Gateway& aGateway, TimePoint aLimit) -> void
+{
+  const auto connections = CountOpenConnections(aGateway);
+  if (connections > 0 && MonotonicNow() < aLimit) {
+    wire::StartTimer(*aGateway.mLoop,
+                     kClosingCheckInterval,
+                     [&aGateway, aLimit] { CheckClosed(aGateway, aLimit); });
+    return;
+  }
+  LogEvent(kGatewayClosedEvent,
+           { { "connections", connections },
+             { "refused", aGateway.mRefusedClosed },
+             { "unsent_bytes", CountUnsentBytes(aGateway) } });
+  wire::StopLoop(*aGateway.mLoop);
+}
+
 auto
 CheckStopped(Gateway& aGateway) -> void
 {
@@ -381,9 +429,10 @@
   LogEvent(kGatewayClosingEvent,
            { { "age_ms", age.count() },
              { "requests", CountOpenResponses(aGateway) },
+             { "connections", CountOpenConnections(aGateway) },
              { "unsent_bytes", CountUnsentBytes(aGateway) } });
   CloseGateway(aGateway);
-  wire::StopLoop(*aGateway.mLoop);
+  CheckClosed(aGateway, MonotonicNow() + kClosingTime);
 }
 
 } // namespace
@@ -394,6 +443,14 @@
              const wire::ResponderPtr& aResponder) -> void
 {
   auto request = aGateway.mAdapter.mReadRequest(aRequest);
+  if (aGateway.mIsClosed) {
+    ++aGateway.mRefusedClosed;
+    wire::SendResponse(
+      aResponder,
+      aGateway.mAdapter.mCodec.mWriteFailure(
+        request, { forwarding::FailureKind::NotReady, kClosedRetryAfter }));
+    return;
+  }
   const auto acceptTime =
     request.mPrompt ? kStreamAcceptTime : kRequestAcceptTime;
   const auto isRefusing =
@@ -423,17 +480,26 @@
   if (aGateway.mForwarder) {
     forwarding::AbandonRequests(*aGateway.mForwarder);
   }
+  for (auto* server :
+       { aGateway.mCallerServer.get(), aGateway.mRelayServer.get() }) {
+    if (server != nullptr) {
+      wire::CloseAfterAnswers(*server);
+      wire::StopAccepting(*server);
+    }
+  }
 }
 
 auto
 GatewayDeleter::operator()(Gateway* aGateway) const -> void
 {
   CloseGateway(*aGateway);
-  aGateway->mPeers.reset();
+  // NOTE: the end of the peer task takes a while, in which the loop would not
+  // answer.
   aGateway->mCallerServer.reset();
+  aGateway->mRelayServer.reset();
+  aGateway->mPeers.reset();
   aGateway->mOperatorServer.reset();
   aGateway->mPlatformServer.reset();
-  aGateway->mRelayServer.reset();
   aGateway->mForwarder.reset();
   delete aGateway;
 }
--- a/src/gateway/internal/gatewaystate.h
+++ b/src/gateway/internal/gatewaystate.h
@@ -29,18 +29,20 @@
   /// Destroyed before the loop and its users, since its callbacks post to the
   /// loop.
   std::unique_ptr<PeerTask> mPeers;
-  /// Set by CloseGateway; the listeners then refuse all requests.
+  /// Set by CloseGateway; all requests are then refused.
   bool mIsClosed = false;
+  /// Callers' requests that were refused for that.
+  std::uint64_t mRefusedClosed = 0;
   bool mIsStopping = false;
   MemoryAccount mMemory;
   bool mWasReady = false;
   TimePoint mStopBegan{};
 };
 
-/// Accepts no more requests and answers those still being served. Requests that
-/// arrive later in the same loop iteration, or while the listeners close, are
-/// refused: a forwarded one might run after it was answered as not run. A
-/// second call has no effect. Owner thread only.
+/// Accepts no more connections and requests, and answers the requests still
+/// being served. Requests that arrive later on open connections are refused: a
+/// forwarded one might run after it was answered as not run. A second call has
+/// no effect. Owner thread only.
 auto
 CloseGateway(Gateway& aGateway) -> void;
 
--- a/src/gateway/internal/listener.cpp
+++ b/src/gateway/internal/listener.cpp
@@ -7,7 +7,6 @@
               const std::optional<wire::SocketAddress>& aAddress,
               const Settings& aSettings,
               Millis aRequestTimeout,
-              const bool& aIsClosed,
               wire::RequestHandler aHandler)
   -> leaf::result<wire::HttpServerPtr>
 {
@@ -20,19 +19,23 @@
   limits.mMaxConnections =
     static_cast<std::size_t>(aSettings.mLimits.mMaxConnections);
   limits.mRequestTimeout = aRequestTimeout;
-  return wire::StartHttpServer(
-    aLoop,
-    *aAddress,
-    limits,
-    [&aIsClosed, handler = std::move(aHandler)](
-      const wire::HttpRequest& aRequest, const wire::ResponderPtr& aResponder) {
-      if (aIsClosed) {
-        constexpr auto kUnavailable = 503;
-        wire::SendResponse(aResponder, { kUnavailable, {}, "" });
-        return;
-      }
-      handler(aRequest, aResponder);
-    });
+  return wire::StartHttpServer(aLoop, *aAddress, limits, std::move(aHandler));
+}
+
+auto
+RefuseWhenClosed(const bool& aIsClosed, wire::RequestHandler aHandler)
+  -> wire::RequestHandler
+{
+  return [&aIsClosed,
+          handler = std::move(aHandler)](const wire::HttpRequest& aRequest,
+                                         const wire::ResponderPtr& aResponder) {
+    if (aIsClosed) {
+      constexpr auto kUnavailable = 503;
+      wire::SendResponse(aResponder, { kUnavailable, {}, "" });
+      return;
+    }
+    handler(aRequest, aResponder);
+  };
 }
 
 } // namespace cuminslip::gateway
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -9,16 +9,20 @@
 
 /// Starts an HTTP server with the limits of aSettings and the given timeout for
 /// receiving a request and between requests. Returns null when there is no
-/// address. While aIsClosed is set, requests are refused with 503.
-/// Precondition: aIsClosed outlives the server. Fails with Findings. Owner
-/// thread of the loop only.
+/// address. Fails with Findings. Owner thread of the loop only.
 auto
 StartListener(wire::EventLoop& aLoop,
               const std::optional<wire::SocketAddress>& aAddress,
               const Settings& aSettings,
               Millis aRequestTimeout,
-              const bool& aIsClosed,
               wire::RequestHandler aHandler)
   -> leaf::result<wire::HttpServerPtr>;
 
+/// Returns a handler that refuses requests with 503 while aIsClosed is set, and
+/// passes others to aHandler. Precondition: aIsClosed outlives the handler.
+/// Owner thread of the loop only.
+auto
+RefuseWhenClosed(const bool& aIsClosed, wire::RequestHandler aHandler)
+  -> wire::RequestHandler;
+
 } // namespace cuminslip::gateway
--- a/src/gateway/tests/closing_tests.cpp
+++ b/src/gateway/tests/closing_tests.cpp
@@ -32,11 +32,12 @@
         wire::SocketAddress{ "127.0.0.1", 0 },
         mGateway->mSettings,
         kTestTimeout,
-        mGateway->mIsClosed,
-        [this](const wire::HttpRequest&, const wire::ResponderPtr& aResponder) {
-          ++mHandledRequests;
-          wire::SendResponse(aResponder, { 200, {}, mBody });
-        });
+        RefuseWhenClosed(mGateway->mIsClosed,
+                         [this](const wire::HttpRequest&,
+                                const wire::ResponderPtr& aResponder) {
+                           ++mHandledRequests;
+                           wire::SendResponse(aResponder, { 200, {}, mBody });
+                         }));
     });
     BOOST_REQUIRE(server.mValue.has_value());
     mGateway->mCallerServer = std::move(*server.mValue);
@@ -126,6 +127,52 @@
   BOOST_TEST(caller.Received().size() < kLongBody);
 }
 
+// Report of another operator: late requests of a planned stop had no answer.
+BOOST_AUTO_TEST_CASE(ARequestOnItsWayWhenAStopEndsIsRefused)
+{
+  struct Case
+  {
+    const char* mName;
+    /// The connection has served a request before the stop.
+    bool mIsKept;
+    Millis mSentAfter;
+  };
+  const auto cases = std::vector<Case>{
+    { "sent on a connection that was not accepted", false, Millis(0) },
+    { "sent on a new connection while the stop ends", false, Millis(20) },
+    { "sent on a kept connection while the stop ends", true, Millis(20) },
+  };
+  for (const auto& it : cases) {
+    BOOST_TEST_CONTEXT(it.mName)
+    {
+      auto fixture = CallerFixture();
+      auto& gateway = fixture.mGateway;
+      auto caller =
+        wire::testing::RawCaller(wire::ListenAddress(*gateway->mCallerServer));
+      if (it.mIsKept) {
+        caller.Send(kCall);
+        fixture.RunUntilReceived(caller, " 200 ");
+      }
+      const auto handled = fixture.mHandledRequests;
+
+      StopGateway(*gateway);
+      if (it.mSentAfter == Millis(0)) {
+        caller.Send(kCall);
+      } else {
+        wire::StartTimer(
+          *gateway->mLoop, it.mSentAfter, [&] { caller.Send(kCall); });
+      }
+      RunGateway(*gateway);
+      gateway.reset();
+
+      BOOST_TEST(caller.IsClosed());
+      BOOST_TEST(!caller.IsReset());
+      BOOST_TEST(caller.Received().find(" 503 ") != std::string::npos);
+      BOOST_TEST(fixture.mHandledRequests == handled);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ARequestReceivedDuringDestructionIsNotHandled)
 {
   auto caller =
--- a/src/gateway/tests/memory_tests.cpp
+++ b/src/gateway/tests/memory_tests.cpp
@@ -60,7 +60,6 @@
                            wire::SocketAddress{ "127.0.0.1", 0 },
                            gateway.mSettings,
                            kTestTimeout,
-                           gateway.mIsClosed,
                            [&gateway](const auto& aRequest, auto aResponder) {
                              HandleCaller(gateway, aRequest, aResponder);
                            });
--- a/src/gateway/types/gatewayevents.h
+++ b/src/gateway/types/gatewayevents.h
@@ -40,5 +40,7 @@
   Event{ 2115, "memory_bound_met", Severity::Warning };
 inline constexpr auto kMemoryBoundLeftEvent =
   Event{ 2116, "memory_bound_left", Severity::Info };
+inline constexpr auto kGatewayClosedEvent =
+  Event{ 2117, "gateway_closed", Severity::Info };
 
 } // namespace cuminslip::gateway
--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -263,11 +263,12 @@
     aAddress,
     aInstance.mSettings,
     aInstance.mSettings.mLimits.mRequestTimeout,
-    aInstance.mIsClosed,
-    [&aInstance, aHandler](const wire::HttpRequest& aRequest,
-                           const wire::ResponderPtr& aResponder) {
-      aHandler(aInstance, aRequest, aResponder);
-    });
+    gateway::RefuseWhenClosed(
+      aInstance.mIsClosed,
+      [&aInstance, aHandler](const wire::HttpRequest& aRequest,
+                             const wire::ResponderPtr& aResponder) {
+        aHandler(aInstance, aRequest, aResponder);
+      }));
 }
 
 auto
--- a/src/wire/httpserver.h
+++ b/src/wire/httpserver.h
@@ -56,7 +56,8 @@
 auto
 SetTls(HttpServer& aServer, TlsContextPtr aTls) -> void;
 
-/// Stops accepting connections; open ones go on.
+/// Stops accepting connections. Open ones go on, and those that callers have
+/// opened already.
 auto
 StopAccepting(HttpServer& aServer) -> void;
 
--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -284,26 +284,32 @@
   });
 }
 
+/// Accepts one connection. False if none waits or no descriptor is free.
 auto
-OnAccept(h2o_socket_t* aListener, const char* aError) -> void
+AcceptConnection(HttpServer& aServer) -> bool
 {
-  auto* server = static_cast<HttpServer*>(aListener->data);
-  if (aError != nullptr) {
-    return;
-  }
-  auto* sock = h2o_evloop_socket_accept(aListener);
+  auto* sock = h2o_evloop_socket_accept(aServer.mListener);
   if (sock == nullptr) {
-    PauseAccepting(*server);
-    return;
+    return false;
   }
-  if (server->mConnections->size() >= server->mLimits.mMaxConnections) {
+  if (aServer.mConnections->size() >= aServer.mLimits.mMaxConnections) {
     h2o_socket_close(sock);
-    return;
+    return true;
   }
-  server->mConnections->insert(sock);
+  aServer.mConnections->insert(sock);
   sock->on_close.cb = OnConnectionClosed;
-  sock->on_close.data = new ConnectionEntry{ server->mConnections, sock };
-  h2o_accept(&server->mAccept, sock);
+  sock->on_close.data = new ConnectionEntry{ aServer.mConnections, sock };
+  h2o_accept(&aServer.mAccept, sock);
+  return true;
+}
+
+auto
+OnAccept(h2o_socket_t* aListener, const char* aError) -> void
+{
+  auto* server = static_cast<HttpServer*>(aListener->data);
+  if (aError == nullptr && !AcceptConnection(*server)) {
+    PauseAccepting(*server);
+  }
 }
 
 auto
@@ -458,6 +464,8 @@
 auto
 CloseConnections(HttpServer& aServer) -> void
 {
+  // NOTE: requests that have arrived still get their answers.
+  h2o_evloop_run(aServer.mLoop->mLoop, 0);
   for (const auto& weak : aServer.mResponders) {
     const auto responder = weak.lock();
     if (!responder || IsOver(*responder)) {
@@ -531,6 +539,10 @@
   }
   StopTimer(*aServer.mLoop, std::exchange(aServer.mAcceptPause, 0));
   h2o_socket_read_stop(aServer.mListener);
+  // NOTE: the system resets connections that were not accepted, whose callers
+  // may have sent their requests already.
+  while (AcceptConnection(aServer)) {
+  }
   h2o_socket_close(aServer.mListener);
   aServer.mListener = nullptr;
 }
