Place requests in a planned stop only if their answers end before it

Callers saw streams cut 7.0 s after a stop began, among them a prompt that had waited and was placed for 8.7 s of prefill. The limits of arrival, 3 s for streams and 5.5 s for others, knew neither the allowance of a request nor how long its answer takes, and a waiting prompt was placed as if there were no stop.

Now the forwarder knows when the instance closes, and policy/stopping.h decides at each placement. What comes while the platform may still send callers (3 s) is sent if the longest answer that it may have is forecast to end before that; what comes later, only if its whole allowance does. Others are refused at once as not run, and so is a waiting prompt once it could not end in time on idle engines. Requests that may have run go on.

OnlyRequestsThatEndBeforeTheStopAreSent failed in four of its cases without the check, a late non-idempotent request among them.

--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -133,6 +133,12 @@
                      bool aIsAccepting,
                      wire::CallerPort aCaller) -> void;
 
+/// Announces that this instance abandons its requests at aClosesAt. Requests
+/// that have not run and whose answers would be cut then are refused, those
+/// that wait included.
+auto
+BeginStop(Forwarder& aForwarder, TimePoint aClosesAt) -> void;
+
 /// Returns true when no request is in flight.
 auto
 IsIdle(const Forwarder& aForwarder) -> bool;
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -259,6 +259,13 @@
   TimePoint mReportedAt{};
 };
 
+/// When a stop of this instance began, and when it abandons its requests.
+struct StopTimes
+{
+  TimePoint mBegan{};
+  TimePoint mClosesAt{};
+};
+
 struct Forwarder
 {
   ForwardSettings mSettings;
@@ -307,6 +314,7 @@
   TimePoint mNoticeSentAt{};
   /// Assigned work has changed since the last notice.
   bool mIsNoticeDue = false;
+  std::optional<StopTimes> mStop;
   wire::TimerId mTick = 0;
   wire::TimerId mPlacementTimer = 0;
   /// End of the initial discovery of endpoints.
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -2,6 +2,7 @@
 #include "forwarding/internal/harmfulrequests.h"
 #include "forwarding/internal/relaying.h"
 #include "forwarding/internal/statements.h"
+#include "forwarding/internal/stopping.h"
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
@@ -260,26 +261,29 @@
       helperNames += (helperNames.empty() ? "" : " ") + assigned.mEngine.mValue;
     }
   }
-  LogEvent(kForwardPlacedEvent,
-           { { "request", aFlight.mRequest.mId.mValue },
-             { "route", aFlight.mRoute->mName },
-             { "account", aFlight.mAccount.mValue },
-             { "endpoint", aAttempt.mEndpoint.mValue },
-             { "reason", ToText(choice.mReason) },
-             { "prompt_tokens",
-               aFlight.mRequest.mPrompt.value_or(PromptFacts{}).mPromptTokens },
-             { "helpers", choice.mHelpers.size() },
-             { "helper_ids", helperNames },
-             { "first_event_ms", std::lround(choice.mFirstEventMillis) },
-             { "engine_streams", work.mStreams },
-             { "engine_read_ms", std::lround(work.mReadMillis) },
-             { "limit_per_s", rate },
-             { "limit_age_ms", rateAge },
-             { "candidates", aChosen.mCandidates.size() },
-             { "group", aChosen.mGroup.mFailureDomain.mValue },
-             { "group_part", aChosen.mGroup.mPart },
-             { "version", aFlight.mTable->mDocument.mVersion },
-             { "send", aFlight.mSends + 1 } });
+  LogEvent(
+    kForwardPlacedEvent,
+    { { "request", aFlight.mRequest.mId.mValue },
+      { "route", aFlight.mRoute->mName },
+      { "account", aFlight.mAccount.mValue },
+      { "endpoint", aAttempt.mEndpoint.mValue },
+      { "reason", ToText(choice.mReason) },
+      { "prompt_tokens",
+        aFlight.mRequest.mPrompt.value_or(PromptFacts{}).mPromptTokens },
+      { "output_tokens",
+        aFlight.mRequest.mPrompt.value_or(PromptFacts{}).mMaxOutputTokens },
+      { "helpers", choice.mHelpers.size() },
+      { "helper_ids", helperNames },
+      { "first_event_ms", std::lround(choice.mFirstEventMillis) },
+      { "engine_streams", work.mStreams },
+      { "engine_read_ms", std::lround(work.mReadMillis) },
+      { "limit_per_s", rate },
+      { "limit_age_ms", rateAge },
+      { "candidates", aChosen.mCandidates.size() },
+      { "group", aChosen.mGroup.mFailureDomain.mValue },
+      { "group_part", aChosen.mGroup.mPart },
+      { "version", aFlight.mTable->mDocument.mVersion },
+      { "send", aFlight.mSends + 1 } });
 }
 
 /// Returns true if a forecast decides how long the flight waits for engines. A
@@ -544,6 +548,15 @@
       DeferFlight(aForwarder, aFlight, chosen)) {
     return;
   }
+  const auto answerMillis =
+    ForecastAnswerMillis(aForwarder,
+                         aFlight,
+                         chosen.mEngines[*choice.mEngine].mWork,
+                         choice.mFirstEventMillis);
+  if (const auto failure = CheckStop(aForwarder, aFlight, answerMillis)) {
+    FailFlight(aForwarder, aFlight, *failure);
+    return;
+  }
   auto attempt = MakeAttempt(aForwarder, chosen);
   LogPlacement(aForwarder, aFlight, attempt, chosen);
   const auto isLong = choice.mReason == LaneReason::Together ||
@@ -568,6 +581,11 @@
     FailFlight(aForwarder, aFlight, *failure);
     return;
   }
+  if (const auto failure = CheckStop(
+        aForwarder, aFlight, LeastAnswerMillis(aForwarder, aFlight))) {
+    FailFlight(aForwarder, aFlight, *failure);
+    return;
+  }
   if (RelayFlight(aForwarder, aFlight)) {
     return;
   }
--- a/src/forwarding/internal/waiting.cpp
+++ b/src/forwarding/internal/waiting.cpp
@@ -57,7 +57,8 @@
 {
   const auto isLate = IsLate(aFlight, aForwarder.mPorts.mNow());
   const auto isFull = isLate ? aQueue.mIsFullForLate : aQueue.mIsFull;
-  if (!aFlight.mIsDeferred || !isFull || IsPatienceShort(aForwarder, aFlight)) {
+  if (!aFlight.mIsDeferred || !isFull || aForwarder.mStop ||
+      IsPatienceShort(aForwarder, aFlight)) {
     aFlight.mQueue = OwnQueue{ aQueue.mAheadMillis,
                                aQueue.mSameAheadMillis[aPrompt.mPriority],
                                aQueue.mSameMillis[aPrompt.mPriority] };
--- a/src/forwarding/types/forwardsettings.h
+++ b/src/forwarding/types/forwardsettings.h
@@ -11,6 +11,7 @@
 #include "policy/reach.h"
 #include "policy/requestlimits.h"
 #include "policy/retrybudget.h"
+#include "policy/stopping.h"
 #include "policy/workorder.h"
 
 #include <optional>
@@ -51,6 +52,7 @@
   CrashRules mCrashes;
   ReachRules mReach;
   RelayRules mRelay;
+  StopRules mStop;
   /// Port at which all entry instances serve requests for those that reach no
   /// endpoint; 0 for none.
   int mRelayPort = 0;
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -21,14 +21,6 @@
 /// The platform may send callers for this long after a stop began: two of its
 /// readiness probes, one second apart, and a margin.
 constexpr auto kTrafficDrainTime = Millis(3500);
-/// Requests that arrive later than this after a stop began are refused, since
-/// their answer might not end before the process does. Streams have a shorter
-/// limit than other requests, whose answers are short. Earlier requests are
-/// served, since the platform may have no other instance to send them to while
-/// neighbouring instances stop too.
-constexpr auto kStreamAcceptTime = Millis(3000);
-constexpr auto kRequestAcceptTime = Millis(5500);
-constexpr auto kStoppingRetryAfter = Millis(50);
 /// About as long as a request with a large body takes.
 constexpr auto kMemoryRetryAfter = Millis(1000);
 constexpr auto kStopCheckInterval = Millis(100);
@@ -451,17 +443,6 @@
         request, { forwarding::FailureKind::NotReady, kClosedRetryAfter }));
     return;
   }
-  const auto acceptTime =
-    request.mPrompt ? kStreamAcceptTime : kRequestAcceptTime;
-  const auto isRefusing =
-    aGateway.mIsStopping && MonotonicNow() >= aGateway.mStopBegan + acceptTime;
-  if (isRefusing) {
-    wire::SendResponse(
-      aResponder,
-      aGateway.mAdapter.mCodec.mWriteFailure(
-        request, { forwarding::FailureKind::NotReady, kStoppingRetryAfter }));
-    return;
-  }
   if (!TakeBody(aGateway, request.mHttp.mBody.size())) {
     wire::SendResponse(
       aResponder,
@@ -546,6 +527,11 @@
     }
     LogEvent(kGatewayStopBeganEvent, {});
     aGateway.mStopBegan = MonotonicNow();
+    if (aGateway.mForwarder) {
+      forwarding::BeginStop(*aGateway.mForwarder,
+                            aGateway.mStopBegan +
+                              aGateway.mSettings.mLimits.mStopTime);
+    }
     if (aGateway.mCallerServer) {
       wire::CloseAfterAnswers(*aGateway.mCallerServer);
     }
