Keep the segments of the control log without a gap when a removal fails

A control instance whose disk refused the removal of an old segment, as a full one may, forgot the segment all the same and removed later ones. It could not be started again then: OpenStore takes the gap for a lost segment. A power loss could do the same, since the folder was not synced between two removals.

Removing a file that is not there counts as done.

--- a/src/control/filesystem.h
+++ b/src/control/filesystem.h
@@ -35,6 +35,7 @@
   std::function<IoStatus(const std::string&)> mSyncFolder;
   /// Renames the first path to the second, replacing an existing file.
   std::function<IoStatus(const std::string&, const std::string&)> mRename;
+  /// Done also if there is no such file.
   std::function<IoStatus(const std::string&)> mRemove;
   /// Free space in bytes on the folder's file system; 0 when unknown.
   std::function<std::uint64_t(const std::string&)> mFreeBytes;
--- a/src/control/internal/filesystem.cpp
+++ b/src/control/internal/filesystem.cpp
@@ -124,7 +124,8 @@
     return StatusOf(::rename(aFrom.c_str(), aTo.c_str()));
   };
   files.mRemove = [](const std::string& aPath) {
-    return StatusOf(::unlink(aPath.c_str()));
+    const auto isGone = ::unlink(aPath.c_str()) == 0 || errno == ENOENT;
+    return isGone ? IoStatus::Done : StatusOfErrno();
   };
   files.mFreeBytes = FreeBytes;
   return files;
--- a/src/control/internal/storewrite.cpp
+++ b/src/control/internal/storewrite.cpp
@@ -69,15 +69,22 @@
   return IoStatus::Done;
 }
 
-/// Removes segments and snapshots that the current snapshot supersedes.
+/// Removes segments and snapshots that the current snapshot supersedes. What
+/// can't be removed stays until the next snapshot.
 auto
 RemoveOldFiles(ControlStore& aStore) -> void
 {
   while (aStore.mSegments.size() > 1 &&
          aStore.mSegments.begin()->second <= aStore.mSnapshotIndex) {
     const auto number = aStore.mSegments.begin()->first;
-    // NOTE: a failure to remove a file only wastes space.
-    aStore.mFiles.mRemove(SegmentPath(aStore, number));
+    // NOTE: with a later one gone before it, the segments would have a gap,
+    // which OpenStore takes for a lost segment.
+    const auto isRemoved =
+      aStore.mFiles.mRemove(SegmentPath(aStore, number)) == IoStatus::Done &&
+      aStore.mFiles.mSyncFolder(aStore.mFolder) == IoStatus::Done;
+    if (!isRemoved) {
+      break;
+    }
     aStore.mSegments.erase(aStore.mSegments.begin());
   }
   const auto names =
