Go on writing the control log after a full disk refused to shorten a file

Another operator's report: the disks of control instances were full one after another, and long after the last had room again, changes stayed unanswered while all processes ran. It can happen here: after a write that did not fit, the store shortens the file again, and when the disk refuses that too, it counted as a failure for good. The member halts then until its process is started again; with two of three, no change is accepted.

Now the next write shortens the file first. The parts of a vote record or a segment that an earlier write left are removed for certain before it is written anew, and a segment that the vote record could not name is named by the next write.

--- a/src/control/controlstore.h
+++ b/src/control/controlstore.h
@@ -41,8 +41,12 @@
   std::uint64_t mSegmentSize = 0;
   /// Bytes of the last segment that are known to be synced.
   std::uint64_t mSyncedSize = 0;
+  /// The last segment has bytes behind mSegmentSize, of a write that failed.
+  bool mHasPartialWrite = false;
   VoteRecord mVote;
   std::uint64_t mVoteSequence = 0;
+  /// Last segment that the stored vote record names.
+  std::uint64_t mNamedSegment = 0;
   Revision mFloor = 0;
   Revision mSnapshotIndex = 0;
   StoreCounters mFigures;
--- a/src/control/internal/storeopen.cpp
+++ b/src/control/internal/storeopen.cpp
@@ -354,6 +354,7 @@
   store.mVote = vote.mVote;
   store.mVote.mBoot = NextBoot(store.mVote.mBoot, aRandom);
   store.mVoteSequence = vote.mSequence;
+  store.mNamedSegment = vote.mLastSegment;
   store.mFloor = opened.mDisk.mCommitFloor;
   opened.mDisk.mVote = store.mVote;
   if (IsEmpty(recovery.mFindings)) {
--- a/src/control/internal/storewrite.cpp
+++ b/src/control/internal/storewrite.cpp
@@ -38,23 +38,42 @@
   }
 }
 
-/// Writes and syncs the group. Truncates a partial write when the disk is full.
+/// Removes what a write that failed has left in the last segment.
+auto
+UndoPartialWrite(ControlStore& aStore) -> IoStatus
+{
+  if (!aStore.mHasPartialWrite) {
+    return IoStatus::Done;
+  }
+  const auto path = SegmentPath(aStore, aStore.mSegments.rbegin()->first);
+  const auto status = aStore.mFiles.mTruncate(path, aStore.mSegmentSize);
+  aStore.mHasPartialWrite = status != IoStatus::Done;
+  return status;
+}
+
+/// Writes and syncs the group. Undoes a partial write when the disk is full, or
+/// leaves that to the next write if the disk refuses it too.
 auto
 FlushGroup(ControlStore& aStore, RecordGroup& aGroup) -> IoStatus
 {
   if (aGroup.mBytes.empty()) {
     return IoStatus::Done;
   }
+  auto status = UndoPartialWrite(aStore);
+  if (status != IoStatus::Done) {
+    return status;
+  }
   const auto number = aStore.mSegments.rbegin()->first;
   const auto path = SegmentPath(aStore, number);
-  auto status = aStore.mFiles.mAppend(path, aGroup.mBytes);
+  status = aStore.mFiles.mAppend(path, aGroup.mBytes);
   if (status == IoStatus::Done) {
     status = aStore.mFiles.mSyncFile(path);
     ++aStore.mFigures.mSyncs;
   }
   if (status == IoStatus::Full) {
-    const auto undone = aStore.mFiles.mTruncate(path, aStore.mSegmentSize);
-    return undone == IoStatus::Done ? IoStatus::Full : IoStatus::Failed;
+    aStore.mHasPartialWrite = true;
+    return UndoPartialWrite(aStore) == IoStatus::Failed ? IoStatus::Failed
+                                                        : IoStatus::Full;
   }
   if (status != IoStatus::Done) {
     return status;
@@ -152,8 +171,11 @@
   AppendRecord(bytes, 0, 0, 0, aPayload);
   const auto path = aStore.mFolder + "/" + aName;
   const auto temporary = path + std::string(kTemporarySuffix);
-  aStore.mFiles.mRemove(temporary);
-  auto status = aStore.mFiles.mAppend(temporary, bytes);
+  // NOTE: an earlier write that failed may have left a part of the file.
+  auto status = aStore.mFiles.mRemove(temporary);
+  if (status == IoStatus::Done) {
+    status = aStore.mFiles.mAppend(temporary, bytes);
+  }
   if (status == IoStatus::Done) {
     status = aStore.mFiles.mSyncFile(temporary);
   }
@@ -173,11 +195,15 @@
 {
   const auto last =
     aStore.mSegments.empty() ? 0 : aStore.mSegments.rbegin()->first;
-  return WriteWholeFile(
+  const auto status = WriteWholeFile(
     aStore,
     std::string(kVoteName),
     EncodeStoredVote(
       { ++aStore.mVoteSequence, aStore.mVote, last, aStore.mFloor }));
+  if (status == IoStatus::Done) {
+    aStore.mNamedSegment = last;
+  }
+  return status;
 }
 
 auto
@@ -186,12 +212,19 @@
   const auto number =
     aStore.mSegments.empty() ? 1 : aStore.mSegments.rbegin()->first + 1;
   const auto path = SegmentPath(aStore, number);
-  aStore.mFiles.mRemove(path);
+  // NOTE: the segment before it is not written to any more, and a record that
+  // was cut off is allowed in the last segment only.
+  auto status = UndoPartialWrite(aStore);
+  if (status == IoStatus::Done) {
+    status = aStore.mFiles.mRemove(path);
+  }
   // NOTE: the floor record makes sure that the segment is not empty.
   auto bytes = std::string{};
   AppendRecord(
     bytes, number, 0, 0, EncodeLogRecord(FloorRecord{ aStore.mFloor }));
-  auto status = aStore.mFiles.mAppend(path, bytes);
+  if (status == IoStatus::Done) {
+    status = aStore.mFiles.mAppend(path, bytes);
+  }
   if (status == IoStatus::Done) {
     status = aStore.mFiles.mSyncFile(path);
   }
@@ -220,6 +253,11 @@
        aStore.mSegmentSize > aStore.mOptions.mSegmentBytes)) {
     status = StartSegment(aStore);
   }
+  // NOTE: the disk was full when the last segment was started.
+  if (status == IoStatus::Done &&
+      aStore.mNamedSegment < aStore.mSegments.rbegin()->first) {
+    status = WriteVote(aStore);
+  }
   auto group = RecordGroup{};
   for (const auto& it : aWrites) {
     if (status != IoStatus::Done) {
--- a/src/control/tests/controlstore_tests.cpp
+++ b/src/control/tests/controlstore_tests.cpp
@@ -78,6 +78,68 @@
   return disk;
 }
 
+struct ScriptOutcome
+{
+  int mOperations = 0;
+  bool mHasFailed = false;
+  bool mIsOpened = false;
+  RecoveredDisk mDisk;
+};
+
+/// Writes what a member writes in its life, each write until the disk takes it,
+/// on a disk that refuses aRefused operations from the one numbered aFirst on.
+/// With aLoss the power fails whenever a write is refused, and the member goes
+/// on with what its disk holds then.
+auto
+RunFullScript(int aFirst, int aRefused, std::mt19937_64* aLoss) -> ScriptOutcome
+{
+  constexpr auto kAllOperations = 1000000;
+  constexpr auto kMaxTries = 20;
+  auto outcome = ScriptOutcome{};
+  auto disk = FakeDisk{};
+  auto opened = Open(disk);
+  auto conflict = WriteOf(4, { EntryAt(4, 2) });
+  conflict.mTruncateFrom = 4;
+  const auto writes = std::vector<std::pair<std::vector<DiskWrite>, Revision>>{
+    { { VoteOf(1, *opened.mValue, 3) }, 0 },
+    { { WriteOf(2, { EntryAt(1), EntryAt(2) }) }, 0 },
+    { { WriteOf(3, { EntryAt(3), EntryAt(4), EntryAt(5) }) }, 2 },
+    { { conflict }, 3 },
+    { { WriteOf(5, { EntryAt(5, 2) }), SnapshotOf(6, 3) }, 4 },
+    { { WriteOf(7, { EntryAt(6, 2) }), SnapshotOf(8, 6) }, 6 },
+    { { WriteOf(9, { EntryAt(7, 2) }) }, 6 },
+    { { SnapshotOf(10, 100, true), WriteOf(11, { EntryAt(101, 2) }) }, 100 },
+    { { VoteOf(12, *opened.mValue, 4), WriteOf(13, { EntryAt(102, 4) }) }, 101 }
+  };
+  disk.mOperationsLeft = kAllOperations;
+  disk.mOperationsUntilFull = aFirst;
+  disk.mFullOperations = aRefused;
+  for (const auto& [batch, floor] : writes) {
+    auto status = WriteToStore(opened.mValue->mStore, batch, floor);
+    for (auto n = 0; n < kMaxTries && status == IoStatus::Full; ++n) {
+      if (aLoss != nullptr) {
+        disk.LosePower(*aLoss);
+        const auto left = std::exchange(disk.mFullOperations, 0);
+        opened = Open(disk);
+        disk.mFullOperations = left;
+        if (!opened.mValue) {
+          return outcome;
+        }
+      }
+      status = WriteToStore(opened.mValue->mStore, batch, floor);
+    }
+    outcome.mHasFailed |= status != IoStatus::Done;
+  }
+  outcome.mOperations = kAllOperations - disk.mOperationsLeft;
+  disk.mFullOperations = 0;
+  auto again = Open(disk);
+  outcome.mIsOpened = again.mValue.has_value();
+  if (again.mValue) {
+    outcome.mDisk = std::move(again.mValue->mDisk);
+  }
+  return outcome;
+}
+
 auto
 LogPath() -> std::string
 {
@@ -231,6 +293,31 @@
   BOOST_TEST(IsStoreFull(store));
 }
 
+// Report of another operator: after disks had been full one after another,
+// changes were refused for the rest of the day.
+BOOST_DATA_TEST_CASE(ADiskThatIsFullAtAnyOperationTakesTheWritesLater,
+                     data::xrange(1, 8),
+                     refused)
+{
+  const auto expected = RunFullScript(-1, 0, nullptr);
+  for (auto first = 0; first < expected.mOperations; ++first) {
+    BOOST_TEST_CONTEXT("full from operation " << first)
+    {
+      auto random = std::mt19937_64(static_cast<std::uint64_t>(first));
+      for (auto* loss : { static_cast<std::mt19937_64*>(nullptr), &random }) {
+        const auto outcome = RunFullScript(first, refused, loss);
+        BOOST_TEST(!outcome.mHasFailed);
+        BOOST_TEST(outcome.mIsOpened);
+        BOOST_TEST((outcome.mDisk.mEntries == expected.mDisk.mEntries));
+        BOOST_TEST(
+          (outcome.mDisk.mSnapshot.mIndex == expected.mDisk.mSnapshot.mIndex));
+        BOOST_TEST(outcome.mDisk.mCommitFloor == expected.mDisk.mCommitFloor);
+        BOOST_TEST(outcome.mDisk.mVote.mTerm == expected.mDisk.mVote.mTerm);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AFailedSyncIsReported)
 {
   auto disk = FilledDisk(3);
--- a/src/control/tests/fakedisk.h
+++ b/src/control/tests/fakedisk.h
@@ -24,6 +24,10 @@
   /// Operations until the power fails; negative for never.
   int mOperationsLeft = -1;
   bool mIsFull = false;
+  /// Operations until every one is refused as on a full disk, and how many are;
+  /// negative for never.
+  int mOperationsUntilFull = -1;
+  int mFullOperations = 0;
   bool mIsSyncFailing = false;
   std::uint64_t mFreeBytes = std::uint64_t{ 1 } << 40U;
 
@@ -37,6 +41,20 @@
     return true;
   }
 
+  /// Counts one operation. True if the disk is full for it.
+  auto IsRefused() -> bool
+  {
+    if (mOperationsUntilFull > 0) {
+      --mOperationsUntilFull;
+      return false;
+    }
+    if (mOperationsUntilFull < 0 || mFullOperations == 0) {
+      return false;
+    }
+    --mFullOperations;
+    return true;
+  }
+
   /// Simulates a power loss and restart. Unsynced data is lost, kept,
   /// truncated, or kept with a range of zeros.
   auto LosePower(std::mt19937_64& aRandom) -> void
@@ -86,8 +104,9 @@
     if (!file) {
       file = std::make_shared<File>();
     }
-    file->mBytes += mIsFull ? aBytes.substr(0, aBytes.size() / 2) : aBytes;
-    return mIsFull ? IoStatus::Full : IoStatus::Done;
+    const auto isFull = mIsFull || IsRefused();
+    file->mBytes += isFull ? aBytes.substr(0, aBytes.size() / 2) : aBytes;
+    return isFull ? IoStatus::Full : IoStatus::Done;
   }
 
   auto Sync(const std::string& aPath) -> IoStatus
@@ -95,6 +114,9 @@
     if (!ConsumeOperation() || mIsSyncFailing || !mNames.contains(aPath)) {
       return IoStatus::Failed;
     }
+    if (IsRefused()) {
+      return IoStatus::Full;
+    }
     mNames[aPath]->mSynced = mNames[aPath]->mBytes;
     return IoStatus::Done;
   }
@@ -104,6 +126,9 @@
     if (!ConsumeOperation() || !mNames.contains(aFrom)) {
       return IoStatus::Failed;
     }
+    if (IsRefused()) {
+      return IoStatus::Full;
+    }
     mNames[aTo] = mNames[aFrom];
     mNames.erase(aFrom);
     return IoStatus::Done;
@@ -135,6 +160,9 @@
       if (!ConsumeOperation()) {
         return IoStatus::Failed;
       }
+      if (IsRefused()) {
+        return IoStatus::Full;
+      }
       mNames[aPath]->mBytes.resize(aSize);
       return IoStatus::Done;
     };
@@ -143,6 +171,9 @@
       if (!ConsumeOperation()) {
         return IoStatus::Failed;
       }
+      if (IsRefused()) {
+        return IoStatus::Full;
+      }
       mSyncedNames = mNames;
       return IoStatus::Done;
     };
@@ -150,8 +181,17 @@
       return Rename(aFrom, aTo);
     };
     files.mRemove = [this](const auto& aPath) {
-      return ConsumeOperation() && mNames.erase(aPath) > 0 ? IoStatus::Done
-                                                           : IoStatus::Failed;
+      if (!ConsumeOperation()) {
+        return IoStatus::Failed;
+      }
+      if (!mNames.contains(aPath)) {
+        return IoStatus::Done;
+      }
+      if (IsRefused()) {
+        return IoStatus::Full;
+      }
+      mNames.erase(aPath);
+      return IoStatus::Done;
     };
     files.mFreeBytes = [this](const auto&) { return mFreeBytes; };
     return files;
--- a/src/peers/internal/foundingpermit.cpp
+++ b/src/peers/internal/foundingpermit.cpp
@@ -15,8 +15,8 @@
             const std::string& aText) -> void
 {
   const auto temporary = aFolder + kTemporaryName;
-  aFiles.mRemove(temporary);
   const auto isWritten =
+    aFiles.mRemove(temporary) == IoStatus::Done &&
     aFiles.mAppend(temporary, aText) == IoStatus::Done &&
     aFiles.mSyncFile(temporary) == IoStatus::Done &&
     aFiles.mRename(temporary, aFolder + kPermitName) == IoStatus::Done;
