Refuse late requests at the end of a stop on the own interface too

The same cause as in the gateway, on a related path: an instance with the own interface ended its loop and its peer task before it closed its callers' connections. Read in the code; no run has shown a cut request there, and no test is for it. The tests of the program and the gateway pass.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -24,10 +24,6 @@
 /// About as long as a request with a large body takes.
 constexpr auto kMemoryRetryAfter = Millis(1000);
 constexpr auto kStopCheckInterval = Millis(100);
-/// Connections that are open when a stop ends are closed after this time, in
-/// which requests that were on their way are refused: longer than a request
-/// takes to follow the opening of its connection.
-constexpr auto kClosingTime = Millis(250);
 constexpr auto kClosingCheckInterval = Millis(25);
 constexpr auto kClosedRetryAfter = Millis(50);
 /// Longer than callers keep idle connections, so that they close them first.
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -7,6 +7,11 @@
 
 namespace cuminslip::gateway {
 
+/// Connections that are open when a stop ends are closed after this time, in
+/// which requests that were on their way are refused: longer than a request
+/// takes to follow the opening of its connection.
+inline constexpr auto kClosingTime = Millis(250);
+
 /// Starts an HTTP server with the limits of aSettings and the given timeout for
 /// receiving a request and between requests. Returns null when there is no
 /// address. Fails with Findings. Owner thread of the loop only.
--- a/src/program/instance.h
+++ b/src/program/instance.h
@@ -31,7 +31,7 @@
   wire::HttpServerPtr mPlatformServer;
   /// Stops first, as its replies go to the loop.
   std::unique_ptr<PeerTask> mPeers;
-  /// Set while the listeners close; their handlers then refuse.
+  /// Set once a stop ends; the listeners' handlers then refuse.
   bool mIsClosed = false;
   bool mIsStopping = false;
   bool mWasReady = false;
--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -322,7 +322,14 @@
   if (isIdle || isLate) {
     requests::AbandonRequests(*aInstance.mFront);
     requests::LeaveDomain(*aInstance.mFront);
-    wire::StopLoop(*aInstance.mLoop);
+    aInstance.mIsClosed = true;
+    if (aInstance.mCallerServer) {
+      wire::CloseAfterAnswers(*aInstance.mCallerServer);
+      wire::StopAccepting(*aInstance.mCallerServer);
+    }
+    wire::StartTimer(*aInstance.mLoop, gateway::kClosingTime, [&aInstance] {
+      wire::StopLoop(*aInstance.mLoop);
+    });
     return;
   }
   wire::StartTimer(*aInstance.mLoop, kStopCheckInterval, [&aInstance, aLimit] {
@@ -335,8 +342,10 @@
 Instance::~Instance()
 {
   // NOTE: closing the listeners runs the loop, which may bring more requests;
-  // their handlers must not reach the peer task any more.
+  // their handlers must not reach the peer task any more. Its end takes a
+  // while, in which the loop would not answer callers.
   mIsClosed = true;
+  mCallerServer.reset();
   mPeers.reset();
 }
 
