--- a/src/peers/tests/descriptors_tests.cpp
+++ b/src/peers/tests/descriptors_tests.cpp
@@ -9,6 +9,14 @@
 
 namespace {
 
+// NOTE: the sanitizer's check of an object's type opens a pipe, and takes any
+// object for a wrong one while there is no descriptor.
+#ifdef __SANITIZE_ADDRESS__
+constexpr auto kIsSanitized = true;
+#else
+constexpr auto kIsSanitized = false;
+#endif
+
 /// Takes all descriptors that this process may still open, until destroyed.
 struct UsedUpDescriptors
 {
@@ -47,7 +55,8 @@
 
 // One accept that failed was the last one of the process, and one write of the
 // control log that could not open its file ended the log.
-BOOST_AUTO_TEST_CASE(PeersAreAcceptedAgainAfterDescriptorsWereUsedUp)
+BOOST_AUTO_TEST_CASE(PeersAreAcceptedAgainAfterDescriptorsWereUsedUp,
+                     *boost::unit_test::enable_if<!kIsSanitized>())
 {
   auto group = TestGroup(1, 1);
   group.Start(0);
