--- a/review/standins-2/runner.cpp
+++ b/review/standins-2/runner.cpp
@@ -111,6 +111,20 @@
   return isSent && SendAll(aSocket, "0\r\n\r\n");
 }
 
+/// Works for the time that the path names, /work/MILLIS/..., and answers whole.
+auto
+RunWork(Runner& aRunner, int aSocket, const Message& aRequest, long aMillis)
+  -> bool
+{
+  std::this_thread::sleep_for(Millis(aMillis));
+  const auto id = HeaderOf(aRequest, "x-attempt-id");
+  return Answer(aSocket,
+                200,
+                "X-Attempt-Id: " + id + "\r\nX-Response-Seal: " + aRunner.mId +
+                  "\r\n",
+                "done " + id);
+}
+
 auto
 RunRequest(Runner& aRunner,
            int aSocket,
@@ -123,6 +137,12 @@
     Record(aRunner, "421 " + id + " " + aPath + " expects " + expected);
     return Answer(aSocket, 421, "X-Instance-Id: " + aRunner.mId + "\r\n", "");
   }
+  constexpr auto kWorkPath = std::string_view("/work/");
+  if (aPath.starts_with(kWorkPath)) {
+    Record(aRunner, "run " + id + " " + aPath);
+    return RunWork(
+      aRunner, aSocket, aRequest, std::atol(aPath.c_str() + kWorkPath.size()));
+  }
   const auto helpers = HeaderOf(aRequest, "x-helpers");
   for (const auto& it : SplitAt(helpers, ',')) {
     if (!AskHelper(aRunner, it, aRequest, aPath)) {
