--- a/review/standins-2/runner.cpp
+++ b/review/standins-2/runner.cpp
@@ -111,18 +111,26 @@
   return isSent && SendAll(aSocket, "0\r\n\r\n");
 }
 
-/// Works for the time that the path names, /work/MILLIS/..., and answers whole.
+/// Works for the time that the path names, /work/MILLIS/..., and answers whole;
+/// for /work/MILLIS/large/BYTES with a body of that size.
 auto
 RunWork(Runner& aRunner, int aSocket, const Message& aRequest, long aMillis)
   -> bool
 {
   std::this_thread::sleep_for(Millis(aMillis));
   const auto id = HeaderOf(aRequest, "x-attempt-id");
+  constexpr auto kLarge = std::string_view("/large/");
+  const auto large = aRequest.mFirstLine.find(kLarge);
+  const auto bytes =
+    large == std::string::npos
+      ? std::size_t{ 0 }
+      : std::strtoul(
+          aRequest.mFirstLine.c_str() + large + kLarge.size(), nullptr, 10);
   return Answer(aSocket,
                 200,
                 "X-Attempt-Id: " + id + "\r\nX-Response-Seal: " + aRunner.mId +
                   "\r\n",
-                "done " + id);
+                "done " + id + std::string(bytes, 'a'));
 }
 
 auto
