--- a/review/standins-2/case-8.cpp
+++ b/review/standins-2/case-8.cpp
@@ -20,7 +20,7 @@
 Configuration() -> std::string
 {
   return R"({"version":1,"routes":[{"name":"work","host":"case.example",)"
-         R"("path_prefix":"/work/","kind":"idempotent",)"
+         R"("path_prefix":"/task/","kind":"idempotent",)"
          R"("timeout_ms":2000,"target_latency_ms":300,"priority":1,)"
          R"("service":"service-a","max_attempts":2,"public":false}],)"
          R"("services":[{"name":"service-a","health_path":"/healthz",)"
@@ -42,7 +42,7 @@
       id, sizeof(id), "%016llx", static_cast<unsigned long long>(sRandom()));
     const auto answer =
       Call(CallerAddress(aFleet, n % aFleet.mEntries),
-           std::string("GET /work/15/item HTTP/1.1\r\nHost: case.example\r\n") +
+           std::string("GET /task/15/item HTTP/1.1\r\nHost: case.example\r\n") +
              "X-Attempt-Id: " + id +
              "\r\nX-Request-Deadline-Ms: 2000\r\n"
              "Authorization: Bearer key\r\n\r\n",
--- a/review/standins-2/case-9.cpp
+++ b/review/standins-2/case-9.cpp
@@ -35,7 +35,7 @@
 {
   return R"({"version":)" + std::to_string(aVersion) +
          R"(,"routes":[{"name":"work","host":"case.example",)"
-         R"("path_prefix":"/work/","kind":"idempotent",)"
+         R"("path_prefix":"/task/","kind":"idempotent",)"
          R"("timeout_ms":2000,"target_latency_ms":300,"priority":1,)"
          R"("service":"service-a","max_attempts":2,"public":false}],)"
          R"("services":[{"name":"service-a","health_path":"/healthz",)"
--- a/review/standins-2/runner.cpp
+++ b/review/standins-2/runner.cpp
@@ -111,8 +111,8 @@
   return isSent && SendAll(aSocket, "0\r\n\r\n");
 }
 
-/// Works for the time that the path names, /work/MILLIS/..., and answers whole;
-/// for /work/MILLIS/large/BYTES with a body of that size.
+/// Works for the time that the path names, /task/MILLIS/..., and answers whole;
+/// for /task/MILLIS/large/BYTES with a body of that size.
 auto
 RunWork(Runner& aRunner, int aSocket, const Message& aRequest, long aMillis)
   -> bool
@@ -145,7 +145,7 @@
     Record(aRunner, "421 " + id + " " + aPath + " expects " + expected);
     return Answer(aSocket, 421, "X-Instance-Id: " + aRunner.mId + "\r\n", "");
   }
-  constexpr auto kWorkPath = std::string_view("/work/");
+  constexpr auto kWorkPath = std::string_view("/task/");
   if (aPath.starts_with(kWorkPath)) {
     Record(aRunner, "run " + id + " " + aPath);
     return RunWork(
