--- a/src/directory/tests/directory_tests.cpp
+++ b/src/directory/tests/directory_tests.cpp
@@ -166,8 +166,9 @@
     view,
     { "c1",
       true,
-      { { With(MakeNotice("e", 4), NoticeState::Draining), false } } });
-  ApplyUpdate(view, { "c2", true, { { MakeNotice("e", 3), false } } });
+      { { With(MakeNotice("e", 4), NoticeState::Draining), false } } },
+    kStart);
+  ApplyUpdate(view, { "c2", true, { { MakeNotice("e", 3), false } } }, kStart);
 
   BOOST_TEST(
     (view.mEntries.at({ "e" }).mNotice.mState == NoticeState::Draining));
@@ -176,25 +177,118 @@
 BOOST_AUTO_TEST_CASE(AnEndpointIsSilentWhenEveryReachableSourceReportsIt)
 {
   auto view = EndpointView{};
-  ApplyUpdate(view, { "c1", true, { { MakeNotice("e", 1), true } } });
-  ApplyUpdate(view, { "c2", true, { { MakeNotice("e", 1), false } } });
+  ApplyUpdate(view, { "c1", true, { { MakeNotice("e", 1), true } } }, kStart);
+  ApplyUpdate(view, { "c2", true, { { MakeNotice("e", 1), false } } }, kStart);
   const auto& entry = view.mEntries.at({ "e" });
-  BOOST_TEST(!IsSilent(view, entry),
+  BOOST_TEST(!IsSilent(view, entry, kStart),
              "one source still receives its heartbeats");
-  RemoveSource(view, "c2");
-  BOOST_TEST(IsSilent(view, entry),
+  RemoveSource(view, "c2", kStart);
+  BOOST_TEST(IsSilent(view, entry, kStart),
              "the source that received them is disconnected");
-  RemoveSource(view, "c1");
-  BOOST_TEST(!IsSilent(view, entry), "no source is connected");
+  RemoveSource(view, "c1", kStart);
+  BOOST_TEST(!IsSilent(view, entry, kStart), "no source is connected");
 }
 
-BOOST_AUTO_TEST_CASE(ACompleteUpdateReplacesWhatItsSourceReported)
+// Review case 6: after the control instances had restarted, an endpoint that
+// had crashed before counted as sound. A source that no longer says anything of
+// an endpoint neither speaks for it nor against it.
+BOOST_AUTO_TEST_CASE(ARestartOfASourceDoesNotEndSilence)
 {
   auto view = EndpointView{};
-  ApplyUpdate(view, { "c1", true, { { MakeNotice("e", 1), true } } });
-  ApplyUpdate(view, { "c1", true, {} });
+  ApplyUpdate(view, { "c1", true, { { MakeNotice("e", 1), true } } }, kStart);
+  ApplyUpdate(view, { "c1", true, {} }, kStart + Millis(1000));
+  const auto& entry = view.mEntries.at({ "e" });
+
+  BOOST_TEST(IsSilent(view, entry, kStart + Millis(1000)));
+  ApplyUpdate(view,
+              { "c1", false, { { MakeNotice("e", 2), false } } },
+              kStart + Millis(2000));
+  BOOST_TEST(!IsSilent(view, entry, kStart + Millis(2000)));
+}
+
+BOOST_AUTO_TEST_CASE(AnEndpointThatARestartedSourceNeverHearsBecomesSilent)
+{
+  auto view = EndpointView{};
+  ApplyUpdate(view, { "c1", true, { { MakeNotice("e", 1), false } } }, kStart);
+  ApplyUpdate(view, { "c1", true, {} }, kStart);
+  const auto& entry = view.mEntries.at({ "e" });
+  BOOST_TEST(!IsSilent(view, entry, kStart + Millis(3600)));
+  BOOST_TEST(!HoldsAddress(view, entry, kStart), "nobody vouches for it");
+  BOOST_TEST(IsSilent(view, entry, kStart + Millis(3601)));
+}
+
+// Review case 6: nothing but the address tells the helpers of a prompt from
+// endpoints of another service.
+BOOST_AUTO_TEST_CASE(AnAddressWithAnotherEndpointIsNotHeld)
+{
+  auto view = EndpointView{};
+  ApplyUpdate(view, { "c1", true, { { MakeNotice("e", 1), false } } }, kStart);
+  BOOST_TEST(HoldsAddress(view, view.mEntries.at({ "e" }), kStart));
+  auto other = MakeNotice("other", 1);
+  other.mService = "other";
+  ApplyUpdate(view, { "c1", true, { { other, false } } }, kStart);
+  const auto& former = view.mEntries.at({ "e" });
+  BOOST_TEST(!HoldsAddress(view, former, kStart));
+  BOOST_TEST(IsSilent(view, former, kStart), "at once");
+  const auto& present = view.mEntries.at({ "other" });
+  BOOST_TEST(!HoldsAddress(view, present, kStart + Millis(7199)),
+             "the former one was heard until now");
+  BOOST_TEST(HoldsAddress(view, present, kStart + Millis(7200)));
+}
+
+BOOST_AUTO_TEST_CASE(ARetractionReplacesANewerNotice)
+{
+  auto view = EndpointView{};
+  const auto gone = With(MakeNotice("e", 2), NoticeState::Gone);
+  ApplyUpdate(view, { "c1", true, { { gone, false } } }, kStart);
+  ApplyUpdate(view, { "c2", true, { { MakeNotice("e", 3), false } } }, kStart);
+  const auto& entry = view.mEntries.at({ "e" });
+  BOOST_TEST((entry.mNotice.mState == NoticeState::Gone), "c2 knows less");
+  ApplyUpdate(view, { "c1", false, { { MakeNotice("e", 3), false } } }, kStart);
+  BOOST_TEST((entry.mNotice.mState == NoticeState::Ready));
+}
+
+BOOST_AUTO_TEST_CASE(WhatAllSourcesReportForLongReplacesANewerNotice)
+{
+  auto view = EndpointView{};
+  const auto gone = With(MakeNotice("e", 2), NoticeState::Gone);
+  ApplyUpdate(view, { "c1", true, { { gone, false } } }, kStart);
+  ApplyUpdate(view, { "c1", true, {} }, kStart);
+  ApplyUpdate(view, { "c1", false, { { MakeNotice("e", 3), false } } }, kStart);
+  RefreshView(view, kStart + Millis(7199));
+  const auto& entry = view.mEntries.at({ "e" });
+  BOOST_TEST((entry.mNotice.mState == NoticeState::Gone));
+  RefreshView(view, kStart + Millis(7200));
+  BOOST_TEST((entry.mNotice.mState == NoticeState::Ready));
+}
 
-  BOOST_TEST(!IsSilent(view, view.mEntries.at({ "e" })));
+BOOST_AUTO_TEST_CASE(AClaimOfAnotherServiceDoesNotTakeAnId)
+{
+  auto view = EndpointView{};
+  SetServices(view, { "engines" });
+  auto other = MakeNotice("e", 1);
+  other.mService = "host-monitor";
+  other.mIncarnation = 9;
+  ApplyUpdate(view, { "c1", true, { { other, false } } }, kStart);
+  ApplyUpdate(view, { "c1", false, { { MakeNotice("e", 1), false } } }, kStart);
+  BOOST_TEST(view.mEntries.at({ "e" }).mNotice.mService == "engines");
+  SetServices(view, { "host-monitor" });
+  BOOST_TEST(view.mEntries.at({ "e" }).mNotice.mService == "host-monitor");
+}
+
+BOOST_AUTO_TEST_CASE(EndpointsThatAreGoneForLongAreForgotten)
+{
+  auto view = EndpointView{};
+  const auto gone = With(MakeNotice("e", 2), NoticeState::Gone);
+  ApplyUpdate(
+    view,
+    { "c1", true, { { gone, false }, { MakeNotice("f", 1), false } } },
+    kStart);
+  BOOST_TEST(PruneView(view, kStart + Seconds(120)).empty());
+  const auto removed = PruneView(view, kStart + Seconds(121));
+  BOOST_TEST((removed == std::vector<EndpointId>{ { "e" } }));
+  BOOST_TEST(view.mEntries.size() == 1U);
+  BOOST_TEST(view.mClaimsOfAddress.at("10.0.0.1:80") == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/directory/types/endpointnotice.h
+++ b/src/directory/types/endpointnotice.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/types/ids.h"
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -15,7 +16,7 @@
   Ready,
   /// Leaving: finishes its running requests and accepts no new ones.
   Draining,
-  /// Has left, or another endpoint uses its address.
+  /// Has left.
   Gone
 };
 
@@ -39,6 +40,23 @@
   auto operator==(const EndpointNotice&) const -> bool = default;
 };
 
+/// Identifies what notices claim: that an endpoint of a service is reached at
+/// an address. Notices of another claim, whoever sent them, do not change it.
+struct EndpointClaim
+{
+  EndpointId mId;
+  std::string mService;
+  std::string mAddress;
+
+  auto operator<=>(const EndpointClaim&) const = default;
+};
+
+inline auto
+ClaimOf(const EndpointNotice& aNotice) -> EndpointClaim
+{
+  return { aNotice.mId, aNotice.mService, aNotice.mAddress };
+}
+
 /// A notice and the time since it was received.
 struct HeardNotice
 {
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -178,6 +178,39 @@
   }
 }
 
+auto
+ForgetEndpoint(Forwarder& aForwarder, const EndpointId& aEndpoint) -> void
+{
+  aForwarder.mHealth.erase(aEndpoint);
+  ForgetStatements(aForwarder, aEndpoint);
+  aForwarder.mEndpointsByKey.erase(Checksum(aEndpoint.mValue));
+}
+
+/// Handles changes of endpoints in the view.
+auto
+NoteEndpoints(Forwarder& aForwarder,
+              const std::vector<EndpointId>& aChanged,
+              const std::string& aSource,
+              bool aIsWhole) -> void
+{
+  for (const auto& id : aChanged) {
+    const auto& notice = aForwarder.mView.mEntries.at(id).mNotice;
+    LogEvent(kForwardEndpointEvent,
+             { { "endpoint", id.mValue },
+               { "service", notice.mService },
+               { "address", notice.mAddress },
+               { "state", static_cast<int>(notice.mState) },
+               { "incarnation", notice.mIncarnation },
+               { "source", aSource } });
+    if (notice.mState == directory::NoticeState::Gone) {
+      ForgetEndpoint(aForwarder, id);
+    } else {
+      aForwarder.mEndpointsByKey[Checksum(id.mValue)] = id;
+      NoteWarmUpNotice(aForwarder, notice, aIsWhole);
+    }
+  }
+}
+
 auto
 StartTick(Forwarder& aForwarder) -> void
 {
@@ -188,6 +221,11 @@
     aForwarder.mSettings.mCallerCheckInterval, [&aForwarder] {
       aForwarder.mTick = 0;
       DropDisconnectedCallers(aForwarder);
+      NoteEndpoints(
+        aForwarder,
+        directory::RefreshView(aForwarder.mView, aForwarder.mPorts.mNow()),
+        "",
+        false);
       RenewReservations(aForwarder);
       SchedulePlacement(aForwarder, true);
       RepeatStatements(aForwarder);
@@ -253,6 +291,7 @@
 {
   auto forwarder = ForwarderPtr(new Forwarder);
   forwarder->mSettings = std::move(aSettings);
+  forwarder->mView.mSettings = forwarder->mSettings.mView;
   forwarder->mPorts = std::move(aPorts);
   forwarder->mRandom.seed(aSeed);
   return forwarder;
@@ -277,6 +316,14 @@
       aForwarder.mPorts.mNow() + kDiscoverySettleTime;
   }
   aForwarder.mTable = std::move(aTable);
+  auto services = std::set<std::string>{};
+  for (const auto& it : aForwarder.mTable->mDocument.mServices) {
+    services.insert(it.mName);
+  }
+  NoteEndpoints(aForwarder,
+                directory::SetServices(aForwarder.mView, std::move(services)),
+                "",
+                false);
   auto unadmitted = std::vector<FlightId>{};
   for (const auto& [id, flight] : aForwarder.mFlights) {
     if (flight->mIsUnadmitted) {
@@ -298,22 +345,13 @@
 ApplyEndpoints(Forwarder& aForwarder, const directory::EndpointsUpdate& aUpdate)
   -> void
 {
-  for (const auto& id : directory::ApplyUpdate(aForwarder.mView, aUpdate)) {
-    const auto& notice = aForwarder.mView.mEntries.at(id).mNotice;
-    LogEvent(kForwardEndpointEvent,
-             { { "endpoint", id.mValue },
-               { "address", notice.mAddress },
-               { "state", static_cast<int>(notice.mState) },
-               { "incarnation", notice.mIncarnation },
-               { "source", aUpdate.mSource } });
-    if (notice.mState == directory::NoticeState::Gone) {
-      aForwarder.mHealth.erase(id);
-      ForgetStatements(aForwarder, id);
-      aForwarder.mEndpointsByKey.erase(Checksum(id.mValue));
-    } else {
-      aForwarder.mEndpointsByKey[Checksum(id.mValue)] = id;
-      NoteWarmUpNotice(aForwarder, notice, aUpdate.mIsWhole);
-    }
+  const auto now = aForwarder.mPorts.mNow();
+  NoteEndpoints(aForwarder,
+                directory::ApplyUpdate(aForwarder.mView, aUpdate, now),
+                aUpdate.mSource,
+                aUpdate.mIsWhole);
+  for (const auto& id : directory::PruneView(aForwarder.mView, now)) {
+    ForgetEndpoint(aForwarder, id);
   }
   SchedulePlacement(aForwarder, true);
 }
@@ -321,7 +359,7 @@
 auto
 RemoveSource(Forwarder& aForwarder, const std::string& aSource) -> void
 {
-  directory::RemoveSource(aForwarder.mView, aSource);
+  directory::RemoveSource(aForwarder.mView, aSource, aForwarder.mPorts.mNow());
 }
 
 auto
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -342,6 +342,11 @@
 auto
 PlaceFlight(Forwarder& aForwarder, Flight& aFlight) -> void;
 
+/// Returns true if parts of prompts may be sent to the endpoint. They go to its
+/// address, and whoever is there serves them.
+auto
+MayHelp(const Forwarder& aForwarder, const EndpointId& aEndpoint) -> bool;
+
 /// Creates the handlers for the answer to a flight's attempt.
 auto
 MakeHandlers(Forwarder& aForwarder, FlightId aFlight) -> wire::ExchangeHandlers;
--- a/src/forwarding/internal/placing.cpp
+++ b/src/forwarding/internal/placing.cpp
@@ -89,6 +89,7 @@
 {
   auto healthy = CandidateList{};
   auto suspect = std::vector<Candidate>{};
+  const auto now = aForwarder.mPorts.mNow();
   for (const auto& [id, entry] : aForwarder.mView.mEntries) {
     if (!MayServe(entry.mNotice, aFlight) ||
         IsInEvacuatedDomain(aForwarder, entry.mNotice)) {
@@ -103,8 +104,8 @@
       }
       continue;
     }
-    const auto isSuspect =
-      IsEjected(aForwarder, id) || directory::IsSilent(aForwarder.mView, entry);
+    const auto isSuspect = IsEjected(aForwarder, id) ||
+                           directory::IsSilent(aForwarder.mView, entry, now);
     (isSuspect ? suspect : healthy.mEndpoints)
       .push_back({ id, &entry.mNotice, check });
   }
@@ -166,6 +167,7 @@
                            RemoteWorkOn(aForwarder, it.mId));
     engine.mOrder = Checksum(it.mId.mValue);
     engine.mRandomKey = aForwarder.mRandom();
+    engine.mMayHelp = MayHelp(aForwarder, it.mId);
     engine.mIsInOwnFailureDomain =
       it.mNotice->mFailureDomain == aForwarder.mSettings.mFailureDomain;
     engines.push_back(engine);
@@ -574,6 +576,15 @@
 
 } // namespace
 
+auto
+MayHelp(const Forwarder& aForwarder, const EndpointId& aEndpoint) -> bool
+{
+  const auto it = aForwarder.mView.mEntries.find(aEndpoint);
+  return it != aForwarder.mView.mEntries.end() &&
+         directory::HoldsAddress(
+           aForwarder.mView, it->second, aForwarder.mPorts.mNow());
+}
+
 auto
 PlaceFlight(Forwarder& aForwarder, Flight& aFlight) -> void
 {
--- a/src/forwarding/internal/statements.cpp
+++ b/src/forwarding/internal/statements.cpp
@@ -304,13 +304,16 @@
 auto
 CheckSend(Forwarder& aForwarder, const Attempt& aAttempt) -> SendCheck
 {
-  const auto isEvacuated = std::any_of(
+  const auto isUnusable = std::any_of(
     aAttempt.mWork.begin(), aAttempt.mWork.end(), [&](const auto& aItem) {
       const auto entry = aForwarder.mView.mEntries.find(aItem.mEngine);
-      return entry != aForwarder.mView.mEntries.end() &&
-             IsInEvacuatedDomain(aForwarder, entry->second.mNotice);
+      const auto isEvacuated =
+        entry != aForwarder.mView.mEntries.end() &&
+        IsInEvacuatedDomain(aForwarder, entry->second.mNotice);
+      return isEvacuated ||
+             (aItem.mIsHelper && !MayHelp(aForwarder, aItem.mEngine));
     });
-  if (isEvacuated) {
+  if (isUnusable) {
     return { false, std::nullopt, false };
   }
   const auto it = aForwarder.mView.mEntries.find(aAttempt.mEndpoint);
--- a/src/forwarding/internal/warmup.cpp
+++ b/src/forwarding/internal/warmup.cpp
@@ -81,7 +81,7 @@
   // NOTE: an instance without a share never has a contact. One that hears of
   // the endpoint's heartbeats would have heard of a restart.
   const auto hearsOfIt = !aForwarder.mView.mSources.empty() &&
-                         !directory::IsSilent(aForwarder.mView, aEntry);
+                         !directory::IsSilent(aForwarder.mView, aEntry, now);
   return aState.mAwaitsContact && (now < aState.mAnnouncedUntil || !hearsOfIt);
 }
 
@@ -263,9 +263,10 @@
   // NOTE: a silent endpoint's notice is from before its silence.
   const auto oldest = aForwarder.mSettings.mWarmUp->mHeartbeat *
                       (aIsWhole ? kHeartbeatsUntilKnown : 1);
-  const auto isRefuted = IsAssumed(state.mSign) &&
-                         entry->mSilentSources.empty() &&
-                         now >= state.mLearnedAt + oldest;
+  const auto isRefuted =
+    IsAssumed(state.mSign) &&
+    !directory::IsReportedSilent(aForwarder.mView, *entry) &&
+    now >= state.mLearnedAt + oldest;
   if (state.mIncarnation < aNotice.mIncarnation || isRefuted) {
     aForwarder.mWarmUps.erase(it);
   }
--- a/src/forwarding/tests/longprompts_tests.cpp
+++ b/src/forwarding/tests/longprompts_tests.cpp
@@ -99,6 +99,45 @@
              "the other instance is notified immediately");
 }
 
+// Review case 6: an endpoint of another service at the address of a helper that
+// had crashed prefilled a part of the prompt.
+BOOST_AUTO_TEST_CASE(AnAddressThatAnotherEndpointClaimsIsNoHelper)
+{
+  // NOTE: all control instances have restarted and know no endpoint yet.
+  ApplyEndpoints(*mForwarder, { "c1", true, {} });
+  for (auto i = 1; i <= 8; ++i) {
+    AddEndpoint("e" + std::to_string(i), "engines", i, 2);
+  }
+  AddEndpoint("other", "plain", 3);
+  AskLong(154000);
+
+  BOOST_TEST(CountHelpers(LastSend()) == 6U);
+  for (const auto& it : LastSend().mExchange.mRequest.mHeaders) {
+    BOOST_TEST(it.mValue != "10.1.0.3:80/");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnEndpointThatNobodyVouchesForIsNoHelper)
+{
+  ApplyEndpoints(*mForwarder, { "c1", true, {} });
+  for (auto i = 1; i <= 6; ++i) {
+    AddEndpoint("e" + std::to_string(i), "engines", i, 2);
+  }
+  AskLong(154000);
+
+  BOOST_TEST(CountHelpers(LastSend()) == 5U);
+}
+
+// The address may go to another endpoint while engines are claimed.
+BOOST_AUTO_TEST_CASE(AHelperIsCheckedAgainBeforeThePromptIsSent)
+{
+  BeginLong(154000);
+  AddEndpoint("other", "plain", 3);
+  Run(kClaimed * 4);
+
+  BOOST_TEST(CountHelpers(LastSend()) == 6U);
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerToARequestConfirmsNoReservation)
 {
   AskLong(400000);
--- a/src/forwarding/types/forwardsettings.h
+++ b/src/forwarding/types/forwardsettings.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/types/ids.h"
+#include "directory/endpointview.h"
 #include "policy/borrowing.h"
 #include "policy/crashevidence.h"
 #include "policy/deferral.h"
@@ -36,6 +37,7 @@
   /// Peer address of this instance, stated as sender of its load notices.
   std::string mPeerAddress;
   Incarnation mIncarnation = 0;
+  directory::ViewSettings mView;
   RetryBudgetRules mRetryBudget;
   LaneRules mLanes;
   /// Empty: short prompts are sent in the order of arrival.
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -28,6 +28,9 @@
 constexpr auto kClosedRetryAfter = Millis(50);
 /// Longer than callers keep idle connections, so that they close them first.
 constexpr auto kIdleTimeout = Millis(30000);
+/// An endpoint counts as silent after this many heartbeat intervals: one lost
+/// heartbeat and a delay of one interval for the next.
+constexpr auto kHeartbeatsToSilence = 3;
 
 auto
 MakeIncarnation() -> Incarnation
@@ -73,9 +76,6 @@
   peers.mFollowsAllControls = true;
   peers.mMayFound = aSettings.mDiscovery.mMayFound;
   peers.mJoinRule = JoinRule::Automatic;
-  // NOTE: allows for one lost heartbeat and a delay of one interval for the
-  // next.
-  constexpr auto kHeartbeatsToSilence = 3;
   peers.mEndpointTable.mSilentAfter =
     aSettings.mDiscovery.mHeartbeat * kHeartbeatsToSilence;
   return peers;
@@ -204,6 +204,8 @@
   forward.mRetryBudget.mRatio = settings.mRetries.mRatio;
   forward.mRetryBudget.mSlack = settings.mRetries.mSlack;
   forward.mRetryBudget.mWindow = settings.mRetries.mWindow;
+  forward.mView.mSilentAfter =
+    settings.mDiscovery.mHeartbeat * kHeartbeatsToSilence;
   if (settings.mOverload.mDefersLate) {
     forward.mDeferral.emplace();
   }
--- a/src/policy/enginelanes.h
+++ b/src/policy/enginelanes.h
@@ -59,6 +59,9 @@
   EngineWork mWork;
   /// Position in the order that all instances share.
   std::uint64_t mOrder = 0;
+  /// False if a part of a prompt may not be sent there: nothing but the address
+  /// tells it from an endpoint of another service.
+  bool mMayHelp = true;
   /// True if the engine is in the failure domain of this instance.
   bool mIsInOwnFailureDomain = false;
   /// Factor on predicted times; above 1 for an engine that was measured as
--- a/src/policy/internal/enginelanes.cpp
+++ b/src/policy/internal/enginelanes.cpp
@@ -273,6 +273,9 @@
     ReaderGroup{ {}, aPrefillMillis / static_cast<double>(aSize), 0, 0 };
   auto members = std::vector<Member>{};
   for (auto i = std::size_t{ 0 }; i < aEngines.size(); ++i) {
+    if (aSize > 1 && !aEngines[i].mMayHelp) {
+      continue;
+    }
     members.push_back(
       { CostToStreams(aTiming, aPrompt, aEngines[i], readers.mPartMillis),
         PauseMillis(aTiming, aEngines[i], readers.mPartMillis),
@@ -312,8 +315,15 @@
   const auto read = PrefillMillis(aTiming, aPrompt.mPromptTokens);
   const auto parts =
     std::max(1.0, std::ceil(read / MinPartMillis(aPrompt, aRules)));
-  const auto most = std::min(
-    { aEngines.size(), aRules.mMaxReaders, static_cast<std::size_t>(parts) });
+  const auto helpers =
+    std::count_if(aEngines.begin(), aEngines.end(), [](const auto& aItem) {
+      return aItem.mMayHelp;
+    });
+  const auto most =
+    std::min({ std::max(static_cast<std::size_t>(helpers),
+                        std::min<std::size_t>(aEngines.size(), 1)),
+               aRules.mMaxReaders,
+               static_cast<std::size_t>(parts) });
   auto best = ReaderGroup{};
   for (auto n = std::size_t{ 1 }; n <= most; ++n) {
     auto readers = SelectReaders(aTiming, aPrompt, aEngines, n, read, aRules);
