Bound what an invalid document costs its reader

The operator got no answer.

Cause: each problem became a finding with its place, path and texts; findings, log line and answer grew with the input.

Now 64 findings are kept, with texts of 400 bytes, and reading ends there.

--- a/src/base/findings.h
+++ b/src/base/findings.h
@@ -36,19 +36,33 @@
   auto operator<=>(const Finding&) const = default;
 };
 
-/// All problems of one input, in the order of discovery. Used as a LEAF error
+/// Maximum number of problems that are kept of one input, and length of each of
+/// their texts in bytes. An input that is all wrong must not take more memory,
+/// log and answer than a sound one.
+inline constexpr auto kMaxFindings = std::size_t{ 64 };
+inline constexpr auto kMaxFindingText = std::size_t{ 400 };
+
+/// The problems of one input, in the order of discovery. Used as a LEAF error
 /// object: return leaf::new_error(findings).
 struct Findings
 {
   std::vector<Finding> mItems;
+  /// Number of problems beyond kMaxFindings.
+  std::size_t mOmitted = 0;
 
   auto operator<=>(const Findings&) const = default;
 };
 
-/// Appends aFinding to aFindings.
+/// Appends aFinding to aFindings, with its texts cut to kMaxFindingText. Only
+/// counts it if there are kMaxFindings.
 auto
 AddFinding(Findings& aFindings, Finding aFinding) -> void;
 
+/// True when a further finding would not be kept, so that the rest of the input
+/// need not be read. Thread safe for a constant argument.
+auto
+IsFull(const Findings& aFindings) -> bool;
+
 /// True when nothing was found. Thread safe for a constant argument.
 auto
 IsEmpty(const Findings& aFindings) -> bool;
@@ -57,7 +71,7 @@
 auto
 FormatFinding(const Finding& aFinding) -> std::string;
 
-/// One line a finding, each ended by a newline.
+/// One line a finding, each ended by a newline, and one for those omitted.
 auto
 FormatFindings(const Findings& aFindings) -> std::string;
 
--- a/src/documents/internal/section.cpp
+++ b/src/documents/internal/section.cpp
@@ -3,12 +3,18 @@
 #include "documents/internal/sectionaccess.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace cuminslip::documents {
 
 namespace {
 
+/// Bounds of a document. An item takes about 500 bytes once it is parsed, and
+/// has one of the characters that divide items.
+constexpr auto kMaxDocumentBytes = std::size_t{ 1024 } * 1024;
+constexpr auto kMaxDocumentItems = 100000;
+
 auto
 JoinPath(const std::string& aPath, const std::string& aKey) -> std::string
 {
@@ -61,17 +67,16 @@
 auto
 AddRepeatedKeys(Document& aDocument, const Item& aItem) -> void
 {
-  auto seen = std::vector<std::string>{};
+  auto seen = std::set<std::string>{};
   for (const auto& entry : aItem.mNode) {
-    const auto key =
-      entry.first.IsScalar() ? entry.first.Scalar() : std::string{};
-    if (std::find(seen.begin(), seen.end(), key) != seen.end()) {
+    auto key = entry.first.IsScalar() ? entry.first.Scalar() : std::string{};
+    if (seen.contains(key)) {
       AddProblem(aDocument,
                  { entry.first, JoinPath(aItem.mPath, key) },
                  "stands twice",
                  "each key once");
     }
-    seen.push_back(key);
+    seen.insert(std::move(key));
   }
 }
 
@@ -100,6 +105,19 @@
 ReadDocument(const std::string& aText, const std::string& aSource) -> Document
 {
   auto document = Document{ aSource, YAML::Node(YAML::NodeType::Null), {} };
+  const auto marks = std::count_if(aText.begin(), aText.end(), [](char aItem) {
+    return std::string_view(",:-[{\n").find(aItem) != std::string_view::npos;
+  });
+  if (aText.size() > kMaxDocumentBytes || marks > kMaxDocumentItems) {
+    AddFinding(document.mFindings,
+               { { aSource, 0, 0 },
+                 "",
+                 "too large",
+                 "at most " + std::to_string(kMaxDocumentBytes) +
+                   " bytes and " + std::to_string(kMaxDocumentItems) +
+                   " items" });
+    return document;
+  }
   try {
     document.mRoot = YAML::Load(aText);
   } catch (const YAML::Exception& error) {
--- a/src/documents/tests/documents_tests.cpp
+++ b/src/documents/tests/documents_tests.cpp
@@ -71,6 +71,22 @@
              "d:2:1: name: stands twice; expected each key once\n");
 }
 
+// A document of a few hundred KB took hundreds of MiB once it was parsed, and
+// its keys were compared one by one.
+BOOST_AUTO_TEST_CASE(RefusesDocumentsThatAreTooLarge)
+{
+  auto items = std::string("a: [1");
+  for (auto n = 0; n < 100000; ++n) {
+    items += ",1";
+  }
+  for (const auto& text : { items + "]", "a: " + std::string(1048577, 'x') }) {
+    auto document = ReadDocument(text, "s");
+    const auto findings = TakeFindings(document);
+    BOOST_TEST_REQUIRE(findings.mItems.size() == 1U);
+    BOOST_TEST(findings.mItems.front().mProblem == "too large");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RefusesWhatIsNoMapping)
 {
   for (const auto* text : { "", "[1]", "text" }) {
--- a/src/endpoints/protocol.h
+++ b/src/endpoints/protocol.h
@@ -22,7 +22,6 @@
 inline constexpr std::size_t kMaxAdapters = 128;
 inline constexpr std::size_t kMaxCacheEvents = 4096;
 inline constexpr std::size_t kMaxHoldings = 8192;
-inline constexpr std::size_t kMaxFindings = 64;
 inline constexpr auto kMinInterval = Millis(50);
 inline constexpr auto kMaxInterval = Millis(10000);
 
--- a/src/program/internal/operatorjson.cpp
+++ b/src/program/internal/operatorjson.cpp
@@ -1,5 +1,6 @@
 #include "program/internal/operatorjson.h"
 
+#include "base/boundedjson.h"
 #include "endpoints/protocol.h"
 
 #include <boost/json.hpp>
@@ -175,7 +176,7 @@
 DecodePublish(std::string_view aBody) -> leaf::result<PublishRequest>
 {
   auto ec = json::error_code{};
-  const auto value = json::parse(aBody, ec);
+  const auto value = ParseJson(aBody, ec);
   auto findings = Findings{};
   if (ec || !value.is_object()) {
     Report(findings, "", "a JSON object");
--- a/src/requests/internal/completions.cpp
+++ b/src/requests/internal/completions.cpp
@@ -1,5 +1,7 @@
 #include "requests/completions.h"
 
+#include "base/boundedjson.h"
+
 #include <boost/json.hpp>
 
 namespace cuminslip::requests {
@@ -125,7 +127,7 @@
   -> leaf::result<CompletionRequest>
 {
   auto ec = json::error_code{};
-  const auto value = json::parse(aBody, ec);
+  const auto value = ParseJson(aBody, ec);
   auto findings = Findings{};
   if (ec || !value.is_object()) {
     Report(findings, "", "not a JSON object", "a JSON object");
