Let notices change their own claims only

Cause: a notice could change what it is not about. Whoever named an address took it, whoever named an id with a later start took that, a leave without a start ended anyone, each for the whole incarnation; and names filled the table until endpoints were refused.

The table is now kept by claim: id, service and address. A claim that appears at an address silences others there until their second heartbeat. What contradicts an endpoint's own heartbeats ends when it is no longer repeated. Ruled out: asking the endpoint (a status check for each doubt), refusing services that are not configured (they may come before their configuration).

--- a/src/directory/internal/endpointtable.cpp
+++ b/src/directory/internal/endpointtable.cpp
@@ -1,7 +1,7 @@
 #include "directory/endpointtable.h"
 
-#include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace cuminslip::directory {
 
@@ -45,54 +45,245 @@
 }
 
 auto
-MarkGone(EndpointTable& aTable, TableEntry& aEntry) -> void
+IsGone(const TableEntry& aEntry) -> bool
 {
-  aEntry.mNotice.mState = NoticeState::Gone;
-  const auto holder = aTable.mEndpointsByAddress.find(aEntry.mNotice.mAddress);
-  if (holder != aTable.mEndpointsByAddress.end() &&
-      holder->second == aEntry.mNotice.mId) {
-    aTable.mEndpointsByAddress.erase(holder);
-  }
+  return aEntry.mNotice.mState == NoticeState::Gone;
+}
+
+/// Returns true while the endpoint counts as reachable.
+auto
+IsLive(const TableEntry& aEntry) -> bool
+{
+  return !IsGone(aEntry) && !aEntry.mIsSilent;
+}
+
+auto
+IsKnownWell(const TableEntry& aEntry) -> bool
+{
+  return aEntry.mHeard > aEntry.mAppeared;
+}
+
+auto
+Silence(EndpointTable& aTable, TableEntry& aEntry) -> void
+{
+  aEntry.mIsSilent = true;
+  aEntry.mContrary.reset();
   MarkChanged(aTable, aEntry);
 }
 
-/// Assigns the address of a notice to its endpoint and marks the previous owner
-/// as gone. Returns false when that owner has a later incarnation.
+/// Handles the appearance of a claim: the heartbeats of others at its address
+/// no longer vouch for them. Where a later incarnation is there, the claim
+/// itself has to send a second heartbeat before it counts.
 auto
-ClaimAddress(EndpointTable& aTable, const EndpointNotice& aNotice) -> bool
+TakeAddress(EndpointTable& aTable, TableEntry& aEntry) -> void
 {
-  const auto holder = aTable.mEndpointsByAddress.find(aNotice.mAddress);
-  if (holder != aTable.mEndpointsByAddress.end() &&
-      holder->second != aNotice.mId) {
-    auto& other = aTable.mEntries[holder->second];
-    if (other.mNotice.mIncarnation > aNotice.mIncarnation) {
-      return false;
+  const auto& notice = aEntry.mNotice;
+  for (auto& [claim, other] : aTable.mEntries) {
+    if (&other == &aEntry || claim.mAddress != notice.mAddress ||
+        !IsLive(other)) {
+      continue;
     }
-    MarkGone(aTable, other);
+    auto& displaced =
+      other.mNotice.mIncarnation > notice.mIncarnation ? aEntry : other;
+    displaced.mIsDisplaced = true;
+    Silence(aTable, displaced);
   }
-  aTable.mEndpointsByAddress[aNotice.mAddress] = aNotice.mId;
+}
+
+/// The endpoints of one service that are not silent.
+struct ServiceCount
+{
+  std::size_t mLive = 0;
+  /// Those that sent more than one heartbeat.
+  std::size_t mKnownWell = 0;
+};
+
+auto
+CountLive(const EndpointTable& aTable) -> std::map<std::string, ServiceCount>
+{
+  auto counts = std::map<std::string, ServiceCount>{};
+  for (const auto& [claim, it] : aTable.mEntries) {
+    auto& count = counts[claim.mService];
+    count.mLive += IsLive(it) ? 1 : 0;
+    count.mKnownWell += IsLive(it) && IsKnownWell(it) ? 1 : 0;
+  }
+  return counts;
+}
+
+/// Returns true if a live endpoint may be silenced for one of another service,
+/// or the same: services share the table evenly, but names that were heard once
+/// come after endpoints of services that are there.
+auto
+MayDisplace(const ServiceCount& aOwn,
+            const ServiceCount& aOther,
+            bool aIsKnownWell) -> bool
+{
+  if (aIsKnownWell) {
+    return aOther.mLive > aOwn.mLive + 1;
+  }
+  return aOther.mLive > aOwn.mLive ||
+         (aOwn.mKnownWell > 0 && aOther.mKnownWell == 0);
+}
+
+/// Makes room for a live endpoint of a service by silencing another one, first
+/// one that sent a single heartbeat. Returns false if none may be silenced.
+auto
+MakeLiveRoom(EndpointTable& aTable, const std::string& aService) -> bool
+{
+  // NOTE: what is not live counts too here, so that a table with room is not
+  // searched.
+  if (aTable.mEntries.size() < aTable.mSettings.mMaxEndpoints) {
+    return true;
+  }
+  auto counts = CountLive(aTable);
+  auto live = std::size_t{ 0 };
+  for (const auto& [service, it] : counts) {
+    live += it.mLive;
+  }
+  if (live < aTable.mSettings.mMaxEndpoints) {
+    return true;
+  }
+  const auto own = counts[aService];
+  const auto rank = [&](const auto& aItem) {
+    return std::tuple(!IsKnownWell(aItem.second),
+                      counts[aItem.first.mService].mLive,
+                      aItem.second.mAppeared);
+  };
+  auto victim = aTable.mEntries.end();
+  for (auto it = aTable.mEntries.begin(); it != aTable.mEntries.end(); ++it) {
+    const auto isEligible =
+      IsLive(it->second) &&
+      MayDisplace(own, counts[it->first.mService], IsKnownWell(it->second));
+    if (isEligible &&
+        (victim == aTable.mEntries.end() || rank(*victim) < rank(*it))) {
+      victim = it;
+    }
+  }
+  if (victim == aTable.mEntries.end()) {
+    return false;
+  }
+  Silence(aTable, victim->second);
   return true;
 }
 
+/// Keeps as many endpoints that are silent or gone as live ones at most.
+auto
+DropOldest(EndpointTable& aTable) -> void
+{
+  if (aTable.mEntries.size() < 2 * aTable.mSettings.mMaxEndpoints) {
+    return;
+  }
+  auto oldest = aTable.mEntries.end();
+  for (auto it = aTable.mEntries.begin(); it != aTable.mEntries.end(); ++it) {
+    if (!IsLive(it->second) && (oldest == aTable.mEntries.end() ||
+                                it->second.mHeard < oldest->second.mHeard)) {
+      oldest = it;
+    }
+  }
+  if (oldest != aTable.mEntries.end()) {
+    aTable.mEntries.erase(oldest);
+  }
+}
+
 auto
 AddEndpoint(EndpointTable& aTable,
             const EndpointNotice& aNotice,
             TimePoint aHeard) -> NoticeResult
 {
-  if (aTable.mEntries.size() >= aTable.mSettings.mMaxEndpoints) {
+  const auto isGone = aNotice.mState == NoticeState::Gone;
+  if (!isGone && !MakeLiveRoom(aTable, aNotice.mService)) {
     return NoticeResult::Refused;
   }
-  auto notice = aNotice;
-  if (notice.mState != NoticeState::Gone && !ClaimAddress(aTable, notice)) {
-    notice.mState = NoticeState::Gone;
-  }
-  auto& entry = aTable.mEntries[notice.mId];
-  entry.mNotice = notice;
+  DropOldest(aTable);
+  auto& entry = aTable.mEntries[ClaimOf(aNotice)];
+  entry.mNotice = aNotice;
+  entry.mAppeared = aHeard;
   entry.mHeard = aHeard;
   MarkChanged(aTable, entry);
+  if (!isGone) {
+    TakeAddress(aTable, entry);
+  }
   return NoticeResult::News;
 }
 
+/// Returns true when a heartbeat is the second one, some time after the first,
+/// that speaks against what is known of its claim.
+auto
+ConfirmsContrary(const EndpointTable& aTable,
+                 TableEntry& aEntry,
+                 const EndpointNotice& aNotice,
+                 TimePoint aHeard) -> bool
+{
+  if (!aEntry.mContrary || !IsNewer(aNotice, *aEntry.mContrary)) {
+    aEntry.mContrary = aNotice;
+    aEntry.mContraryHeard = aHeard;
+    return false;
+  }
+  return aHeard >= aEntry.mContraryHeard + aTable.mSettings.mReturnSpan;
+}
+
+/// Handles the return of an endpoint whose address others claimed: they do not
+/// displace it again.
+auto
+KeepAddress(EndpointTable& aTable, const TableEntry& aEntry) -> void
+{
+  for (auto& [claim, other] : aTable.mEntries) {
+    other.mIsDisplaced |=
+      &other != &aEntry && claim.mAddress == aEntry.mNotice.mAddress;
+  }
+}
+
+/// Puts a heartbeat in force. Returns Refreshed if it brings nothing that
+/// followers must receive.
+auto
+PutInForce(EndpointTable& aTable,
+           TableEntry& aEntry,
+           const EndpointNotice& aNotice,
+           TimePoint aHeard) -> NoticeResult
+{
+  const auto appears = !IsLive(aEntry);
+  if (appears && !MakeLiveRoom(aTable, aNotice.mService)) {
+    return NoticeResult::Refused;
+  }
+  const auto isReturn = std::exchange(aEntry.mIsDisplaced, false) &&
+                        aNotice.mIncarnation == aEntry.mNotice.mIncarnation;
+  const auto isNews = appears || !IsSameForFollowers(aNotice, aEntry.mNotice) ||
+                      IsColdForLonger(aNotice, aHeard, aEntry);
+  aEntry.mNotice = aNotice;
+  aEntry.mAppeared = appears ? aHeard : aEntry.mAppeared;
+  aEntry.mHeard = aHeard;
+  aEntry.mIsSilent = false;
+  aEntry.mContrary.reset();
+  if (isNews) {
+    MarkChanged(aTable, aEntry);
+  }
+  if (isReturn) {
+    KeepAddress(aTable, aEntry);
+  } else if (appears) {
+    TakeAddress(aTable, aEntry);
+  }
+  return isNews ? NoticeResult::News : NoticeResult::Refreshed;
+}
+
+/// Handles a newer heartbeat of a displaced endpoint: what it says counts, but
+/// that it is there only with the second one.
+auto
+TakeDisplaced(EndpointTable& aTable,
+              TableEntry& aEntry,
+              const EndpointNotice& aNotice,
+              TimePoint aHeard) -> NoticeResult
+{
+  if (ConfirmsContrary(aTable, aEntry, aNotice, aHeard)) {
+    return PutInForce(aTable, aEntry, aNotice, aHeard);
+  }
+  const auto isNews = !IsSameForFollowers(aNotice, aEntry.mNotice);
+  aEntry.mNotice = aNotice;
+  if (isNews) {
+    MarkChanged(aTable, aEntry);
+  }
+  return isNews ? NoticeResult::News : NoticeResult::Stale;
+}
+
 } // namespace
 
 auto
@@ -100,36 +291,37 @@
            const EndpointNotice& aNotice,
            TimePoint aHeard) -> NoticeResult
 {
-  const auto it = aTable.mEntries.find(aNotice.mId);
+  const auto it = aTable.mEntries.find(ClaimOf(aNotice));
   if (it == aTable.mEntries.end()) {
     return AddEndpoint(aTable, aNotice, aHeard);
   }
   auto& entry = it->second;
-  if (!IsNewer(aNotice, entry.mNotice)) {
-    return NoticeResult::Stale;
-  }
-  const auto isSameStart = aNotice.mIncarnation == entry.mNotice.mIncarnation;
-  if (isSameStart && entry.mNotice.mState == NoticeState::Gone) {
-    return NoticeResult::Stale;
-  }
+  const auto& known = entry.mNotice;
+  const auto isNewer = IsNewer(aNotice, known);
+  const auto isSameStart = aNotice.mIncarnation == known.mIncarnation;
   if (aNotice.mState == NoticeState::Gone) {
+    if (!isNewer || (isSameStart && IsGone(entry))) {
+      return NoticeResult::Stale;
+    }
     entry.mNotice = aNotice;
-    MarkGone(aTable, entry);
+    entry.mHeard = aHeard;
+    entry.mContrary.reset();
+    MarkChanged(aTable, entry);
     return NoticeResult::News;
   }
-  if (!ClaimAddress(aTable, aNotice)) {
-    return NoticeResult::Stale;
+  if (!isNewer || (isSameStart && IsGone(entry))) {
+    // NOTE: another writer may have sent what is known. The endpoint itself
+    // goes on, while nothing more is heard of what was sent.
+    const auto mayCount =
+      aHeard > entry.mHeard + aTable.mSettings.mSilentAfter &&
+      ConfirmsContrary(aTable, entry, aNotice, aHeard);
+    return mayCount ? PutInForce(aTable, entry, aNotice, aHeard)
+                    : NoticeResult::Stale;
   }
-  const auto isNews = entry.mIsSilent ||
-                      !IsSameForFollowers(aNotice, entry.mNotice) ||
-                      IsColdForLonger(aNotice, aHeard, entry);
-  entry.mNotice = aNotice;
-  entry.mHeard = std::max(entry.mHeard, aHeard);
-  entry.mIsSilent = false;
-  if (isNews) {
-    MarkChanged(aTable, entry);
+  if (entry.mIsDisplaced && isSameStart) {
+    return TakeDisplaced(aTable, entry, aNotice, aHeard);
   }
-  return isNews ? NoticeResult::News : NoticeResult::Refreshed;
+  return PutInForce(aTable, entry, aNotice, aHeard);
 }
 
 auto
@@ -138,18 +330,24 @@
            Incarnation aIncarnation,
            TimePoint aNow) -> NoticeResult
 {
-  const auto it = aTable.mEntries.find(aEndpoint);
-  if (it == aTable.mEntries.end() ||
-      it->second.mNotice.mState == NoticeState::Gone) {
-    return NoticeResult::Stale;
-  }
-  if (aIncarnation != 0 && aIncarnation < it->second.mNotice.mIncarnation) {
-    return NoticeResult::Stale;
+  auto result = NoticeResult::Stale;
+  for (auto it = aTable.mEntries.lower_bound({ aEndpoint, "", "" });
+       it != aTable.mEntries.end() && it->first.mId == aEndpoint;
+       ++it) {
+    auto& entry = it->second;
+    const auto isLater =
+      aIncarnation != 0 && aIncarnation < entry.mNotice.mIncarnation;
+    if (IsGone(entry) || isLater) {
+      continue;
+    }
+    entry.mHeard = aNow;
+    ++entry.mNotice.mSequence;
+    entry.mNotice.mState = NoticeState::Gone;
+    entry.mContrary.reset();
+    MarkChanged(aTable, entry);
+    result = NoticeResult::News;
   }
-  it->second.mHeard = aNow;
-  ++it->second.mNotice.mSequence;
-  MarkGone(aTable, it->second);
-  return NoticeResult::News;
+  return result;
 }
 
 auto
@@ -159,17 +357,12 @@
   for (auto it = aTable.mEntries.begin(); it != aTable.mEntries.end();) {
     auto& entry = it->second;
     const auto age = aNow - entry.mHeard;
-    const auto isGone = entry.mNotice.mState == NoticeState::Gone;
     if (age > aTable.mSettings.mForgetAfter) {
-      if (!isGone) {
-        MarkGone(aTable, entry);
-      }
       it = aTable.mEntries.erase(it);
       continue;
     }
-    if (!isGone && !entry.mIsSilent && age > aTable.mSettings.mSilentAfter) {
-      entry.mIsSilent = true;
-      MarkChanged(aTable, entry);
+    if (IsLive(entry) && age > aTable.mSettings.mSilentAfter) {
+      Silence(aTable, entry);
     }
     ++it;
   }
@@ -181,7 +374,7 @@
   -> std::vector<EndpointRow>
 {
   auto rows = std::vector<EndpointRow>{};
-  for (const auto& [id, it] : aTable.mEntries) {
+  for (const auto& [claim, it] : aTable.mEntries) {
     if (it.mChange > aAfter) {
       rows.push_back({ it.mNotice, it.mIsSilent });
     }
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -76,8 +76,9 @@
   peers.mFollowsAllControls = true;
   peers.mMayFound = aSettings.mDiscovery.mMayFound;
   peers.mJoinRule = JoinRule::Automatic;
-  peers.mEndpointTable.mSilentAfter =
-    aSettings.mDiscovery.mHeartbeat * kHeartbeatsToSilence;
+  const auto heartbeat = aSettings.mDiscovery.mHeartbeat;
+  peers.mEndpointTable.mSilentAfter = heartbeat * kHeartbeatsToSilence;
+  peers.mEndpointTable.mReturnSpan = heartbeat * 3 / 4;
   return peers;
 }
 
--- a/src/peers/internal/endpointdirectory.cpp
+++ b/src/peers/internal/endpointdirectory.cpp
@@ -35,15 +35,17 @@
 }
 
 auto
-LogNews(const EndpointNotice& aNotice, std::string_view aSource) -> void
+LogNews(const directory::EndpointRow& aRow, std::string_view aSource) -> void
 {
+  const auto& notice = aRow.mNotice;
   LogEvent(kEndpointNoticeEvent,
-           { { "endpoint", aNotice.mId.mValue },
-             { "service", aNotice.mService },
-             { "address", aNotice.mAddress },
-             { "state", StateName(aNotice.mState) },
-             { "incarnation", aNotice.mIncarnation },
-             { "sequence", aNotice.mSequence },
+           { { "endpoint", notice.mId.mValue },
+             { "service", notice.mService },
+             { "address", notice.mAddress },
+             { "state", StateName(notice.mState) },
+             { "is_silent", aRow.mIsSilent },
+             { "incarnation", notice.mIncarnation },
+             { "sequence", notice.mSequence },
              { "heard", aSource } });
 }
 
@@ -102,6 +104,7 @@
 HearNotice(PeerContext& aContext, const EndpointNotice& aNotice) -> bool
 {
   const auto now = aContext.mNow();
+  const auto before = aContext.mEndpoints.mLastChange;
   // NOTE: an endpoint that leaves names only itself.
   const auto isBare =
     aNotice.mState == NoticeState::Gone && aNotice.mAddress.empty();
@@ -109,6 +112,10 @@
     isBare
       ? ApplyLeave(aContext.mEndpoints, aNotice.mId, aNotice.mIncarnation, now)
       : TakeNotice(aContext.mEndpoints, aNotice, now);
+  // NOTE: the others judge for themselves what a stale heartbeat tells them.
+  if (!isBare && verdict != NoticeResult::Refused) {
+    aContext.mUnshared.push_back(aNotice);
+  }
   if (verdict == NoticeResult::Stale || verdict == NoticeResult::Refused) {
     LogEvent(kEndpointNoticeDroppedEvent,
              { { "endpoint", aNotice.mId.mValue },
@@ -119,10 +126,13 @@
                { "sequence", aNotice.mSequence } });
     return verdict == NoticeResult::Stale;
   }
-  const auto entry = aContext.mEndpoints.mEntries.find(aNotice.mId);
-  aContext.mUnshared.push_back(entry->second.mNotice);
   if (verdict == NoticeResult::News) {
-    LogNews(entry->second.mNotice, "directly");
+    for (const auto& it : RowsChangedAfter(aContext.mEndpoints, before)) {
+      LogNews(it, "directly");
+      if (isBare) {
+        aContext.mUnshared.push_back(it.mNotice);
+      }
+    }
     ShareNow(aContext);
     WakeWatches(aContext);
   }
@@ -133,20 +143,16 @@
 TakeShared(PeerContext& aContext,
            capnp::List<schema::EndpointRow>::Reader aRows) -> void
 {
-  auto hasNews = false;
+  const auto before = aContext.mEndpoints.mLastChange;
   for (const auto it : aRows) {
-    const auto row = ReadRow(it);
-    if (!row) {
-      continue;
-    }
-    const auto verdict =
+    if (const auto row = ReadRow(it)) {
       TakeNotice(aContext.mEndpoints, row->mNotice, aContext.mNow());
-    if (verdict == NoticeResult::News) {
-      LogNews(row->mNotice, "by a control instance");
-      hasNews = true;
     }
   }
-  if (hasNews) {
+  for (const auto& it : RowsChangedAfter(aContext.mEndpoints, before)) {
+    LogNews(it, "by a control instance");
+  }
+  if (aContext.mEndpoints.mLastChange != before) {
     WakeWatches(aContext);
   }
 }
