Let only endpoints heard for some time help, and sources that are back vouch

An endpoint now helps once it was heard for longer than one heartbeat counts.

By reading: a control instance that was lost and came back without news of endpoints did not count as connected, so that nobody vouched for endpoints until the next change. It is told now.

AClaimedEngineThatBecomesColdIsNotUsed lets its other engines be heard before they are ready, since they could not help at once; its checks are the same.

--- a/src/directory/internal/endpointview.cpp
+++ b/src/directory/internal/endpointview.cpp
@@ -211,7 +211,7 @@
                   TimePoint aNow) -> const EndpointNotice*
 {
   // NOTE: a delayed heartbeat vouches for mSilentAfter.
-  const auto since = aNow - 2 * aView.mSettings.mSilentAfter;
+  const auto since = aNow - aView.mSettings.mSilentAfter * 3 / 2;
   const EndpointNotice* lasting = nullptr;
   for (const auto& [source, it] : aEntry.mReports) {
     if (!aView.mSources.contains(source) || it.mIsFormer) {
@@ -302,6 +302,9 @@
 RefreshView(EndpointView& aView, TimePoint aNow) -> std::vector<EndpointId>
 {
   const auto doubted = std::exchange(aView.mDoubted, {});
+  if (doubted.empty()) {
+    return {};
+  }
   return ChangeEndpoints(aView, doubted, [&] {
     ForEachClaim(aView, [&](ViewEntry& aItem) {
       if (!doubted.contains(aItem.mNotice.mId)) {
@@ -409,7 +412,15 @@
 {
   // NOTE: an endpoint that another writer displaced is heard again by then.
   const auto rivalsSince = aNow - 2 * aView.mSettings.mSilentAfter;
-  return IsVouchedFor(aView, aEntry) && !IsGone(aEntry.mNotice) &&
+  // NOTE: one heartbeat vouches for mSilentAfter, and may be a delayed one of
+  // an endpoint that is gone.
+  const auto heardSince = aNow - aView.mSettings.mSilentAfter;
+  const auto isHeard = std::any_of(
+    aEntry.mReports.begin(), aEntry.mReports.end(), [&](const auto& aItem) {
+      return Vouches(aItem.second) && aItem.second.mHeardSince <= heardSince &&
+             aView.mSources.contains(aItem.first);
+    });
+  return isHeard && !IsGone(aEntry.mNotice) &&
          !HasRivalAtAddress(aView, aEntry, rivalsSince);
 }
 
--- a/src/forwarding/tests/fakeworld.h
+++ b/src/forwarding/tests/fakeworld.h
@@ -56,6 +56,7 @@
     settings.mPeerAddress = std::move(aPeerAddress);
     settings.mIncarnation = 1;
     settings.mRetryBudget.mSlack = 100;
+    settings.mView.mSilentAfter = Millis(2000);
     mForwarder = CreateForwarder(std::move(settings), MakePorts(), 1);
     SetEntries(*mForwarder,
                { { "10.0.0.1:7000", { "a" } }, { "10.0.0.2:7000", { "a" } } });
--- a/src/forwarding/tests/longprompts_tests.cpp
+++ b/src/forwarding/tests/longprompts_tests.cpp
@@ -108,6 +108,7 @@
   for (auto i = 1; i <= 8; ++i) {
     AddEndpoint("e" + std::to_string(i), "engines", i, 2);
   }
+  Run(kSettled);
   AddEndpoint("other", "plain", 3);
   AskLong(154000);
 
@@ -123,11 +124,22 @@
   for (auto i = 1; i <= 6; ++i) {
     AddEndpoint("e" + std::to_string(i), "engines", i, 2);
   }
+  Run(kSettled);
   AskLong(154000);
 
   BOOST_TEST(CountHelpers(LastSend()) == 5U);
 }
 
+// What a control instance said holds again once it is back, without news.
+BOOST_AUTO_TEST_CASE(EndpointsAreHelpersAgainOnceTheirSourceIsBack)
+{
+  RemoveSource(*mForwarder, "c1");
+  ApplyEndpoints(*mForwarder, { "c1", false, {} });
+  AskLong(154000);
+
+  BOOST_TEST(CountHelpers(LastSend()) == 7U);
+}
+
 // The address may go to another endpoint while engines are claimed.
 BOOST_AUTO_TEST_CASE(AHelperIsCheckedAgainBeforeThePromptIsSent)
 {
--- a/src/forwarding/tests/warmup_tests.cpp
+++ b/src/forwarding/tests/warmup_tests.cpp
@@ -314,6 +314,15 @@
     }
   };
   announce(Millis(0), 1, 4);
+  // NOTE: an endpoint is no helper before it was heard for some time.
+  for (auto i = 5; i <= 8; ++i) {
+    AddEndpoint("q" + std::to_string(i),
+                "engines",
+                i + 1,
+                ++mSequence,
+                directory::NoticeState::Draining);
+  }
+  Run(kSettled);
   auto request = MakeRequest("long");
   request.mPrompt = PromptFacts{ 154000, 800 };
   const auto before = mSends.size();
--- a/src/peers/internal/controlwatcher.cpp
+++ b/src/peers/internal/controlwatcher.cpp
@@ -107,7 +107,8 @@
   auto& source = mSources[aAddress];
   source.mFailures = 0;
   source.mWasReached = true;
-  if (!std::exchange(source.mIsReached, true)) {
+  const auto isBack = !std::exchange(source.mIsReached, true);
+  if (isBack) {
     LogEvent(kControlWatchedEvent,
              { { "address", aAddress },
                { "quorum_age_ms", aResponse.getQuorumAgeMillis() } });
@@ -118,7 +119,7 @@
   if (!aResponse.getMore()) {
     PutInForce(mContext, std::exchange(source.mPages, {}));
   }
-  TakeEndpoints(aAddress, aResponse);
+  TakeEndpoints(aAddress, aResponse, isBack);
   TakeInstances(aAddress, aResponse);
   const auto age = Millis(aResponse.getQuorumAgeMillis());
   TakeQuorumAge(mContext, age, aSentAt);
@@ -130,7 +131,8 @@
 
 auto
 ControlWatcher::TakeEndpoints(const std::string& aAddress,
-                              const WatchResponse& aResponse) -> void
+                              const WatchResponse& aResponse,
+                              bool aIsBack) -> void
 {
   auto& source = mSources[aAddress];
   auto update = directory::EndpointsUpdate{};
@@ -143,7 +145,8 @@
       update.mRows.push_back(std::move(*row));
     }
   }
-  const auto hasNews = update.mIsWhole || !update.mRows.empty();
+  // NOTE: what a source said before it was lost holds again once it is back.
+  const auto hasNews = aIsBack || update.mIsWhole || !update.mRows.empty();
   if (hasNews && mContext.mCallbacks.mOnEndpoints) {
     mContext.mCallbacks.mOnEndpoints(update);
   }
--- a/src/peers/internal/controlwatcher.h
+++ b/src/peers/internal/controlwatcher.h
@@ -41,7 +41,8 @@
                     const WatchResponse& aResponse,
                     TimePoint aSentAt) -> void;
   auto TakeEndpoints(const std::string& aAddress,
-                     const WatchResponse& aResponse) -> void;
+                     const WatchResponse& aResponse,
+                     bool aIsBack) -> void;
   auto TakeInstances(const std::string& aAddress,
                      const WatchResponse& aResponse) -> void;
   /// Passes on the entry instances of all sources if they changed.
--- a/src/peers/peertask.h
+++ b/src/peers/peertask.h
@@ -19,7 +19,7 @@
   /// Templates in force here rose. The first call may bring a full set; the
   /// revision never falls.
   std::function<void(const TemplateUpdate&)> mOnTemplates;
-  /// A control instance told news of endpoints.
+  /// A control instance told news of endpoints, or is reached again.
   std::function<void(const directory::EndpointsUpdate&)> mOnEndpoints;
   /// A control instance can no longer be reached: what it told of silence is
   /// void.
