--- a/src/directory/endpointview.h
+++ b/src/directory/endpointview.h
@@ -64,6 +64,7 @@
   std::unordered_map<std::string, std::size_t> mClaimsOfAddress;
   /// Endpoints of which a control instance reports less than is known.
   std::set<EndpointId> mDoubted;
+  TimePoint mPrunedAt{};
 };
 
 /// Applies the update of one control instance; the newest notice of each claim
@@ -82,8 +83,8 @@
 SetServices(EndpointView& aView, std::set<std::string> aServices)
   -> std::vector<EndpointId>;
 
-/// Removes endpoints that have been gone or silent for long. Returns those of
-/// which nothing is left.
+/// Removes endpoints that have been gone or silent for long, once a second at
+/// most. Returns those of which nothing is left.
 auto
 PruneView(EndpointView& aView, TimePoint aNow) -> std::vector<EndpointId>;
 
--- a/src/directory/internal/endpointview.cpp
+++ b/src/directory/internal/endpointview.cpp
@@ -334,6 +334,10 @@
 auto
 PruneView(EndpointView& aView, TimePoint aNow) -> std::vector<EndpointId>
 {
+  if (aNow < aView.mPrunedAt + Millis(1000)) {
+    return {};
+  }
+  aView.mPrunedAt = aNow;
   const auto isOld = [&](const ViewEntry& aItem) {
     return !IsVouchedFor(aView, aItem) &&
            (IsGone(aItem.mNotice) || IsSilent(aView, aItem, aNow)) &&
