Take an open body for whole only after an error-free exchange

Callers got a part of an answer as a whole one: an endpoint answered an upload at once without a length, sent a part and reset the connection while the request was still being written. The failed write took the error of the socket, so that the next read said "closed", which ends a body without framing.

An open body now counts as whole only if the request was written whole and no write failed. The pool is the only reader of answers: forwarding, relays, the HTTP client of the own interfaces, the command line and the load tool use it.

--- a/src/wire/connectionpool.h
+++ b/src/wire/connectionpool.h
@@ -18,7 +18,8 @@
 /// How an exchange ended.
 enum class ExchangeEnd : std::uint8_t
 {
-  /// The answer was received whole.
+  /// The answer was received whole: its framing says so, or the request was
+  /// written whole and the connection ended without an error.
   Complete,
   /// No connection was made; no byte of the request was sent.
   NotConnected,
--- a/src/wire/internal/connectionpool.cpp
+++ b/src/wire/internal/connectionpool.cpp
@@ -33,6 +33,8 @@
   SocketAddress mAddress;
   h2o_socket_t* mSocket = nullptr;
   bool mIsWriting = false;
+  /// A write failed, which takes the connection's error from the next read.
+  bool mHasFailed = false;
   /// The server keeps the connection, and nothing odd was seen on it.
   bool mIsReusable = true;
   bool mWasKept = false;
@@ -345,7 +347,8 @@
   }
   const auto isWhole = aError == h2o_socket_error_closed &&
                        connection->mParser.mPhase == AnswerPhase::OpenBody &&
-                       !connection->mIsForeign && connection->mExchange != 0;
+                       !connection->mIsForeign && connection->mExchange != 0 &&
+                       !connection->mIsWriting && !connection->mHasFailed;
   FailConnection(*connection,
                  isWhole ? ExchangeEnd::Complete : ExchangeEnd::Broken,
                  isSilent);
@@ -361,6 +364,7 @@
   connection->mIsWriting = false;
   // NOTE: after a failed write the answer may still be there to be read.
   if (aError != nullptr) {
+    connection->mHasFailed = true;
     connection->mIsReusable = false;
   } else if (connection->mExchange == 0) {
     KeepConnection(*connection);
--- a/src/wire/tests/connectionpool_tests.cpp
+++ b/src/wire/tests/connectionpool_tests.cpp
@@ -87,6 +87,9 @@
                   static_cast<ssize_t>(aBytes.size()));
   }
 
+  /// Forgets the rest of an upload.
+  auto Forget() -> void { mReceived.clear(); }
+
   auto Close() -> void
   {
     if (mSocket >= 0) {
@@ -409,6 +412,34 @@
   }
 }
 
+// The failed write took the error of a reset, and the next read looked like the
+// end of the body.
+BOOST_AUTO_TEST_CASE(AnOpenBodyThatEndsDuringTheUploadIsNotWhole)
+{
+  constexpr auto kUpload = std::size_t{ 16 } * 1024 * 1024;
+  constexpr auto kRounds = 20;
+  for (auto n = 0; n < kRounds; ++n) {
+    for (const auto isReset : { false, true }) {
+      for (const auto isHeard : { false, true }) {
+        auto exchange = MakeExchange("1");
+        exchange.mRequest.mMethod = "POST";
+        exchange.mRequest.mBody = std::string(kUpload, 'x');
+        const auto outcome = Start(std::move(exchange));
+        AwaitRequest();
+        mRaw.Send("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart");
+        if (isHeard) {
+          RunUntil([&] { return outcome->mBody == "part"; });
+        }
+        isReset ? mRaw.Reset() : mRaw.Close();
+        AwaitEnd(outcome);
+        BOOST_TEST((outcome->mResult->mEnd == ExchangeEnd::Broken),
+                   isReset << isHeard);
+        mRaw.Forget();
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerWithTwoLengthsIsNoAnswer)
 {
   const auto outcome =
