Refuse answers with a status that no request of ours can get

Statuses 000 to 099 and an unasked 101 counted as interim, so that a body which looks like an answer was taken for the final one, and 600 to 999 were passed on. They fail the exchange now: 100 and 102 to 199 are interim, 200 to 599 final.

Two more keep what held already: names with blanks or control bytes (10 forms besides a folded line) are refused, and trailers never reach a caller.

--- a/src/wire/internal/answerparser.cpp
+++ b/src/wire/internal/answerparser.cpp
@@ -40,7 +40,10 @@
 
 constexpr auto kMaxHeaders = std::size_t{ 100 };
 constexpr auto kIncomplete = -2;
+constexpr auto kFirstStatus = 100;
+constexpr auto kSwitchingProtocols = 101;
 constexpr auto kFirstFinalStatus = 200;
+constexpr auto kLastStatus = 599;
 constexpr auto kNoContent = 204;
 constexpr auto kNotModified = 304;
 
@@ -93,6 +96,15 @@
   });
 }
 
+/// Returns true if requests of this client can be answered with aStatus. None
+/// asks for another protocol.
+auto
+IsAnswerStatus(int aStatus) -> bool
+{
+  return aStatus >= kFirstStatus && aStatus <= kLastStatus &&
+         aStatus != kSwitchingProtocols;
+}
+
 /// Sets the phase for the body that follows aHead.
 auto
 EnterBody(AnswerParser& aParser, const AnswerHead& aHead) -> void
@@ -167,6 +179,10 @@
   auto part = ParsedPart{};
   part.mConsumed = static_cast<std::size_t>(used);
   part.mLeft = aSize - part.mConsumed;
+  if (!IsAnswerStatus(head.mStatus)) {
+    aParser.mPhase = AnswerPhase::Failed;
+    return {};
+  }
   // NOTE: an interim answer is followed by the final one.
   if (head.mStatus >= kFirstFinalStatus) {
     EnterBody(aParser, head);
--- a/src/wire/tests/answerparser_tests.cpp
+++ b/src/wire/tests/answerparser_tests.cpp
@@ -57,6 +57,17 @@
   }
 }
 
+auto
+CheckFails(const std::string& aBytes) -> void
+{
+  for (auto cut = std::size_t{ 0 }; cut <= aBytes.size(); ++cut) {
+    const auto parsed = ParseCut(aBytes, cut);
+    BOOST_TEST((parsed.mPhase == AnswerPhase::Failed),
+               aBytes << " cut at " << cut);
+    BOOST_TEST(parsed.mStatus == 0);
+  }
+}
+
 auto
 HeadOf(const std::string& aBytes) -> AnswerHead
 {
@@ -128,6 +139,49 @@
   }
 }
 
+// Statuses below 100 counted as interim, so that a body which looks like an
+// answer was taken for the final one.
+BOOST_AUTO_TEST_CASE(AStatusThatNoAnswerHasFails)
+{
+  for (const auto* status :
+       { "000", "001", "099", "101", "600", "700", "999" }) {
+    CheckFails("HTTP/1.1 " + std::string(status) +
+               " Status\r\nContent-Length: 38\r\n\r\n"
+               "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  }
+  for (const auto* status : { "200", "299", "404", "500", "599" }) {
+    CheckEverywhere("HTTP/1.1 " + std::string(status) +
+                      " Status\r\nContent-Length: 1\r\n\r\nb",
+                    { AnswerPhase::Done, std::stoi(status), "b", "" });
+  }
+  for (const auto* status : { "100", "102", "103" }) {
+    CheckEverywhere("HTTP/1.1 " + std::string(status) +
+                      " Status\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+                    { AnswerPhase::Done, 204, "", "" });
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ANameWithABlankOrAControlByteFails)
+{
+  for (const auto* name :
+       { "X A", "X ", "X\tA", "X\x01", "\x7fX", "X\r", "", "X\x0b", "X\x80" }) {
+    CheckFails("HTTP/1.1 200 OK\r\nX-First: 1\r\n" + std::string(name) +
+               ": 2\r\nContent-Length: 0\r\n\r\n");
+  }
+  CheckFails("HTTP/1.1 200 OK\r\n X: 2\r\nContent-Length: 0\r\n\r\n");
+  CheckFails("HTTP/1.1 200 OK\r\n" + std::string("X\0A", 3) + ": 2\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(TrailersAreDropped)
+{
+  for (const auto* name : { "X-A", "X A", "X\x01", "Content-Length" }) {
+    CheckEverywhere("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "1\r\nb\r\n0\r\n" +
+                      std::string(name) + ": 2\r\n\r\n",
+                    { AnswerPhase::Done, 200, "b", "" });
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AHeadThatNeverEndsIsTooLarge)
 {
   auto parser = AnswerParser{};
