Refuse answers with more transfer codings than one of chunks

Only the first Transfer-Encoding of a head was looked at: a second one that names another coding passed, and the bytes of that coding would have been given out as the body. An empty one passed as no coding at all.

--- a/src/wire/internal/answerparser.cpp
+++ b/src/wire/internal/answerparser.cpp
@@ -96,6 +96,20 @@
   });
 }
 
+/// Returns true if the body has transfer codings other than one of chunks.
+auto
+HasOtherCodings(const Headers& aHeaders) -> bool
+{
+  auto count = 0;
+  for (const auto& it : aHeaders) {
+    if (it.mName == "transfer-encoding" &&
+        (++count > 1 || ToLower(it.mValue) != "chunked")) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /// Returns true if requests of this client can be answered with aStatus. None
 /// asks for another protocol.
 auto
@@ -109,17 +123,15 @@
 auto
 EnterBody(AnswerParser& aParser, const AnswerHead& aHead) -> void
 {
-  const auto coding =
-    ToLower(FindHeader(aHead.mHeaders, "transfer-encoding").value_or(""));
+  const auto isChunked =
+    FindHeader(aHead.mHeaders, "transfer-encoding").has_value();
   const auto length = FindHeader(aHead.mHeaders, "content-length");
   if (aParser.mIsToHead || aHead.mStatus == kNoContent ||
       aHead.mStatus == kNotModified) {
     aParser.mPhase = AnswerPhase::Done;
-  } else if (coding == "chunked") {
+  } else if (isChunked) {
     aParser.mPhase = AnswerPhase::ChunkedBody;
     aParser.mChunks = {};
-  } else if (!coding.empty() || HasConflictingLengths(aHead.mHeaders)) {
-    aParser.mPhase = AnswerPhase::Failed;
   } else if (length) {
     const auto number = ReadNumber(*length);
     aParser.mBodyLeft = number.value_or(0);
@@ -179,7 +191,8 @@
   auto part = ParsedPart{};
   part.mConsumed = static_cast<std::size_t>(used);
   part.mLeft = aSize - part.mConsumed;
-  if (!IsAnswerStatus(head.mStatus)) {
+  if (!IsAnswerStatus(head.mStatus) || HasOtherCodings(head.mHeaders) ||
+      HasConflictingLengths(head.mHeaders)) {
     aParser.mPhase = AnswerPhase::Failed;
     return {};
   }
--- a/src/wire/tests/answerparser_tests.cpp
+++ b/src/wire/tests/answerparser_tests.cpp
@@ -161,6 +161,23 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(SeveralTransferCodingsFail)
+{
+  for (const auto* codings : { "Transfer-Encoding: chunked\r\n"
+                               "Transfer-Encoding: gzip\r\n",
+                               "Transfer-Encoding: gzip\r\n"
+                               "Transfer-Encoding: chunked\r\n",
+                               "Transfer-Encoding: chunked\r\n"
+                               "Transfer-Encoding: chunked\r\n",
+                               "Transfer-Encoding: chunked, chunked\r\n",
+                               "Transfer-Encoding: chunked\r\n"
+                               "Transfer-Encoding:\r\n",
+                               "Transfer-Encoding:\r\n" }) {
+    CheckFails("HTTP/1.1 200 OK\r\n" + std::string(codings) +
+               "\r\n4\r\nbody\r\n0\r\n\r\n");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ANameWithABlankOrAControlByteFails)
 {
   for (const auto* name :
