Receive requests only as far as there is room for them

Clients that were allowed to send without end took a process beyond its memory: h2o read bodies, heads, chunk extensions and HTTP/2 streams of all connections as they came, buffers doubled as they grew, and the account asked only once a body was whole. Idle connections that filled limits.connections closed ordinary callers unheard, and a refusal was lost where its connection was closed with unread bytes.

The listeners now frame HTTP/1.1 themselves on h2o's sockets, as the client does for answers (wire/internal/serverconnection.h, requestparser.h). Before anything is kept, room is set aside from one budget of the process (wire/serverbudget.h), all listeners and the own interfaces included: a body of stated length at its head, a chunked one as its memory grows, counted by capacity. Without room the request is refused with 503 before it comes. Who gives way first is decided in policy/eviction.h: for a connection the oldest idle one, for memory the slow client that holds most. 400, 408, 413, 417, 431 and 503 are sent while the client still sends; what it sends is read and dropped for up to three seconds, so that no reset takes the answer away. Heads are limited by limits.head, 64 KiB: four times what the platform's clients send.

The bodies of the handler are the received bytes, moved: one copy less. LargeRequestsThatDoNotFit therefore takes 8 requests of 200 KiB into 17.5 units of memory, where two copies left room for 4; its bound on the total is the same.

--- a/fakes/program/standin.cpp
+++ b/fakes/program/standin.cpp
@@ -23,7 +23,7 @@
 constexpr auto kExitUsage = 2;
 constexpr auto kExitSettings = 3;
 constexpr auto kSignalCheck = Millis(20);
-constexpr auto kControlLimits =
+const auto kControlLimits =
   wire::ListenerLimits{ std::size_t{ 64 } * 1024, 64, Millis(5000) };
 
 volatile std::sig_atomic_t gStopSignals = 0;
--- a/src/forwarding/forwarder.h
+++ b/src/forwarding/forwarder.h
@@ -133,6 +133,12 @@
                      bool aIsAccepting,
                      wire::CallerPort aCaller) -> void;
 
+/// Returns the answer by which another instance learns that its request was not
+/// taken here and may go elsewhere.
+auto
+RefuseRelay(const Forwarder& aForwarder, const ForwardRequest& aRequest)
+  -> wire::HttpResponse;
+
 /// Announces that this instance abandons its requests at aClosesAt. Requests
 /// that have not run and whose answers would be cut then are refused, those
 /// that wait included.
@@ -143,7 +149,8 @@
 auto
 IsIdle(const Forwarder& aForwarder) -> bool;
 
-/// Bytes of answers that are kept until they are whole.
+/// Bytes of failures on streaming routes, which are kept until they are whole.
+/// The connection pool counts other kept answers.
 auto
 CountBufferedBytes(const Forwarder& aForwarder) -> std::size_t;
 
--- a/src/forwarding/internal/relaying.cpp
+++ b/src/forwarding/internal/relaying.cpp
@@ -420,6 +420,16 @@
   }
 }
 
+auto
+RefuseRelay(const Forwarder& aForwarder, const ForwardRequest& aRequest)
+  -> wire::HttpResponse
+{
+  auto response = aForwarder.mPorts.mCodec.mWriteFailure(
+    aRequest, { FailureKind::NotReady, kRelayRetry });
+  AddHeader(response, kFailureHeader, std::string(kRefused));
+  return response;
+}
+
 auto
 HandleRelayedRequest(Forwarder& aForwarder,
                      ForwardRequest aRequest,
@@ -435,10 +445,7 @@
              { { "request", aRequest.mId.mValue },
                { "from", from },
                { "reason", obstacle } });
-    auto response = aForwarder.mPorts.mCodec.mWriteFailure(
-      aRequest, { FailureKind::NotReady, kRelayRetry });
-    AddHeader(response, kFailureHeader, std::string(kRefused));
-    aCaller.mRespond(response);
+    aCaller.mRespond(RefuseRelay(aForwarder, aRequest));
     return;
   }
   const auto sends = ParseCount(wire::FindHeader(headers, kSendsHeader));
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -265,7 +265,7 @@
             const wire::ResponderPtr& aResponder) -> void
 {
   const auto isAccepting = !aGateway.mIsStopping && !aGateway.mIsClosed &&
-                           TakeBody(aGateway, aRequest.mBody.size());
+                           TakeBody(aGateway.mMemory, aRequest.mBody.size());
   forwarding::HandleRelayedRequest(*aGateway.mForwarder,
                                    aGateway.mAdapter.mReadRequest(aRequest),
                                    isAccepting,
@@ -288,14 +288,40 @@
 auto
 StartGatewayListener(Gateway& aGateway,
                      const std::optional<wire::SocketAddress>& aAddress,
-                     wire::RequestHandler aHandler)
+                     wire::RequestHandler aHandler,
+                     wire::RefusalWriter aWriteRefusal = nullptr)
   -> leaf::result<wire::HttpServerPtr>
 {
-  return StartListener(*aGateway.mLoop,
-                       aAddress,
-                       aGateway.mSettings,
-                       kIdleTimeout,
-                       std::move(aHandler));
+  return StartListener(
+    *aGateway.mLoop,
+    aAddress,
+    aGateway.mSettings.mLimits,
+    { kIdleTimeout, aGateway.mMemory.mBudget, std::move(aWriteRefusal) },
+    std::move(aHandler));
+}
+
+/// Returns the answer to another instance whose request is refused before it is
+/// whole.
+auto
+WriteRelayRefusal(const Gateway& aGateway,
+                  const wire::HttpRequest& aRequest,
+                  int aStatus) -> wire::HttpResponse
+{
+  return aStatus == kUnavailable
+           ? forwarding::RefuseRelay(*aGateway.mForwarder,
+                                     aGateway.mAdapter.mReadRequest(aRequest))
+           : wire::HttpResponse{ aStatus, {}, "" };
+}
+
+using Refusal = auto(*)(const Gateway&, const wire::HttpRequest&, int)
+                  -> wire::HttpResponse;
+
+auto
+BindRefusal(const Gateway& aGateway, Refusal aWrite) -> wire::RefusalWriter
+{
+  return [&aGateway, aWrite](const wire::HttpRequest& aRequest, int aStatus) {
+    return aWrite(aGateway, aRequest, aStatus);
+  };
 }
 
 auto
@@ -306,10 +332,12 @@
     return RefuseWhenClosed(aGateway.mIsClosed,
                             BindHandler(aGateway, aHandler));
   };
-  BOOST_LEAF_ASSIGN(aGateway.mCallerServer,
-                    StartGatewayListener(aGateway,
-                                         listen.mCaller,
-                                         BindHandler(aGateway, HandleCaller)));
+  BOOST_LEAF_ASSIGN(
+    aGateway.mCallerServer,
+    StartGatewayListener(aGateway,
+                         listen.mCaller,
+                         BindHandler(aGateway, HandleCaller),
+                         BindRefusal(aGateway, WriteCallerRefusal)));
   BOOST_LEAF_ASSIGN(aGateway.mOperatorServer,
                     StartGatewayListener(aGateway,
                                          listen.mOperator,
@@ -319,10 +347,12 @@
                                          listen.mPlatform,
                                          refuseWhenClosed(HandlePlatformCall)));
   if (aGateway.mForwarder) {
-    BOOST_LEAF_ASSIGN(aGateway.mRelayServer,
-                      StartGatewayListener(aGateway,
-                                           listen.mRelay,
-                                           BindHandler(aGateway, HandleRelay)));
+    BOOST_LEAF_ASSIGN(
+      aGateway.mRelayServer,
+      StartGatewayListener(aGateway,
+                           listen.mRelay,
+                           BindHandler(aGateway, HandleRelay),
+                           BindRefusal(aGateway, WriteRelayRefusal)));
   }
   return {};
 }
@@ -335,6 +365,9 @@
   }
   aGateway.mPool = wire::CreateConnectionPool(*aGateway.mLoop, {});
   BOOST_LEAF_ASSIGN(aGateway.mForwarder, MakeForwarder(aGateway));
+  aGateway.mMemory.mCountAnswers = [&aGateway] {
+    return forwarding::CountBufferedBytes(*aGateway.mForwarder);
+  };
   BOOST_LEAF_ASSIGN(aGateway.mDatagrams,
                     wire::OpenDatagrams(*aGateway.mLoop,
                                         *aGateway.mSettings.mListen.mPeer,
@@ -428,6 +461,18 @@
 
 } // namespace
 
+auto
+WriteCallerRefusal(const Gateway& aGateway,
+                   const wire::HttpRequest& aRequest,
+                   int aStatus) -> wire::HttpResponse
+{
+  return aStatus == kUnavailable
+           ? aGateway.mAdapter.mCodec.mWriteFailure(
+               aGateway.mAdapter.mReadRequest(aRequest),
+               { forwarding::FailureKind::NoCapacity, kMemoryRetryAfter })
+           : wire::HttpResponse{ aStatus, {}, "" };
+}
+
 auto
 HandleCaller(Gateway& aGateway,
              const wire::HttpRequest& aRequest,
@@ -442,11 +487,9 @@
         request, { forwarding::FailureKind::NotReady, kClosedRetryAfter }));
     return;
   }
-  if (!TakeBody(aGateway, request.mHttp.mBody.size())) {
-    wire::SendResponse(
-      aResponder,
-      aGateway.mAdapter.mCodec.mWriteFailure(
-        request, { forwarding::FailureKind::NoCapacity, kMemoryRetryAfter }));
+  if (!TakeBody(aGateway.mMemory, request.mHttp.mBody.size())) {
+    wire::SendResponse(aResponder,
+                       WriteCallerRefusal(aGateway, aRequest, kUnavailable));
     return;
   }
   forwarding::HandleRequest(
@@ -492,6 +535,8 @@
   gateway->mAdapter = std::move(aAdapter);
   gateway->mIncarnation = MakeIncarnation();
   gateway->mLoop = wire::CreateEventLoop();
+  SetUpClientMemory(
+    gateway->mMemory, *gateway->mLoop, gateway->mSettings.mLimits);
   if (auto front = StartForwarding(*gateway); !front) {
     return front.error();
   }
--- a/src/gateway/internal/gatewaystate.h
+++ b/src/gateway/internal/gatewaystate.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "forwarding/forwarder.h"
+#include "gateway/clientmemory.h"
 #include "gateway/gateway.h"
-#include "gateway/internal/memoryaccount.h"
 #include "peers/peertask.h"
 #include "wire/connectionpool.h"
 #include "wire/datagrams.h"
@@ -19,6 +19,7 @@
   Adapter mAdapter;
   Incarnation mIncarnation = 0;
   wire::EventLoopPtr mLoop;
+  ClientMemory mMemory;
   wire::ConnectionPoolPtr mPool;
   wire::DatagramSocketPtr mDatagrams;
   forwarding::ForwarderPtr mForwarder;
@@ -34,7 +35,6 @@
   /// Callers' requests that were refused for that.
   std::uint64_t mRefusedClosed = 0;
   bool mIsStopping = false;
-  MemoryAccount mMemory;
   bool mWasReady = false;
   TimePoint mStopBegan{};
 };
@@ -46,6 +46,13 @@
 auto
 CloseGateway(Gateway& aGateway) -> void;
 
+/// Returns the answer to a caller whose request is refused before it is whole;
+/// 503 for want of memory. Owner thread only.
+auto
+WriteCallerRefusal(const Gateway& aGateway,
+                   const wire::HttpRequest& aRequest,
+                   int aStatus) -> wire::HttpResponse;
+
 /// Passes a caller's request on, or refuses it. Owner thread only.
 auto
 HandleCaller(Gateway& aGateway,
--- a/src/gateway/internal/listener.cpp
+++ b/src/gateway/internal/listener.cpp
@@ -5,8 +5,8 @@
 auto
 StartListener(wire::EventLoop& aLoop,
               const std::optional<wire::SocketAddress>& aAddress,
-              const Settings& aSettings,
-              Millis aRequestTimeout,
+              const InstanceLimits& aLimits,
+              ListenerOptions aOptions,
               wire::RequestHandler aHandler)
   -> leaf::result<wire::HttpServerPtr>
 {
@@ -14,11 +14,12 @@
     return wire::HttpServerPtr{};
   }
   auto limits = wire::ListenerLimits{};
-  limits.mMaxBodyBytes =
-    static_cast<std::size_t>(aSettings.mLimits.mMaxBodyBytes);
-  limits.mMaxConnections =
-    static_cast<std::size_t>(aSettings.mLimits.mMaxConnections);
-  limits.mRequestTimeout = aRequestTimeout;
+  limits.mMaxBodyBytes = static_cast<std::size_t>(aLimits.mMaxBodyBytes);
+  limits.mMaxHeadBytes = static_cast<std::size_t>(aLimits.mMaxHeadBytes);
+  limits.mMaxConnections = static_cast<std::size_t>(aLimits.mMaxConnections);
+  limits.mRequestTimeout = aOptions.mRequestTimeout;
+  limits.mBudget = std::move(aOptions.mBudget);
+  limits.mWriteRefusal = std::move(aOptions.mWriteRefusal);
   return wire::StartHttpServer(aLoop, *aAddress, limits, std::move(aHandler));
 }
 
--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -177,7 +177,7 @@
 auto
 MemoryMetrics(const Gateway& aGateway) -> std::vector<MetricFamily>
 {
-  const auto use = CountMemory(aGateway);
+  const auto use = CountMemory(aGateway.mMemory);
   auto bytes = MakeFamily("cuminslip_memory_bytes",
                           "Bytes held for callers, by kind.",
                           MetricType::Gauge);
@@ -193,7 +193,7 @@
   return { std::move(bytes),
            Gauge("cuminslip_memory_bound_bytes",
                  "Most bytes held for callers; 0 for no bound.",
-                 static_cast<double>(MemoryRulesOf(aGateway).mMaxBytes)),
+                 static_cast<double>(aGateway.mMemory.mRules.mMaxBytes)),
            Counter("cuminslip_memory_refusals_total",
                    "Requests refused since their bodies did not fit.",
                    aGateway.mMemory.mRefusals) };
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -12,14 +12,22 @@
 /// takes to follow the opening of its connection.
 inline constexpr auto kClosingTime = Millis(250);
 
-/// Starts an HTTP server with the limits of aSettings and the given timeout for
-/// receiving a request and between requests. Returns null when there is no
-/// address. Fails with Findings. Owner thread of the loop only.
+/// What listeners of one process do not have in common, and what they share.
+struct ListenerOptions
+{
+  /// For receiving a request, between requests, and for an unread answer.
+  Millis mRequestTimeout{ 10000 };
+  wire::ServerBudgetPtr mBudget = nullptr;
+  wire::RefusalWriter mWriteRefusal = nullptr;
+};
+
+/// Starts an HTTP server with the limits of the settings. Returns null when
+/// there is no address. Fails with Findings. Owner thread of the loop only.
 auto
 StartListener(wire::EventLoop& aLoop,
               const std::optional<wire::SocketAddress>& aAddress,
-              const Settings& aSettings,
-              Millis aRequestTimeout,
+              const InstanceLimits& aLimits,
+              ListenerOptions aOptions,
               wire::RequestHandler aHandler)
   -> leaf::result<wire::HttpServerPtr>;
 
--- a/src/program/instance.h
+++ b/src/program/instance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/clientmemory.h"
 #include "peers/peertask.h"
 #include "requests/front.h"
 #include "settings/types/settings.h"
@@ -23,6 +24,7 @@
   Settings mSettings;
   Incarnation mIncarnation = 0;
   wire::EventLoopPtr mLoop;
+  gateway::ClientMemory mMemory;
   wire::HttpClientPtr mClient;
   requests::FrontPtr mFront;
   wire::HttpServerPtr mCallerServer;
--- a/src/program/internal/handlers.cpp
+++ b/src/program/internal/handlers.cpp
@@ -13,6 +13,8 @@
 constexpr auto kUnauthorized = 401;
 constexpr auto kNotFound = 404;
 constexpr auto kUnavailable = 503;
+/// About as long as a request with a large body takes.
+constexpr auto kMemoryRetryAfter = Millis(1000);
 
 auto
 PlainResponse(int aStatus, std::string aText) -> wire::HttpResponse
@@ -31,6 +33,22 @@
     *aInstance.mFront, aRequest, wire::PortOf(aResponder));
 }
 
+auto
+WriteCallerRefusal(const wire::HttpRequest&, int aStatus) -> wire::HttpResponse
+{
+  if (aStatus != kUnavailable) {
+    return { aStatus, {}, "" };
+  }
+  auto refusal = requests::Refusal{};
+  refusal.mType = requests::RefusalType::Overloaded;
+  refusal.mMessage = "no memory for the request";
+  refusal.mRetryAfter = kMemoryRetryAfter;
+  auto response =
+    wire::JsonResponse(aStatus, requests::FormatRefusal(refusal, ""));
+  response.mHeaders.push_back({ "retry-after", "1" });
+  return response;
+}
+
 auto
 HandleEndpoint(Instance& aInstance,
                const wire::HttpRequest& aRequest,
--- a/src/program/internal/handlers.h
+++ b/src/program/internal/handlers.h
@@ -10,6 +10,11 @@
              const wire::HttpRequest& aRequest,
              const wire::ResponderPtr& aResponder) -> void;
 
+/// Returns the answer to a caller whose request is refused before it is whole.
+auto
+WriteCallerRefusal(const wire::HttpRequest& aRequest, int aStatus)
+  -> wire::HttpResponse;
+
 auto
 HandleOperator(Instance& aInstance,
                const wire::HttpRequest& aRequest,
--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -256,13 +256,17 @@
 auto
 StartListenerOf(Instance& aInstance,
                 const std::optional<wire::SocketAddress>& aAddress,
-                Handler aHandler) -> leaf::result<wire::HttpServerPtr>
+                Handler aHandler,
+                wire::RefusalWriter aWriteRefusal = nullptr)
+  -> leaf::result<wire::HttpServerPtr>
 {
   return gateway::StartListener(
     *aInstance.mLoop,
     aAddress,
-    aInstance.mSettings,
-    aInstance.mSettings.mLimits.mRequestTimeout,
+    aInstance.mSettings.mLimits,
+    { aInstance.mSettings.mLimits.mRequestTimeout,
+      aInstance.mMemory.mBudget,
+      std::move(aWriteRefusal) },
     gateway::RefuseWhenClosed(
       aInstance.mIsClosed,
       [&aInstance, aHandler](const wire::HttpRequest& aRequest,
@@ -275,8 +279,10 @@
 StartListeners(Instance& aInstance) -> leaf::result<void>
 {
   const auto& listen = aInstance.mSettings.mListen;
-  BOOST_LEAF_ASSIGN(aInstance.mCallerServer,
-                    StartListenerOf(aInstance, listen.mCaller, HandleCaller));
+  BOOST_LEAF_ASSIGN(
+    aInstance.mCallerServer,
+    StartListenerOf(
+      aInstance, listen.mCaller, HandleCaller, WriteCallerRefusal));
   BOOST_LEAF_ASSIGN(
     aInstance.mOperatorServer,
     StartListenerOf(aInstance, listen.mOperator, HandleOperator));
@@ -356,6 +362,8 @@
   instance->mSettings = std::move(aSettings);
   instance->mIncarnation = MakeIncarnation();
   instance->mLoop = wire::CreateEventLoop();
+  SetUpClientMemory(
+    instance->mMemory, *instance->mLoop, instance->mSettings.mLimits);
   instance->mClient = wire::CreateHttpClient(*instance->mLoop);
   instance->mFront = requests::CreateFront(MakeFrontSettings(*instance),
                                            MakeFrontPorts(*instance),
--- a/src/settings/internal/settings.cpp
+++ b/src/settings/internal/settings.cpp
@@ -81,6 +81,15 @@
   return std::find(roles.begin(), roles.end(), aRole) != roles.end();
 }
 
+auto
+MaxPeerConnections(const InstanceLimits& aLimits) -> std::size_t
+{
+  constexpr auto kShare = std::int64_t{ 4 };
+  constexpr auto kLeast = std::int64_t{ 16 };
+  return static_cast<std::size_t>(
+    std::max(aLimits.mMaxConnections / kShare, kLeast));
+}
+
 auto
 ParseSettings(const std::string& aText, const std::string& aSource)
   -> leaf::result<Settings>
--- a/src/settings/internal/settingssections.cpp
+++ b/src/settings/internal/settingssections.cpp
@@ -184,6 +184,8 @@
     documents::ReadBytes(section, "body", base.mMaxBodyBytes);
   limits.mMaxMemoryBytes =
     documents::ReadBytes(section, "memory", base.mMaxMemoryBytes);
+  limits.mMaxHeadBytes =
+    documents::ReadBytes(section, "head", base.mMaxHeadBytes);
   limits.mMaxConnections = documents::ReadInteger(
     section, "connections", base.mMaxConnections, counts);
   limits.mRequestTimeout =
--- a/src/settings/types/settings.h
+++ b/src/settings/types/settings.h
@@ -52,6 +52,9 @@
   /// Memory that the process may use; 0 for any. Half of it is for what it
   /// holds for callers.
   std::int64_t mMaxMemoryBytes = 0;
+  /// Longest head of a request.
+  std::int64_t mMaxHeadBytes = std::int64_t{ 64 } * 1024;
+  /// On all HTTP listeners together; peers may have a quarter more.
   std::int64_t mMaxConnections = 4096;
   /// Longest time for a caller to send a request.
   Millis mRequestTimeout{ 10000 };
@@ -63,6 +66,10 @@
   auto operator==(const InstanceLimits&) const -> bool = default;
 };
 
+/// Connections that other instances may have open to this one.
+auto
+MaxPeerConnections(const InstanceLimits& aLimits) -> std::size_t;
+
 /// A key by its SHA-256, and who uses it: a client account, an operator's name
 /// or a name for a group of endpoints.
 struct KeyEntry
--- a/src/wire/httpserver.h
+++ b/src/wire/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "base/findings.h"
 #include "wire/eventloop.h"
+#include "wire/serverbudget.h"
 #include "wire/tls.h"
 #include "wire/types/callerport.h"
 #include "wire/types/httpmessage.h"
@@ -10,19 +11,31 @@
 #include <functional>
 #include <memory>
 
-/// HTTP server on an event loop. All functions are for the loop's thread.
+/// HTTP/1.1 server on an event loop. It frames requests itself, on h2o's
+/// sockets, so that nothing is held before there is room for it. All functions
+/// are for the loop's thread.
 namespace cuminslip::wire {
 
-/// What a listener accepts. Request heads are limited by h2o.
+/// Writes the answer that refuses a request which is not whole: 400, 408, 413,
+/// 417, 431 or 503. The request has no body, and no head where that is not
+/// whole.
+using RefusalWriter =
+  std::function<HttpResponse(const HttpRequest& aRequest, int aStatus)>;
+
+/// What a listener accepts.
 struct ListenerLimits
 {
   std::size_t mMaxBodyBytes = std::size_t{ 8 } * 1024 * 1024;
+  /// Of the listener; not used where there is a budget.
   std::size_t mMaxConnections = 4096;
-  /// Longest time to send a request whole, and longest pause between two
-  /// requests of a connection.
+  /// Longest time to send a request whole, longest pause between two requests
+  /// of a connection, and longest time in which no byte of an answer is taken.
   Millis mRequestTimeout{ 10000 };
-
-  auto operator==(const ListenerLimits&) const -> bool = default;
+  std::size_t mMaxHeadBytes = std::size_t{ 64 } * 1024;
+  /// Shared with other listeners; without it the listener has its own.
+  ServerBudgetPtr mBudget = nullptr;
+  /// Without it refusals have a status only.
+  RefusalWriter mWriteRefusal = nullptr;
 };
 
 /// The response side of one request. Outlives the request: functions given a
@@ -69,24 +82,6 @@
 auto
 CountConnections(const HttpServer& aServer) -> std::size_t;
 
-/// Bytes that a server holds.
-struct ServerBytes
-{
-  /// Of requests as they came: those that are not whole yet, and those whose
-  /// responses have not ended. Bodies of HTTP/2 are not counted here.
-  std::size_t mReceived = 0;
-  /// Bodies that were given to the handler and that something still holds.
-  std::size_t mBodies = 0;
-  /// As by UnsentBytes.
-  std::size_t mUnsent = 0;
-
-  auto operator==(const ServerBytes&) const -> bool = default;
-};
-
-/// Looks at each connection.
-auto
-CountBytes(const HttpServer& aServer) -> ServerBytes;
-
 /// Bytes of answers that were given to the server and that the callers'
 /// connections have not yet taken.
 auto
@@ -100,8 +95,7 @@
 /// Answers with a whole response. Where the response has begun before and is
 /// still open, it is cut instead, as by AbortStream.
 auto
-SendResponse(const ResponderPtr& aResponder, const HttpResponse& aResponse)
-  -> void;
+SendResponse(const ResponderPtr& aResponder, HttpResponse aResponse) -> void;
 
 /// Sends status and headers of a response whose body follows in pieces. Where
 /// the response has begun before and is still open, it is cut instead.
--- a/src/wire/internal/answerparser.cpp
+++ b/src/wire/internal/answerparser.cpp
@@ -1,45 +1,16 @@
 #include "wire/internal/answerparser.h"
 
-#include <sys/types.h>
+#include "wire/internal/picohttpparser.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <string>
 
-// NOTE: libh2o exports its copy of picohttpparser without a header.
-struct PhrHeader
-{
-  const char* mName;
-  std::size_t mNameSize;
-  const char* mValue;
-  std::size_t mValueSize;
-};
-
-extern "C"
-{
-  // NOLINTBEGIN(readability-identifier-naming)
-  auto phr_parse_response(const char* aBytes,
-                          std::size_t aSize,
-                          int* aMinorVersion,
-                          int* aStatus,
-                          const char** aReason,
-                          std::size_t* aReasonSize,
-                          PhrHeader* aHeaders,
-                          std::size_t* aHeaderCount,
-                          std::size_t aLastSize) -> int;
-  auto phr_decode_chunked(cuminslip::wire::ChunkDecoder* aDecoder,
-                          char* aBytes,
-                          std::size_t* aSize) -> ssize_t;
-  // NOLINTEND(readability-identifier-naming)
-}
-
 namespace cuminslip::wire {
 
 namespace {
 
-constexpr auto kMaxHeaders = std::size_t{ 100 };
-constexpr auto kIncomplete = -2;
 constexpr auto kFirstStatus = 100;
 constexpr auto kSwitchingProtocols = 101;
 constexpr auto kFirstFinalStatus = 200;
@@ -47,30 +18,6 @@
 constexpr auto kNoContent = 204;
 constexpr auto kNotModified = 304;
 
-auto
-ToLower(std::string_view aText) -> std::string
-{
-  auto text = std::string(aText);
-  for (auto& it : text) {
-    if (it >= 'A' && it <= 'Z') {
-      it = static_cast<char>(it - 'A' + 'a');
-    }
-  }
-  return text;
-}
-
-auto
-ReadNumber(std::string_view aText) -> std::optional<std::size_t>
-{
-  auto number = std::size_t{ 0 };
-  const auto* end = aText.data() + aText.size();
-  const auto [rest, ec] = std::from_chars(aText.data(), end, number);
-  if (ec != std::errc{} || rest != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 auto
 ReadKeepAlive(const Headers& aHeaders) -> std::optional<int>
 {
@@ -229,6 +176,30 @@
 
 } // namespace
 
+auto
+ToLower(std::string_view aText) -> std::string
+{
+  auto text = std::string(aText);
+  for (auto& it : text) {
+    if (it >= 'A' && it <= 'Z') {
+      it = static_cast<char>(it - 'A' + 'a');
+    }
+  }
+  return text;
+}
+
+auto
+ReadNumber(std::string_view aText) -> std::optional<std::size_t>
+{
+  auto number = std::size_t{ 0 };
+  const auto* end = aText.data() + aText.size();
+  const auto [rest, ec] = std::from_chars(aText.data(), end, number);
+  if (ec != std::errc{} || rest != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 auto
 ParseAnswer(AnswerParser& aParser, char* aBytes, std::size_t aSize)
   -> ParsedPart
--- a/src/wire/types/callerport.h
+++ b/src/wire/types/callerport.h
@@ -15,7 +15,7 @@
 /// the thread of the caller's listener.
 struct CallerPort
 {
-  std::function<void(const HttpResponse&)> mRespond;
+  std::function<void(HttpResponse)> mRespond;
   std::function<void(int aStatus, const Headers&)> mStartStream;
   std::function<void(std::string_view aPiece)> mSendPiece;
   std::function<void()> mFinish;
