Bound what peers hold before they show their key

Anybody could open any number of connections to the listener for peers and send messages of up to 64 MiB on each, which the process kept until they were whole: no key had been asked for yet.

--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -64,6 +64,7 @@
 {
   BOOST_LEAF_AUTO(key, LoadPeerKey(aSettings));
   auto peers = PeerSettings{};
+  peers.mMaxConnections = MaxPeerConnections(aSettings.mLimits);
   peers.mPeerKey = key;
   peers.mAddress = PeerAddressOf(aSettings);
   // NOTE: seeds identify instances by address only, so the address is the id.
--- a/src/peers/internal/peerthread.cpp
+++ b/src/peers/internal/peerthread.cpp
@@ -5,8 +5,8 @@
 #include "peers/internal/endpointdirectory.h"
 #include "peers/internal/foundingpermit.h"
 #include "peers/internal/joining.h"
+#include "peers/internal/peerlistener.h"
 #include "peers/internal/rpcparts.h"
-#include "peers/internal/sessionserver.h"
 #include "peers/internal/templatefollower.h"
 #include "peers/types/peersevents.h"
 
@@ -70,33 +70,6 @@
   return aSince ? MillisBetween(*aSince, aNow) : Millis(0);
 }
 
-constexpr auto kAcceptPause = 100 * kj::MILLISECONDS;
-
-/// Accepts connections. A connection that can't be accepted, as without a free
-/// descriptor, is tried again after a pause.
-auto
-AcceptForever(kj::ConnectionReceiver& aListener,
-              capnp::TwoPartyServer& aServer,
-              kj::Timer& aTimer) -> kj::Promise<void>
-{
-  // NOTE: accept may also throw at once.
-  return kj::evalNow([&aListener] { return aListener.accept(); })
-    .then(
-      [&aListener, &aServer, &aTimer](kj::Own<kj::AsyncIoStream> aStream) {
-        SetNoDelay(*aStream);
-        aServer.accept(kj::mv(aStream));
-        return AcceptForever(aListener, aServer, aTimer);
-      },
-      [&aListener, &aServer, &aTimer](const kj::Exception& aProblem) {
-        LogEvent(kPeerAcceptFailedEvent,
-                 { { "reason", aProblem.getDescription().cStr() } });
-        return aTimer.afterDelay(kAcceptPause)
-          .then([&aListener, &aServer, &aTimer] {
-            return AcceptForever(aListener, aServer, aTimer);
-          });
-      });
-}
-
 } // namespace
 
 PeerThread::PeerThread(PeerSettings aSettings, PeerCallbacks aCallbacks)
@@ -292,13 +265,13 @@
                     .parseAddress(mSettings.mAddress.c_str())
                     .wait(aIo.waitScope)
                     ->listen();
-  auto server = capnp::TwoPartyServer(MakePeerServer(aContext));
+  auto peers = PeerListener(*listener, aContext);
   auto wakeUp = aIo.lowLevelProvider->wrapInputFd(mWakeRead);
   auto follower = TemplateFollower(aContext);
   auto watcher = ControlWatcher(aContext);
   auto stop = kj::newPromiseAndFulfiller<void>();
   mStop = kj::mv(stop.fulfiller);
-  aContext.mTasks.add(AcceptForever(*listener, server, aContext.mTimer));
+  aContext.mTasks.add(peers.AcceptForever());
   aContext.mTasks.add(DrainMailbox(aContext, *wakeUp));
   aContext.mTasks.add(TickForever(aContext));
   aContext.mTasks.add(JoinControlLog(aContext));
--- a/src/peers/internal/sessionserver.cpp
+++ b/src/peers/internal/sessionserver.cpp
@@ -313,8 +313,9 @@
 class PeerServer final : public schema::Peer::Server
 {
 public:
-  explicit PeerServer(PeerContext& aContext)
+  PeerServer(PeerContext& aContext, std::shared_ptr<PeerIdentity> aIdentity)
     : mContext(aContext)
+    , mIdentity(std::move(aIdentity))
   {
   }
 
@@ -327,6 +328,7 @@
       LogEvent(kPeerRefusedEvent, { { "reason", "wrong peer key" } });
       return KJ_EXCEPTION(FAILED, "wrong peer key");
     }
+    mIdentity->mIsVerified = true;
     aCall.getResults().setSession(kj::heap<SessionServer>(
       mContext,
       InstanceId{ FromText(params.getInstance()) },
@@ -336,14 +338,16 @@
 
 private:
   PeerContext& mContext;
+  std::shared_ptr<PeerIdentity> mIdentity;
 };
 
 } // namespace
 
 auto
-MakePeerServer(PeerContext& aContext) -> schema::Peer::Client
+MakePeerServer(PeerContext& aContext, std::shared_ptr<PeerIdentity> aIdentity)
+  -> schema::Peer::Client
 {
-  return kj::heap<PeerServer>(aContext);
+  return kj::heap<PeerServer>(aContext, std::move(aIdentity));
 }
 
 } // namespace cuminslip
--- a/src/peers/types/peersettings.h
+++ b/src/peers/types/peersettings.h
@@ -44,6 +44,8 @@
   /// Who may join the control log without an operator.
   JoinRule mJoinRule = JoinRule::Expected;
   directory::TableSettings mEndpointTable;
+  /// Connections that other instances may have open here.
+  std::size_t mMaxConnections = 1024;
   /// Longest time for which a proposal is tried.
   Millis mProposalTime{ 5000 };
 
--- a/src/program/internal/instance.cpp
+++ b/src/program/internal/instance.cpp
@@ -191,6 +191,7 @@
 {
   BOOST_LEAF_AUTO(key, LoadPeerKey(aSettings));
   auto peers = PeerSettings{};
+  peers.mMaxConnections = MaxPeerConnections(aSettings.mLimits);
   peers.mPeerKey = key.empty() ? MakeSecret() : key;
   peers.mInstance = aSettings.mInstance;
   peers.mFailureDomain = aSettings.mFailureDomain;
