Read kept answers only while there is room for them

Answers that callers take slowly or not at all piled up: each was read whole from its endpoint, whatever the process held.

A kept answer of more than 64 KiB is read on only once room for the rest of it is set aside; others wait in their order (wire/connectionpool.h). What the system holds of an unread answer is limited too. An answer that states more than the largest length is given up at its head.

--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -5,6 +5,7 @@
 #include "forwarding/types/forwardevents.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace cuminslip::forwarding {
 
@@ -95,6 +96,36 @@
   RecoverFlight(aForwarder, aFlight, aOutcome, aReason);
 }
 
+auto
+GiveUpLongAnswer(Forwarder& aForwarder, Flight& aFlight) -> void
+{
+  GiveUpAnswer(aForwarder,
+               aFlight,
+               aFlight.mAttempt.mAnswer.mHasNotRun ? SendOutcome::RefusedNotRun
+                                                   : SendOutcome::NotAnAnswer,
+               "the answer is too long");
+}
+
+/// Sets memory aside for a kept answer of stated length, or gives up one that
+/// is too long.
+auto
+PrepareBody(Forwarder& aForwarder,
+            Flight& aFlight,
+            const wire::Headers& aHeaders) -> void
+{
+  const auto text = wire::FindHeader(aHeaders, "content-length").value_or("0");
+  auto length = std::size_t{ 0 };
+  std::from_chars(text.data(), text.data() + text.size(), length);
+  if (!IsKept(aFlight) || aFlight.mRequest.mHttp.mMethod == "HEAD") {
+    return;
+  }
+  if (length > aForwarder.mSettings.mMaxAnswerBytes) {
+    GiveUpLongAnswer(aForwarder, aFlight);
+    return;
+  }
+  aFlight.mAttempt.mBody.reserve(length);
+}
+
 constexpr auto kNotGenuine = std::string_view(
   "the answer is not a valid one of the endpoint to this request");
 
@@ -117,7 +148,9 @@
     }
     if (!attempt.mAnswer.mIsGenuine) {
       GiveUpAnswer(aForwarder, *flight, SendOutcome::NotAnAnswer, kNotGenuine);
+      return;
     }
+    PrepareBody(aForwarder, *flight, aHeaders);
     return;
   }
   std::erase_if(attempt.mAnswer.mHeaders, [](const auto& aItem) {
@@ -141,7 +174,9 @@
   // NOTE: the body of such an answer may have no end.
   if (!attempt.mAnswer.mIsGenuine && !attempt.mAnswer.mHasNotRun) {
     GiveUpAnswer(aForwarder, *flight, SendOutcome::NotAnAnswer, kNotGenuine);
+    return;
   }
+  PrepareBody(aForwarder, *flight, aHeaders);
 }
 
 auto
@@ -151,11 +186,7 @@
   auto& attempt = aFlight.mAttempt;
   attempt.mBody += aPiece;
   if (attempt.mBody.size() > aForwarder.mSettings.mMaxAnswerBytes) {
-    GiveUpAnswer(aForwarder,
-                 aFlight,
-                 attempt.mAnswer.mHasNotRun ? SendOutcome::RefusedNotRun
-                                            : SendOutcome::NotAnAnswer,
-                 "the answer is too long");
+    GiveUpLongAnswer(aForwarder, aFlight);
   }
 }
 
@@ -340,6 +371,12 @@
 
 } // namespace
 
+auto
+IsKept(const Flight& aFlight) -> bool
+{
+  return aFlight.mRoute->mKind != routing::RouteKind::Streaming;
+}
+
 auto
 IsStream(const Flight& aFlight) -> bool
 {
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -387,7 +387,7 @@
 {
   auto bytes = std::size_t{ 0 };
   for (const auto& [id, flight] : aForwarder.mFlights) {
-    bytes += flight->mAttempt.mBody.size();
+    bytes += IsKept(*flight) ? 0 : flight->mAttempt.mBody.capacity();
   }
   return bytes;
 }
--- a/src/forwarding/internal/forwarderstate.h
+++ b/src/forwarding/internal/forwarderstate.h
@@ -357,6 +357,10 @@
 MakeExchange(const Forwarder& aForwarder, const std::string& aAddress)
   -> wire::Exchange;
 
+/// Returns true if answers are delivered once they are whole.
+auto
+IsKept(const Flight& aFlight) -> bool;
+
 /// Ends a flight with a final answer of this instance, or by aborting a stream
 /// that has started. When the request may have run, aFailure is replaced by one
 /// that does not promise that it has not run. Destroys the flight.
--- a/src/forwarding/internal/relaying.cpp
+++ b/src/forwarding/internal/relaying.cpp
@@ -176,6 +176,7 @@
   add(kSendsHeader, std::to_string(aFlight.mSends));
   add(kRanHeader, std::string(aFlight.mMayHaveRun ? kMayHaveRun : kHasNotRun));
   exchange.mEcho = aForwarder.mPorts.mCodec.mEchoOf(aFlight.mRequest);
+  exchange.mIsKept = IsKept(aFlight);
   return exchange;
 }
 
--- a/src/forwarding/internal/sending.cpp
+++ b/src/forwarding/internal/sending.cpp
@@ -133,6 +133,7 @@
   exchange.mRequest.mHeaders =
     aForwarder.mPorts.mCodec.mWriteHeaders(aFlight.mRequest, facts);
   exchange.mEcho = aForwarder.mPorts.mCodec.mEchoOf(aFlight.mRequest);
+  exchange.mIsKept = IsKept(aFlight);
   // NOTE: a kept connection may hang without a sign of it.
   exchange.mNeedsNewConnection = aFlight.mIsReachTrial;
   aFlight.mAttempt.mExchange = aForwarder.mPorts.mExchanges.mStart(
--- a/src/gateway/clientmemory.h
+++ b/src/gateway/clientmemory.h
@@ -36,6 +36,11 @@
 auto
 CountMemory(const ClientMemory& aMemory) -> MemoryUse;
 
+/// True if aMore bytes of answers may be kept, which may close connections of
+/// clients that take nothing.
+auto
+MayKeepAnswer(ClientMemory& aMemory, std::size_t aMore) -> bool;
+
 /// True if a request may be taken whose body of aBodyBytes the listener has
 /// already. Counts the refusal otherwise, and logs when the bound is met and
 /// when it is left.
--- a/src/gateway/internal/clientmemory.cpp
+++ b/src/gateway/internal/clientmemory.cpp
@@ -121,6 +121,17 @@
            bytes.mUnsent };
 }
 
+auto
+MayKeepAnswer(ClientMemory& aMemory, std::size_t aMore) -> bool
+{
+  while (!MayKeepAnswer(CountMemory(aMemory), aMore, aMemory.mRules)) {
+    if (!wire::EvictForBytes(*aMemory.mBudget)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 auto
 TakeBody(ClientMemory& aMemory, std::size_t aBodyBytes) -> bool
 {
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -364,10 +364,15 @@
   if (!HasRole(aGateway.mSettings, Role::Entry)) {
     return {};
   }
-  aGateway.mPool = wire::CreateConnectionPool(*aGateway.mLoop, {});
+  auto pool = wire::PoolSettings{};
+  pool.mMayHold = [&aGateway](std::size_t aMore) {
+    return MayKeepAnswer(aGateway.mMemory, aMore);
+  };
+  aGateway.mPool = wire::CreateConnectionPool(*aGateway.mLoop, std::move(pool));
   BOOST_LEAF_ASSIGN(aGateway.mForwarder, MakeForwarder(aGateway));
   aGateway.mMemory.mCountAnswers = [&aGateway] {
-    return forwarding::CountBufferedBytes(*aGateway.mForwarder);
+    return wire::HeldBytes(*aGateway.mPool) +
+           forwarding::CountBufferedBytes(*aGateway.mForwarder);
   };
   BOOST_LEAF_ASSIGN(aGateway.mDatagrams,
                     wire::OpenDatagrams(*aGateway.mLoop,
--- a/src/policy/internal/memorybudget.cpp
+++ b/src/policy/internal/memorybudget.cpp
@@ -32,6 +32,20 @@
   return IsWithin(aUse, isSmall ? 1.0 : 1.0 - aRules.mSmallShare, aRules);
 }
 
+auto
+MayKeepAnswer(const MemoryUse& aUse,
+              std::size_t aBytes,
+              const MemoryRules& aRules) -> bool
+{
+  const auto answers = aUse.mAnswers + aUse.mUnsent;
+  if (aRules.mMaxBytes == 0 || answers == 0) {
+    return true;
+  }
+  const auto all = MemoryUse{ TotalOf(aUse) + aBytes, 0, 0, 0 };
+  return IsWithin(all, 1.0 - aRules.mSmallShare, aRules) ||
+         IsWithin({ answers + aBytes, 0, 0, 0 }, aRules.mAnswerShare, aRules);
+}
+
 auto
 IsBoundLeft(const MemoryUse& aUse, const MemoryRules& aRules) -> bool
 {
--- a/src/policy/memorybudget.h
+++ b/src/policy/memorybudget.h
@@ -30,6 +30,9 @@
   /// Part of the bytes that is left to requests with small bodies, so that the
   /// others do not shut them out.
   double mSmallShare = 0.125;
+  /// Part of the bytes that bodies can't keep answers out of, since requests
+  /// end with their answers.
+  double mAnswerShare = 0.25;
   /// The bound is left when less than this part of the bytes is in use.
   double mLeftBelow = 0.75;
 
@@ -46,6 +49,13 @@
             std::size_t aBodyBytes,
             const MemoryRules& aRules) -> bool;
 
+/// True if aBytes more of an answer may be kept. One that is larger than the
+/// share may when there is no other.
+auto
+MayKeepAnswer(const MemoryUse& aUse,
+              std::size_t aBytes,
+              const MemoryRules& aRules) -> bool;
+
 /// True once so much is free that a bound that was met counts as left.
 auto
 IsBoundLeft(const MemoryUse& aUse, const MemoryRules& aRules) -> bool;
--- a/src/wire/connectionpool.h
+++ b/src/wire/connectionpool.h
@@ -52,6 +52,9 @@
   std::size_t mMaxHeadBytes = 0;
   /// Longest body of the answer; 0 for any.
   std::size_t mMaxBodyBytes = 0;
+  /// The answer's body is kept until it is whole, so that more of it is read
+  /// only while there is room.
+  bool mIsKept = false;
 
   auto operator==(const Exchange&) const -> bool = default;
 };
@@ -94,8 +97,11 @@
   /// Bytes received on end that are no part of the awaited answer's body, such
   /// as interim and foreign answers, after which the server is given up.
   std::size_t mMaxUselessBytes = std::size_t{ 1024 } * 1024;
-
-  auto operator==(const PoolSettings&) const -> bool = default;
+  /// Bytes of a kept answer that are read without asking.
+  std::size_t mSmallAnswer = std::size_t{ 64 } * 1024;
+  /// True if aMore bytes of kept answers may be held. Answers that have to wait
+  /// go on in the order in which they came. Without the function any may.
+  std::function<bool(std::size_t aMore)> mMayHold = nullptr;
 };
 
 struct PoolCounters
@@ -140,6 +146,10 @@
 auto
 SetTls(ConnectionPool& aPool, TlsContextPtr aTls) -> void;
 
+/// Bytes set aside for kept answers that are not whole, or held of them.
+auto
+HeldBytes(const ConnectionPool& aPool) -> std::size_t;
+
 auto
 CountersOf(const ConnectionPool& aPool) -> const PoolCounters&;
 
--- a/src/wire/internal/connectionpool.cpp
+++ b/src/wire/internal/connectionpool.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -24,6 +25,10 @@
 /// Probes of a connection that waits for an answer: seconds until the first,
 /// and between them.
 constexpr auto kProbeSeconds = 1;
+/// How often answers that wait for room are looked at.
+constexpr auto kRoomCheckInterval = Millis(10);
+/// What the system holds of an answer that is not read, at most.
+constexpr auto kReceiveBuffer = 64 * 1024;
 constexpr auto kProbeCount = 2;
 
 struct Connection
@@ -52,6 +57,8 @@
   /// An answer to another request was received on the connection.
   bool mHasOtherAnswers = false;
   std::size_t mBodyBytes = 0;
+  /// Of a kept answer.
+  std::size_t mHeldBytes = 0;
   /// Bytes since the last ones of the body.
   std::size_t mUselessBytes = 0;
   TimerId mConnectTimer = 0;
@@ -72,6 +79,10 @@
   std::map<ExchangeId, ConnectionId> mExchanges;
   /// Most recently used last.
   std::map<SocketAddress, std::vector<ConnectionId>> mIdle;
+  std::size_t mHeldBytes = 0;
+  /// Connections whose answers wait for room, in the order of their arrival.
+  std::deque<ConnectionId> mWaiting;
+  TimerId mRoomCheck = 0;
 };
 
 namespace {
@@ -116,10 +127,19 @@
   }
 }
 
+auto
+SetHeld(Connection& aConnection, std::size_t aBytes) -> void
+{
+  aConnection.mPool->mHeldBytes += aBytes - aConnection.mHeldBytes;
+  aConnection.mHeldBytes = aBytes;
+}
+
 /// Closes and forgets a connection; its handlers are not called.
 auto
 CloseConnection(ConnectionPool& aPool, Connection& aConnection) -> void
 {
+  SetHeld(aConnection, 0);
+  std::erase(aPool.mWaiting, aConnection.mId);
   StopTimer(*aPool.mLoop, aConnection.mConnectTimer);
   aPool.mExchanges.erase(aConnection.mExchange);
   RemoveIdle(aPool, aConnection);
@@ -180,6 +200,7 @@
   const auto result =
     ExchangeResult{ ExchangeEnd::Complete, aConnection.mWasKept };
   pool.mExchanges.erase(std::exchange(aConnection.mExchange, 0));
+  SetHeld(aConnection, 0);
   aConnection.mRequest = {};
   // NOTE: an answer may come before its request is sent whole.
   if (!aConnection.mIsWriting) {
@@ -327,6 +348,83 @@
   return false;
 }
 
+/// Sets room aside for the rest of a kept answer. False if there is none.
+auto
+HoldAnswer(Connection& aConnection) -> bool
+{
+  const auto& settings = aConnection.mPool->mSettings;
+  const auto read = aConnection.mBodyBytes;
+  const auto isBody = aConnection.mParser.mPhase == AnswerPhase::LengthBody ||
+                      aConnection.mParser.mPhase == AnswerPhase::ChunkedBody ||
+                      aConnection.mParser.mPhase == AnswerPhase::OpenBody;
+  if (!aConnection.mRequest.mIsKept || aConnection.mIsForeign || !isBody) {
+    return true;
+  }
+  const auto isKnown = aConnection.mParser.mPhase == AnswerPhase::LengthBody;
+  const auto limit = aConnection.mRequest.mMaxBodyBytes;
+  const auto whole = read + aConnection.mParser.mBodyLeft;
+  if (read < aConnection.mHeldBytes ||
+      (isKnown && limit > 0 && whole > limit)) {
+    return true;
+  }
+  // NOTE: a body of unknown length doubles its memory as it grows.
+  const auto needed =
+    isKnown ? whole : std::max(2 * read, settings.mSmallAnswer);
+  if (needed > settings.mSmallAnswer && settings.mMayHold &&
+      !settings.mMayHold(needed - aConnection.mHeldBytes)) {
+    return false;
+  }
+  SetHeld(aConnection, needed);
+  return true;
+}
+
+auto
+OnRead(h2o_socket_t* aSocket, const char* aError) -> void;
+
+/// Takes the input part by part until more bytes are needed, the connection is
+/// gone or its answer has to wait for room.
+auto
+TakeInput(ConnectionPool& aPool, ConnectionId aId) -> void
+{
+  do {
+    auto* connection = FindConnection(aPool, aId);
+    if (connection != nullptr && !HoldAnswer(*connection)) {
+      h2o_socket_read_stop(connection->mSocket);
+      aPool.mWaiting.push_back(aId);
+      return;
+    }
+  } while (TakePart(aPool, aId));
+}
+
+/// Lets answers go on in their order while there is room.
+auto
+CheckRoom(ConnectionPool& aPool) -> void
+{
+  aPool.mRoomCheck = 0;
+  while (!aPool.mWaiting.empty()) {
+    auto* connection = FindConnection(aPool, aPool.mWaiting.front());
+    if (!HoldAnswer(*connection)) {
+      break;
+    }
+    const auto id = connection->mId;
+    aPool.mWaiting.pop_front();
+    h2o_socket_read_start(connection->mSocket, OnRead);
+    TakeInput(aPool, id);
+  }
+}
+
+auto
+ScheduleRoomCheck(ConnectionPool& aPool) -> void
+{
+  if (aPool.mRoomCheck != 0 || aPool.mWaiting.empty()) {
+    return;
+  }
+  aPool.mRoomCheck = StartTimer(*aPool.mLoop, kRoomCheckInterval, [&aPool] {
+    CheckRoom(aPool);
+    ScheduleRoomCheck(aPool);
+  });
+}
+
 auto
 OnRead(h2o_socket_t* aSocket, const char* aError) -> void
 {
@@ -339,8 +437,8 @@
   }
   auto& pool = *connection->mPool;
   const auto id = connection->mId;
-  while (TakePart(pool, id)) {
-  }
+  TakeInput(pool, id);
+  ScheduleRoomCheck(pool);
   connection = FindConnection(pool, id);
   if (connection == nullptr || aError == nullptr) {
     return;
@@ -401,6 +499,8 @@
   const auto on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence, sizeof(silence));
   setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(
+    fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer, sizeof(kReceiveBuffer));
   setsockopt(
     fd, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeSeconds, sizeof(kProbeSeconds));
   setsockopt(
@@ -493,6 +593,7 @@
 auto
 ConnectionPoolDeleter::operator()(ConnectionPool* aPool) const -> void
 {
+  StopTimer(*aPool->mLoop, aPool->mRoomCheck);
   while (!aPool->mConnections.empty()) {
     CloseConnection(*aPool, *aPool->mConnections.begin()->second);
   }
@@ -557,6 +658,12 @@
   aPool.mTls = std::move(aTls);
 }
 
+auto
+HeldBytes(const ConnectionPool& aPool) -> std::size_t
+{
+  return aPool.mHeldBytes;
+}
+
 auto
 CountersOf(const ConnectionPool& aPool) -> const PoolCounters&
 {
