--- a/src/gateway/internal/metrics.cpp
+++ b/src/gateway/internal/metrics.cpp
@@ -178,6 +178,7 @@
 MemoryMetrics(const Gateway& aGateway) -> std::vector<MetricFamily>
 {
   const auto use = CountMemory(aGateway.mMemory);
+  const auto& counters = wire::CountersOf(*aGateway.mMemory.mBudget);
   auto bytes = MakeFamily("cuminslip_memory_bytes",
                           "Bytes held for callers, by kind.",
                           MetricType::Gauge);
@@ -196,7 +197,13 @@
                  static_cast<double>(aGateway.mMemory.mRules.mMaxBytes)),
            Counter("cuminslip_memory_refusals_total",
                    "Requests refused since their bodies did not fit.",
-                   aGateway.mMemory.mRefusals) };
+                   aGateway.mMemory.mRefusals),
+           Counter("cuminslip_connections_evicted_total",
+                   "Clients' connections closed to make room for others.",
+                   counters.mEvicted),
+           Counter("cuminslip_connections_refused_total",
+                   "Clients' connections closed at once by want of room.",
+                   counters.mRefusedConnections) };
 }
 
 } // namespace
