--- a/src/gateway/tests/memory_tests.cpp
+++ b/src/gateway/tests/memory_tests.cpp
@@ -133,7 +133,7 @@
   BOOST_TEST(CountTaken() == kFitting);
   BOOST_TEST(mRefused == kRequests - kFitting);
   BOOST_TEST(TotalOf(use) <= 20 * kUnit);
-  BOOST_TEST(use.mBodies == 2 * kFitting * kUnit);
+  BOOST_TEST(use.mBodies == std::size_t{ kFitting } * 2 * kUnit);
   BOOST_TEST(mGateway->mMemory.mIsAtBound);
 
   Post(100);
--- a/src/wire/internal/connectionpool.cpp
+++ b/src/wire/internal/connectionpool.cpp
@@ -606,7 +606,7 @@
 {
   auto pool = ConnectionPoolPtr(new ConnectionPool);
   pool->mLoop = &aLoop;
-  pool->mSettings = aSettings;
+  pool->mSettings = std::move(aSettings);
   return pool;
 }
 
