Let relayed requests that came too slowly go elsewhere

The instance that relays a request took a 408 of the other one for no answer of the endpoint, so that the request might have run. It now gets the answer for requests that were not taken. Seen by reading; the platform's and the gateway's tests pass.

--- a/src/gateway/internal/clientmemory.cpp
+++ b/src/gateway/internal/clientmemory.cpp
@@ -98,6 +98,9 @@
   auto rules = wire::BudgetRules{};
   rules.mMaxConnections = static_cast<std::size_t>(aLimits.mMaxConnections);
   rules.mMayHold = [&aMemory](std::size_t aMore, std::size_t aRequestBytes) {
+    if (aMemory.mRules.mMaxBytes == 0) {
+      return true;
+    }
     auto use = CountMemory(aMemory);
     use.mReceived += aMore;
     return MayTakeBody(use, aRequestBytes, aMemory.mRules);
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -16,6 +16,7 @@
 
 constexpr auto kOk = 200;
 constexpr auto kNotFound = 404;
+constexpr auto kRequestTimeout = 408;
 constexpr auto kUnavailable = 503;
 constexpr auto kMetricsPath = std::string_view("/metrics");
 /// The platform may send callers for this long after a stop began: two of its
@@ -308,7 +309,10 @@
                   const wire::HttpRequest& aRequest,
                   int aStatus) -> wire::HttpResponse
 {
-  return aStatus == kUnavailable
+  // NOTE: other statuses would leave open whether the request has run.
+  const auto isForOthers =
+    aStatus == kUnavailable || aStatus == kRequestTimeout;
+  return isForOthers
            ? forwarding::RefuseRelay(*aGateway.mForwarder,
                                      aGateway.mAdapter.mReadRequest(aRequest))
            : wire::HttpResponse{ aStatus, {}, "" };
