Drop what a refused client sends for as long as it sends

A client that paced a body of 4 MiB over four seconds lost its 503: the connection was closed after three, with unread bytes.

--- a/src/wire/internal/serverconnection.cpp
+++ b/src/wire/internal/serverconnection.cpp
@@ -30,7 +30,7 @@
 constexpr auto kWriteParts = std::size_t{ 8 };
 /// Smaller pieces of a response are joined.
 constexpr auto kJoinedBytes = std::size_t{ 16 } * 1024;
-/// How long a client may go on sending after its last answer.
+/// A client that has its last answer and sends nothing for this long is done.
 constexpr auto kDrainTime = Millis(3000);
 constexpr auto kLongestSweep = Millis(500);
 constexpr auto kShortestSweep = Millis(20);
@@ -529,6 +529,7 @@
   const auto age = aNow - aConnection.mSince;
   const auto limit = aConnection.mServer->mLimits.mRequestTimeout;
   const auto isUnread = aConnection.mUnsentBytes > 0;
+  const auto hasMoved = aConnection.mMoved[0] + aConnection.mMoved[1] > 0;
   switch (aConnection.mPhase) {
     case ConnectionPhase::Idle:
       if (age >= limit) {
@@ -546,7 +547,7 @@
       }
       return;
     case ConnectionPhase::Draining:
-      if (age >= kDrainTime) {
+      if (age >= limit || (age >= kDrainTime && !hasMoved)) {
         CloseConnection(aConnection);
       }
       return;
