Count kept answers also while there is no routing document

Each request asks for room, which counts the answers of all requests, and one that waits for a routing document has no route to tell whether its answer is kept.

--- a/src/forwarding/internal/answers.cpp
+++ b/src/forwarding/internal/answers.cpp
@@ -374,7 +374,9 @@
 auto
 IsKept(const Flight& aFlight) -> bool
 {
-  return aFlight.mRoute->mKind != routing::RouteKind::Streaming;
+  // NOTE: a request has no route while there is no routing document.
+  return aFlight.mRoute == nullptr ||
+         aFlight.mRoute->mKind != routing::RouteKind::Streaming;
 }
 
 auto
--- a/src/gateway/tests/memory_tests.cpp
+++ b/src/gateway/tests/memory_tests.cpp
@@ -57,6 +57,9 @@
     ports.mExchanges.mCancel = [](wire::ExchangeId) {};
     ports.mSendNotice = [](const auto&, const auto&) {};
     gateway.mForwarder = forwarding::CreateForwarder({}, std::move(ports), 1);
+    gateway.mMemory.mCountAnswers = [&gateway] {
+      return forwarding::CountBufferedBytes(*gateway.mForwarder);
+    };
     auto server = CollectOutcome<wire::HttpServerPtr>([&] {
       return StartListener(*gateway.mLoop,
                            wire::SocketAddress{ "127.0.0.1", 0 },
