Close connections only once h2o is done with their writes

A process that aborts a response outside the loop's callbacks, as at a deadline, would have hung.

A connection with a write under way is now shut down, and closed when the write has called back; its bytes stay until then.

The new test AnAbortOutsideTheLoopWaitsForTheWrite hangs on (ended after 20 s) and passes now.

--- a/src/wire/internal/httpserver.cpp
+++ b/src/wire/internal/httpserver.cpp
@@ -25,6 +25,7 @@
 constexpr auto kNoContent = 204;
 constexpr auto kNotModified = 304;
 constexpr auto kAcceptPause = Millis(50);
+constexpr auto kCloseRounds = 1000;
 
 /// True if nothing more can be done for the response.
 auto
@@ -140,6 +141,7 @@
     shutdown(SocketOf(aResponder), SHUT_RDWR);
   } else {
     // NOTE: without chunks only a reset differs from the end of the body.
+    aResponder.mConnection->mEndsWithReset = true;
     const auto reset = linger{ 1, 0 };
     setsockopt(
       SocketOf(aResponder), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -228,6 +230,13 @@
     }
     CloseConnection(*it);
   }
+  // NOTE: writes under way end with their connections within a few rounds.
+  for (const auto& it : aServer.mClosing) {
+    shutdown(h2o_socket_get_fd(it.first), SHUT_RDWR);
+  }
+  for (auto n = 0; n < kCloseRounds && !aServer.mClosing.empty(); ++n) {
+    h2o_evloop_run(aServer.mLoop->mLoop, 1);
+  }
   // NOTE: h2o frees closed sockets in the next round.
   h2o_evloop_run(aServer.mLoop->mLoop, 0);
 }
--- a/src/wire/internal/serverconnection.cpp
+++ b/src/wire/internal/serverconnection.cpp
@@ -370,9 +370,9 @@
 FindConnection(h2o_socket_t* aSocket) -> std::shared_ptr<ServerConnection>
 {
   auto* connection = static_cast<ServerConnection*>(aSocket->data);
-  return connection == nullptr
-           ? nullptr
-           : connection->mServer->mConnections.at(connection);
+  const auto& connections = connection->mServer->mConnections;
+  const auto it = connections.find(connection);
+  return it == connections.end() ? nullptr : it->second;
 }
 
 auto
@@ -481,8 +481,12 @@
 {
   const auto connection = FindConnection(aSocket);
   if (connection == nullptr) {
+    auto& server = *static_cast<ServerConnection*>(aSocket->data)->mServer;
+    const auto closing = server.mClosing.extract(aSocket);
+    h2o_socket_close(aSocket);
     return;
   }
+  connection->mIsWriting = false;
   if (aError != nullptr) {
     CloseConnection(*connection);
     return;
@@ -621,9 +625,18 @@
   aConnection.mUnsentBytes = 0;
   auto* sock = std::exchange(aConnection.mSocket, nullptr);
   aConnection.mIsReading = false;
-  sock->data = nullptr;
-  h2o_socket_close(sock);
-  aConnection.mOutput.clear();
+  if (aConnection.mIsWriting) {
+    // NOTE: h2o frees closed sockets before it calls back for a write that is
+    // done, and a write under way needs its bytes.
+    h2o_socket_read_stop(sock);
+    if (!aConnection.mEndsWithReset) {
+      shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+    }
+    server.mClosing.emplace(sock, self);
+  } else {
+    h2o_socket_close(sock);
+    aConnection.mOutput.clear();
+  }
   FreeBytes(aConnection.mNext);
   const auto responder = std::move(aConnection.mResponder);
   if (!responder) {
@@ -657,7 +670,7 @@
   aConnection.mUnsentBytes += aBytes.size();
   auto& output = aConnection.mOutput;
   // NOTE: what is being sent must stay where it is.
-  const auto mayJoin = aConnection.mWriting == 0 && !output.empty() &&
+  const auto mayJoin = !aConnection.mIsWriting && !output.empty() &&
                        output.back().size() + aBytes.size() <= kJoinedBytes;
   if (mayJoin) {
     CountOutput(aConnection, -output.back().capacity());
@@ -671,7 +684,7 @@
 auto
 FlushOutput(ServerConnection& aConnection) -> void
 {
-  if (aConnection.mSocket == nullptr || aConnection.mWriting != 0) {
+  if (aConnection.mSocket == nullptr || aConnection.mIsWriting) {
     return;
   }
   auto parts = std::array<h2o_iovec_t, kWriteParts>{};
@@ -693,6 +706,7 @@
     responder->mPhase = ResponsePhase::HandedOver;
   }
   if (count > 0) {
+    aConnection.mIsWriting = true;
     h2o_socket_write(aConnection.mSocket, parts.data(), count, OnWritten);
   } else if (aConnection.mPhase == ConnectionPhase::Draining &&
              !aConnection.mIsTls) {
@@ -710,6 +724,7 @@
   // NOTE: the response ends in a later round of the loop, as others do, since
   // the next request may be served then.
   aConnection.mResponder->mPhase = ResponsePhase::HandedOver;
+  aConnection.mIsWriting = true;
   auto nothing = h2o_iovec_init(nullptr, 0);
   h2o_socket_write(aConnection.mSocket, &nothing, 1, OnWritten);
 }
--- a/src/wire/internal/serverconnection.h
+++ b/src/wire/internal/serverconnection.h
@@ -69,8 +69,11 @@
   std::deque<std::string> mOutput;
   /// Bytes of the front of mOutput that are sent.
   std::size_t mOutputUsed = 0;
-  /// Bytes that are being sent; 0 while nothing is.
+  /// Bytes that are being sent.
   std::size_t mWriting = 0;
+  bool mIsWriting = false;
+  /// The end of the last response is a reset.
+  bool mEndsWithReset = false;
   std::size_t mUnsentBytes = 0;
   /// Memory of mOutput, sent parts included.
   std::size_t mOutputBytes = 0;
@@ -90,6 +93,8 @@
   /// Each answer closes its connection.
   bool mIsClosing = false;
   std::map<ServerConnection*, std::shared_ptr<ServerConnection>> mConnections;
+  /// Closed connections whose sockets have a write under way.
+  std::map<h2o_socket_t*, std::shared_ptr<ServerConnection>> mClosing;
 };
 
 /// Begins to serve a connection. Takes over aSocket, a nonblocking one.
--- a/src/wire/tests/http_tests.cpp
+++ b/src/wire/tests/http_tests.cpp
@@ -159,6 +159,33 @@
   RunUntil([&] { return CountConnections(*mServer) == 0; });
 }
 
+// h2o frees closed sockets before it calls back for a write that is done, and
+// then never left its loop.
+BOOST_AUTO_TEST_CASE(AnAbortOutsideTheLoopWaitsForTheWrite)
+{
+  constexpr auto kRounds = 50;
+  auto responder = ResponderPtr{};
+  Serve([&](const HttpRequest&, const ResponderPtr& aResponder) {
+    responder = aResponder;
+  });
+  for (auto n = 0; n < kRounds; ++n) {
+    auto end = std::optional<CallEnd>{};
+    StartCall(*mClient,
+              Call("GET", "/", ""),
+              { nullptr, nullptr, [&](CallEnd aEnd) { end = aEnd; } });
+    RunUntil([&] { return responder != nullptr; });
+    // NOTE: its socket may get the memory of the one that is closed.
+    const auto other =
+      cuminslip::wire::testing::RawCaller(ListenAddress(*mServer));
+    StartStream(responder, 200, {});
+    SendPiece(responder, "one");
+    AbortStream(std::exchange(responder, nullptr));
+    RunUntil([&] { return end.has_value(); });
+    BOOST_TEST((*end == CallEnd::Broken));
+  }
+  RunUntil([&] { return CountConnections(*mServer) == 0; });
+}
+
 // A 503 would promise that the request has not run.
 BOOST_AUTO_TEST_CASE(AnAbortedResponseThatHasNotBegunIsNoAnswer)
 {
