--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -146,6 +146,8 @@
 class Fleet:
     def __init__(self, record, controls=3, entries=1, zones=("z1", "z2", "z3"),
                  memory_mb=160, heartbeat_ms=1200):
+        # A case that is ended from outside ends what it has started.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.record = record
         self.heartbeat_ms = heartbeat_ms
         self.memory_mb = memory_mb
